--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/actor.rs
@@ -0,0 +1,10 @@
+//! The long-lived parts of a daemon, under one supervisor.
+
+pub mod follower;
+pub mod gossip;
+pub mod quota;
+pub mod root;
+mod seeds;
+mod worker;
+
+pub use worker::Stop;
--- /dev/null
+++ b/crates/daemon/src/actor/seeds.rs
@@ -0,0 +1,121 @@
+//! The few rows in the platform's table service by which daemons first find
+//! one another.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cardamomshed_code::{Event, Failure};
+use cardamomshed_platform::{Client, Expect, Row};
+use cardamomshed_policy::member::{Record, State};
+use rand::Rng;
+
+use super::{follower, gossip};
+use crate::node::Node;
+use crate::sync::lock;
+
+/// Table of the rows.
+const TABLE: &str = "seeds";
+/// Rows of each failure domain.
+const ROWS_PER_DOMAIN: usize = 3;
+/// Rows that are read at once.
+const MAX_ROWS: usize = 256;
+/// Time between two looks at the rows.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
+/// First pause of a daemon that knows no other.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Finds other daemons, and keeps the rows up to date where this daemon is
+/// one of those that do.
+pub(super) async fn join(node: Arc<Node>) {
+    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
+    let mut pause = FIRST_PAUSE;
+    let mut asked = 0;
+    loop {
+        let alone = lock(&node.fleet).live() == 1;
+        if alone || follower::is_poller(&node) {
+            match look(&node, &client).await {
+                Ok(()) => {}
+                Err(failure) => {
+                    node.note_event(Event::PlatformLost, format_args!("seeds: {failure}"));
+                }
+            }
+        }
+        if asked < 3 && lock(&node.fleet).live() > 1 {
+            asked += 1;
+            gossip::ask_members(&node);
+        }
+        let spread = 0.75 + rand::rng().random::<f64>() * 0.5;
+        tokio::select! {
+            () = tokio::time::sleep(pause.mul_f64(spread)) => {}
+            () = node.rejoin.notified() => asked = asked.min(2),
+        }
+        pause = (pause * 2).min(LOOK_EVERY);
+    }
+}
+
+async fn look(node: &Arc<Node>, client: &Client) -> Result<(), Failure> {
+    let rows = client.list(TABLE, "", MAX_ROWS).await?;
+    let records = rows
+        .iter()
+        .filter_map(|row| serde_json::from_value::<Record>(row.value.clone()).ok())
+        .filter(|record| record.state.takes_part())
+        .collect::<Vec<_>>();
+    let unknown = {
+        let fleet = lock(&node.fleet);
+        let unknown = |record: &Record| fleet.get(&record.name).is_none();
+        records.into_iter().filter(unknown).collect::<Vec<_>>()
+    };
+    let output = lock(&node.fleet).learn(unknown, node.clock.now());
+    gossip::post(node, output);
+    keep_row(node, client, &rows).await
+}
+
+/// Takes over one row of the own failure domain if its daemon is gone.
+async fn keep_row(node: &Arc<Node>, client: &Client, rows: &[Row]) -> Result<(), Failure> {
+    let own = lock(&node.fleet).own().clone();
+    let domain = &own.profile.domain;
+    let keys = (0..ROWS_PER_DOMAIN).map(|number| format!("{domain}-{number}"));
+    let holders = keys
+        .map(|key| {
+            let row = rows.iter().find(|row| row.key == key);
+            (key, row)
+        })
+        .collect::<Vec<_>>();
+    let name_of = |row: &Row| {
+        row.value
+            .get("n")
+            .and_then(|name| name.as_str())
+            .map(str::to_owned)
+    };
+    let holds = |row: &&Row| name_of(row).as_deref() == Some(&*own.name);
+    if holders
+        .iter()
+        .filter_map(|(_, row)| row.as_ref())
+        .any(holds)
+    {
+        return Ok(());
+    }
+    let settled = node.clock.now().as_micros() > LOOK_EVERY.as_micros() as u64;
+    for (key, row) in holders {
+        let expect = match row {
+            None => Expect::Absent,
+            Some(row) if settled && !is_live(node, name_of(row).as_deref()) => {
+                Expect::Version(row.version)
+            }
+            Some(_) => continue,
+        };
+        let written = client.put(TABLE, &key, expect, &own).await;
+        // Another daemon was faster, which serves as well.
+        return match written {
+            Err(failure) if failure.code == cardamomshed_code::Code::PlatformConflict => Ok(()),
+            other => other.map(|_| ()),
+        };
+    }
+    Ok(())
+}
+
+fn is_live(node: &Node, name: Option<&str>) -> bool {
+    let fleet = lock(&node.fleet);
+    name.and_then(|name| fleet.get(name))
+        .is_some_and(|record| matches!(record.state, State::Alive | State::Suspect))
+}
--- /dev/null
+++ b/crates/daemon/src/beside.rs
@@ -0,0 +1,315 @@
+//! The target beside this daemon: who it is and who may enter it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cardamomshed_code::Code;
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::gate::{self, Change, Gate, Offer, Shed, Ticket, Verdict};
+use cardamomshed_wire::Load;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+use crate::sync::lock;
+
+/// What a target tells its daemon when it announces itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service that the target serves.
+    pub service: Arc<str>,
+    /// Where the target accepts HTTP, on this VM.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts at once.
+    pub connections: u32,
+    /// Time that it takes to warm up, in milliseconds.
+    #[serde(default)]
+    pub cold_start_ms: u64,
+    /// Whether it is about to stop.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announced {
+    /// A target that was not there before.
+    New,
+    /// The target is leaving now.
+    Leaving,
+    /// Nothing but the time of the announcement.
+    Same,
+}
+
+#[derive(Debug)]
+struct Target {
+    announcement: Announcement,
+    announced: Moment,
+    gate: Gate,
+    waiting: HashMap<Ticket, oneshot::Sender<Result<(), Shed>>>,
+}
+
+/// The target beside this daemon.
+#[derive(Debug)]
+pub struct Beside {
+    clock: Clock,
+    target: Mutex<Option<Target>>,
+    next_ticket: std::sync::atomic::AtomicU64,
+}
+
+/// A place on the target; given back when it is dropped.
+#[derive(Debug)]
+pub struct Entry<'a> {
+    beside: &'a Beside,
+    ticket: Ticket,
+    /// Where the target accepts HTTP.
+    pub address: SocketAddr,
+    /// Connections that the target accepts at once.
+    pub connections: u32,
+    /// Time that the call waited.
+    pub waited: Duration,
+    /// Whether that wait shows that the target is pressed.
+    pub pressed: bool,
+    own_time: Option<Duration>,
+}
+
+/// A call that asks to enter.
+#[derive(Clone, Copy, Debug)]
+pub struct Visitor<'a> {
+    /// Service that it is for.
+    pub service: &'a str,
+    /// Everything the gate weighs, but the ticket.
+    pub account: cardamomshed_policy::AccountKey,
+    /// Priority of the root request.
+    pub priority: cardamomshed_policy::Priority,
+    /// Hops from the caller.
+    pub depth: u8,
+    /// Deadline of the call.
+    pub deadline: Moment,
+}
+
+impl Beside {
+    /// No target so far.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            target: Mutex::new(None),
+            next_ticket: std::sync::atomic::AtomicU64::new(1),
+        }
+    }
+
+    /// Takes in an announcement.
+    pub fn announce(&self, announcement: Announcement) -> Announced {
+        let now = self.clock.now();
+        let mut target = lock(&self.target);
+        let known = target.as_mut().filter(|known| {
+            let old = &known.announcement;
+            old.service == announcement.service && old.address == announcement.address
+        });
+        if let Some(known) = known {
+            known.announced = now;
+            let newly_leaving = announcement.leaving && !known.announcement.leaving;
+            let returned = known.announcement.leaving && !announcement.leaving;
+            if newly_leaving {
+                known.gate.close();
+                known.announcement = announcement;
+                return Announced::Leaving;
+            }
+            if !returned {
+                return Announced::Same;
+            }
+        }
+        let config = gate::Config::new(announcement.slots.min(announcement.connections))
+            .cold_start(Duration::from_millis(announcement.cold_start_ms));
+        *target = Some(Target {
+            gate: Gate::new(config, now),
+            announced: now,
+            waiting: HashMap::new(),
+            announcement,
+        });
+        Announced::New
+    }
+
+    /// Forgets a target that stopped announcing itself; gives its service.
+    pub fn lapse(&self, after: Duration) -> Option<Arc<str>> {
+        let now = self.clock.now();
+        let mut target = lock(&self.target);
+        let lapsed = target.take_if(|known| now.since(known.announced) > after)?;
+        Some(lapsed.announcement.service)
+    }
+
+    /// Refuses new calls from now on.
+    pub fn close(&self) {
+        if let Some(target) = lock(&self.target).as_mut() {
+            target.gate.close();
+            target.announcement.leaving = true;
+        }
+    }
+
+    /// The target's announcement.
+    pub fn announcement(&self) -> Option<Announcement> {
+        lock(&self.target)
+            .as_ref()
+            .map(|target| target.announcement.clone())
+    }
+
+    /// Load as told to other daemons.
+    pub fn load(&self) -> Load {
+        let now = self.clock.now();
+        lock(&self.target)
+            .as_ref()
+            .map_or_else(Load::default, |target| target.gate.load(now).into())
+    }
+
+    /// Waits for a place on the target.
+    ///
+    /// # Errors
+    ///
+    /// The code under which the call is refused. It has not run.
+    pub async fn enter(&self, visitor: Visitor<'_>) -> Result<Entry<'_>, Code> {
+        let (mut entry, verdict) = self.offer(visitor)?;
+        let Some(verdict) = verdict else {
+            return Ok(entry);
+        };
+        let arrived = self.clock.now();
+        let shed = match timeout(self.clock.left(visitor.deadline), verdict).await {
+            Ok(Ok(Ok(()))) => {
+                entry.waited = self.clock.now().since(arrived);
+                entry.pressed = self.is_pressed(entry.waited);
+                return Ok(entry);
+            }
+            Ok(Ok(Err(shed))) => shed,
+            // The target was replaced while the call waited.
+            Ok(Err(_)) => Shed::Closed,
+            Err(_) => Shed::Deadline,
+        };
+        Err(shed_code(shed))
+    }
+
+    /// Offers a call; gives a receiver if it has to wait.
+    #[expect(clippy::type_complexity, reason = "used in one place")]
+    fn offer(
+        &self,
+        visitor: Visitor<'_>,
+    ) -> Result<(Entry<'_>, Option<oneshot::Receiver<Result<(), Shed>>>), Code> {
+        let now = self.clock.now();
+        let mut guard = lock(&self.target);
+        let target = guard
+            .as_mut()
+            .filter(|target| &*target.announcement.service == visitor.service)
+            .ok_or(Code::NoTarget)?;
+        let order = std::sync::atomic::Ordering::Relaxed;
+        let ticket = Ticket(self.next_ticket.fetch_add(1, order));
+        let offer = Offer {
+            ticket,
+            account: visitor.account,
+            priority: visitor.priority,
+            depth: visitor.depth,
+            deadline: visitor.deadline,
+        };
+        let mut changes = Vec::new();
+        let verdict = target.gate.offer(offer, now, &mut changes);
+        target.tell(&changes);
+        let receiver = match verdict {
+            Verdict::Run => None,
+            Verdict::Wait => {
+                let (sender, receiver) = oneshot::channel();
+                target.waiting.insert(ticket, sender);
+                Some(receiver)
+            }
+            Verdict::Shed(shed) => return Err(shed_code(shed)),
+        };
+        let entry = Entry {
+            beside: self,
+            ticket,
+            address: target.announcement.address,
+            connections: target.announcement.connections,
+            waited: Duration::ZERO,
+            pressed: false,
+            own_time: None,
+        };
+        Ok((entry, receiver))
+    }
+
+    /// Sheds calls that can no longer meet their deadline.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        if let Some(target) = lock(&self.target).as_mut() {
+            let mut changes = Vec::new();
+            target.gate.tick(now, &mut changes);
+            target.tell(&changes);
+        }
+    }
+
+    /// Whether any call runs or waits.
+    pub fn is_idle(&self) -> bool {
+        lock(&self.target)
+            .as_ref()
+            .is_none_or(|target| target.gate.is_idle())
+    }
+
+    fn is_pressed(&self, wait: Duration) -> bool {
+        lock(&self.target)
+            .as_ref()
+            .is_some_and(|target| target.gate.is_pressed(wait))
+    }
+
+    fn leave(&self, ticket: Ticket, own_time: Option<Duration>) {
+        let now = self.clock.now();
+        if let Some(target) = lock(&self.target).as_mut() {
+            let mut changes = Vec::new();
+            target.waiting.remove(&ticket);
+            match own_time {
+                Some(_) => target.gate.finish(ticket, own_time, now, &mut changes),
+                None => {
+                    target.gate.cancel(ticket, now, &mut changes);
+                }
+            }
+            target.tell(&changes);
+        }
+    }
+}
+
+impl Target {
+    fn tell(&mut self, changes: &[Change]) {
+        for change in changes {
+            let (ticket, verdict) = match *change {
+                Change::Run(ticket) => (ticket, Ok(())),
+                Change::Shed(ticket, shed) => (ticket, Err(shed)),
+            };
+            if let Some(sender) = self.waiting.remove(&ticket) {
+                // A receiver that is gone has its entry dropped, which gives
+                // the place back.
+                let _ = sender.send(verdict);
+            }
+        }
+    }
+}
+
+impl Entry<'_> {
+    /// Notes the time that the call took on the target without the calls
+    /// that it made, so that the gate learns from it.
+    pub const fn finish(&mut self, own_time: Duration) {
+        self.own_time = Some(own_time);
+    }
+}
+
+impl Drop for Entry<'_> {
+    fn drop(&mut self) {
+        self.beside.leave(self.ticket, self.own_time);
+    }
+}
+
+const fn shed_code(shed: Shed) -> Code {
+    match shed {
+        Shed::Deadline => Code::DeadlineUnmet,
+        Shed::Full => Code::QueueFull,
+        Shed::Closed => Code::Leaving,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,225 @@
+//! Call contexts: what a call on the target may do in the name of its root.
+//!
+//! The target receives only a random number. It is valid while the call
+//! runs on that target, so there is nothing in it worth stealing; account,
+//! priority, deadline and tokens stay here.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cardamomshed_code::{Code, Failure};
+use cardamomshed_policy::retry::Escrow;
+use cardamomshed_policy::{Moment, Priority};
+use cardamomshed_wire::Request;
+use tokio::sync::watch;
+
+use crate::sync::lock;
+
+/// Names a context towards the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Token(u128);
+
+impl Token {
+    fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Token {
+    type Err = Failure;
+
+    fn from_str(text: &str) -> Result<Self, Failure> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| Failure::new(Code::ContextUnknown, "the call context is no number"))
+    }
+}
+
+/// Time during which a call waits for calls that it made.
+#[derive(Debug, Default)]
+struct Children {
+    open: u32,
+    since: Moment,
+    waited: Duration,
+}
+
+/// What a call on the target may do in the name of its root.
+#[derive(Debug)]
+pub struct Context {
+    /// Root request.
+    pub request: Request,
+    /// Client account of the root request.
+    pub account: Arc<str>,
+    /// Priority of the root request.
+    pub priority: Priority,
+    /// Never later than the deadline of the call above.
+    pub deadline: Moment,
+    /// Hops from the caller to the calls made in this context.
+    pub depth: u8,
+    escrow: Mutex<Escrow>,
+    children: Mutex<Children>,
+    marked: AtomicBool,
+    ended: watch::Sender<bool>,
+}
+
+impl Context {
+    /// A context with these attempt tokens.
+    pub fn new(
+        request: Request,
+        account: Arc<str>,
+        priority: Priority,
+        deadline: Moment,
+        depth: u8,
+        tokens: u8,
+    ) -> Self {
+        Self {
+            request,
+            account,
+            priority,
+            deadline,
+            depth,
+            escrow: Mutex::new(Escrow::new(tokens)),
+            children: Mutex::default(),
+            marked: AtomicBool::new(false),
+            ended: watch::Sender::new(false),
+        }
+    }
+
+    /// Lends attempt tokens to a call.
+    pub fn lend(&self) -> u8 {
+        self.escrow().lend()
+    }
+
+    /// Takes back what a call left.
+    pub fn restore(&self, lent: u8, left: u8) {
+        self.escrow().restore(lent, left);
+    }
+
+    /// Spends a token on another attempt.
+    pub fn spend(&self) -> bool {
+        self.escrow().spend()
+    }
+
+    /// Tokens at hand.
+    pub fn tokens(&self) -> u8 {
+        self.escrow().held()
+    }
+
+    /// Notes that a service below is pressed.
+    pub fn mark(&self) {
+        self.marked.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a service below is pressed.
+    pub fn is_marked(&self) -> bool {
+        self.marked.load(Ordering::Relaxed)
+    }
+
+    /// Notes the start of a call made in this context.
+    pub fn child_started(&self, now: Moment) {
+        let mut children = self.children();
+        if children.open == 0 {
+            children.since = now;
+        }
+        children.open += 1;
+    }
+
+    /// Notes the end of a call made in this context.
+    pub fn child_ended(&self, now: Moment) {
+        let mut children = self.children();
+        children.open = children.open.saturating_sub(1);
+        if children.open == 0 {
+            let waited = now.since(children.since);
+            children.waited += waited;
+        }
+    }
+
+    /// Time spent waiting for calls made in this context.
+    pub fn waited(&self) -> Duration {
+        self.children().waited
+    }
+
+    /// Ends the calls made in this context.
+    pub fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Waits until the context has ended.
+    pub async fn ended(&self) {
+        let mut ended = self.ended.subscribe();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+
+    fn escrow(&self) -> std::sync::MutexGuard<'_, Escrow> {
+        lock(&self.escrow)
+    }
+
+    fn children(&self) -> std::sync::MutexGuard<'_, Children> {
+        lock(&self.children)
+    }
+}
+
+/// The contexts that are valid now.
+#[derive(Debug, Default)]
+pub struct Contexts {
+    live: Mutex<HashMap<Token, Arc<Context>>>,
+}
+
+/// A context that is valid while this guard lives.
+#[derive(Debug)]
+pub struct Live<'a> {
+    contexts: &'a Contexts,
+    /// The number that the target is given.
+    pub token: Token,
+    /// The context.
+    pub context: Arc<Context>,
+}
+
+impl Contexts {
+    /// Makes a context valid.
+    pub fn open(&self, context: Context) -> Live<'_> {
+        let token = Token::random();
+        let context = Arc::new(context);
+        self.lock().insert(token, Arc::clone(&context));
+        Live {
+            contexts: self,
+            token,
+            context,
+        }
+    }
+
+    /// The context that a target names.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::ContextUnknown`] where it is not valid.
+    pub fn find(&self, token: &str) -> Result<Arc<Context>, Failure> {
+        let token = token.parse::<Token>()?;
+        self.lock()
+            .get(&token)
+            .cloned()
+            .ok_or_else(|| Failure::new(Code::ContextUnknown, ""))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Token, Arc<Context>>> {
+        lock(&self.live)
+    }
+}
+
+impl Drop for Live<'_> {
+    fn drop(&mut self) {
+        self.context.end();
+        self.contexts.lock().remove(&self.token);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,186 @@
+//! Life cycle of a daemon: bound, running, left.
+
+use std::marker::PhantomData;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, Addr};
+use actix_web::dev::ServerHandle;
+use anyhow::{Context as _, Result};
+use cardamomshed_code::{Code, Event, Failure};
+use cardamomshed_note::Settings;
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+
+use crate::actor::root::{Parts, Root};
+use crate::actor::{Stop, gossip, quota};
+use crate::http::announce;
+use crate::http::server::{self, Listeners};
+use crate::link::Links;
+use crate::node::{Channels, Node, Options};
+use crate::sync::lock;
+
+/// Time between two looks at what is still open.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Time for which the announcement of leaving is given to arrive.
+const ANNOUNCE: Duration = Duration::from_millis(100);
+
+/// State of a daemon that accepts requests.
+#[derive(Debug)]
+pub struct Running;
+
+/// State of a daemon that accepts no more requests.
+#[derive(Debug)]
+pub struct Leaving;
+
+/// A daemon in one state of its life cycle.
+#[derive(Debug)]
+pub struct Daemon<S> {
+    node: Arc<Node>,
+    servers: Vec<ServerHandle>,
+    root: Addr<Root>,
+    state: PhantomData<S>,
+}
+
+/// Sockets of a daemon that has not started.
+#[derive(Debug)]
+pub struct Bound {
+    settings: Settings,
+    listeners: Listeners,
+    peers: std::net::TcpListener,
+    gossip: std::net::UdpSocket,
+}
+
+impl Bound {
+    /// Binds every address of the settings. A port of zero is replaced by
+    /// one that is free.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::ListenFailed`].
+    pub fn new(mut settings: Settings) -> Result<Self, Failure> {
+        let listeners = Listeners {
+            callers: server::bind(settings.callers)?,
+            target: server::bind(settings.target)?,
+            admin: server::bind(settings.admin)?,
+        };
+        let peers = server::bind(settings.peers)?;
+        let failed = |error: std::io::Error| Failure::new(Code::ListenFailed, error.to_string());
+        settings.callers = listeners.callers.local_addr().map_err(failed)?;
+        settings.target = listeners.target.local_addr().map_err(failed)?;
+        settings.admin = listeners.admin.local_addr().map_err(failed)?;
+        settings.peers = peers.local_addr().map_err(failed)?;
+        let gossip = std::net::UdpSocket::bind(settings.peers).map_err(failed)?;
+        gossip.set_nonblocking(true).map_err(failed)?;
+        Ok(Self {
+            settings,
+            listeners,
+            peers,
+            gossip,
+        })
+    }
+
+    /// The settings with the ports that are bound.
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Starts the daemon on the current actor system.
+    ///
+    /// # Errors
+    ///
+    /// When a listener or the certificate cannot be used.
+    pub fn start(self, options: Options, log: Logger) -> Result<Daemon<Running>> {
+        let (jobs, job_queue) = mpsc::unbounded_channel();
+        let (claims, claim_queue) = mpsc::unbounded_channel();
+        let (gossip, gossip_queue) = mpsc::unbounded_channel();
+        let (links, starts) = Links::new();
+        let channels = Channels {
+            jobs,
+            claims,
+            gossip,
+        };
+        let node = Arc::new(Node::new(self.settings, options, log, channels, links)?);
+        let parts = Parts {
+            jobs: job_queue,
+            claims: claim_queue,
+            starts,
+            gossip: gossip_queue,
+            peers: TcpListener::from_std(self.peers).context("peers' listener")?,
+            socket: UdpSocket::from_std(self.gossip).context("gossip socket")?,
+        };
+        let servers = server::start(&node, self.listeners)?;
+        let handles = servers.iter().map(actix_web::dev::Server::handle).collect();
+        for server in servers {
+            actix_rt::spawn(server);
+        }
+        let root = Root::new(Arc::clone(&node), parts).start();
+        node.note_event(
+            Event::DaemonStarted,
+            format_args!(
+                "callers={} target={} peers={} admin={}",
+                node.settings.callers,
+                node.settings.target,
+                node.settings.peers,
+                node.settings.admin
+            ),
+        );
+        Ok(Daemon {
+            node,
+            servers: handles,
+            root,
+            state: PhantomData,
+        })
+    }
+}
+
+impl<S> Daemon<S> {
+    /// What the parts of the daemon share.
+    pub const fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+}
+
+impl Daemon<Running> {
+    /// Stops accepting requests, tells the fleet, and gives shares back.
+    pub async fn leave(self) -> Daemon<Leaving> {
+        let node = &self.node;
+        node.note_event(Event::DaemonLeaving, format_args!(""));
+        node.set_leaving();
+        node.beside.close();
+        announce::publish(node);
+        quota::give_back(node).await;
+        Daemon {
+            node: self.node,
+            servers: self.servers,
+            root: self.root,
+            state: PhantomData,
+        }
+    }
+}
+
+impl Daemon<Leaving> {
+    /// Waits for open requests to end, up to the time in the settings, then
+    /// stops. Says whether all of them ended.
+    pub async fn stop(self) -> bool {
+        let node = &self.node;
+        let until = tokio::time::Instant::now() + node.settings.timing.drain.get();
+        let mut idle = false;
+        while !idle && tokio::time::Instant::now() < until {
+            tokio::time::sleep(LOOK_EVERY).await;
+            idle = node.metrics.open.get() == 0
+                && node.beside.is_idle()
+                && node.links.sessions.is_idle();
+        }
+        let output = lock(&node.fleet).leave(&mut rand::rng());
+        gossip::post(node, output);
+        tokio::time::sleep(ANNOUNCE).await;
+        for server in &self.servers {
+            server.stop(true).await;
+        }
+        node.note_event(Event::DaemonStopped, format_args!("all_ended={idle}"));
+        self.root.do_send(Stop);
+        idle
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch.rs
@@ -0,0 +1,249 @@
+//! Sends a call to a target of its service, and to another where that is
+//! allowed and known to be safe.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cardamomshed_code::{Code, Event, Ran};
+use cardamomshed_note::Route;
+use cardamomshed_policy::TargetKey;
+use cardamomshed_policy::route::{Outcome, Standing, Tier};
+use cardamomshed_wire::Call;
+use tokio::sync::oneshot;
+
+use crate::context::Context;
+use crate::node::Node;
+use crate::reply::{Refused, Reply};
+use crate::runner::Job;
+use crate::service::Picked;
+use crate::sync::lock;
+
+/// Time beyond the deadline that a far daemon is given to say what became of
+/// the call.
+const GRACE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// A request as it is sent on.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, String)>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Sends a call made in `context` along a route.
+pub async fn dispatch(node: &Arc<Node>, context: &Context, route: &Route, parts: &Parts) -> Reply {
+    let mut tried = Vec::new();
+    loop {
+        let now = node.clock.now();
+        let remote = lock(&node.slow_link).has_room(now);
+        let Some(picked) = node.services.pick(&route.service, &tried, remote, now) else {
+            return no_target(node, context, route, tried.len());
+        };
+        log_choice(node, context, route, &picked);
+        let target = picked.choice.target;
+        let lent = context.lend();
+        let reply = attempt(node, context, route, parts, &picked, lent).await;
+        settle(node, context, route, &picked, lent, &reply);
+        tried.push(target);
+        if !may_retry(node, context, route, &reply) {
+            return reply;
+        }
+        node.metrics.retries.inc();
+        node.decide(
+            Event::CallRetried,
+            context.request,
+            format_args!(
+                "service={} attempt={} tokens={} after={}",
+                route.service,
+                tried.len() + 1,
+                context.tokens(),
+                picked.peer.node
+            ),
+        );
+    }
+}
+
+async fn attempt(
+    node: &Arc<Node>,
+    context: &Context,
+    route: &Route,
+    parts: &Parts,
+    picked: &Picked,
+    lent: u8,
+) -> Reply {
+    let left = node.clock.left(context.deadline);
+    let call = Call {
+        id: node.links.next_call(),
+        request: context.request,
+        account: Arc::clone(&context.account),
+        priority: context.priority,
+        timeout_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        tokens: lent,
+        depth: context.depth,
+        service: route.service.to_text(),
+        method: parts.method.clone(),
+        path: parts.path.clone(),
+        headers: parts.headers.clone(),
+        length: parts.body.len() as u64,
+    };
+    let wait = tokio::time::timeout(left + GRACE, async {
+        if picked.peer.node == node.name {
+            return run_here(node, context, call, parts.body.clone()).await;
+        }
+        node.links
+            .call(
+                node,
+                &picked.peer,
+                call,
+                parts.body.clone(),
+                context.deadline,
+            )
+            .await
+    });
+    wait.await.unwrap_or_else(|_| {
+        Reply::Refused(Refused::unknown(
+            Code::FateUnknown,
+            "the deadline passed without an answer",
+            0,
+        ))
+    })
+}
+
+async fn run_here(node: &Arc<Node>, context: &Context, call: Call, body: Bytes) -> Reply {
+    let (reply, end) = oneshot::channel();
+    let tokens = call.tokens;
+    let job = Job {
+        call: Box::new(call),
+        body,
+        deadline: context.deadline,
+        reply,
+    };
+    if node.channels.jobs.send(job).is_err() {
+        return Reply::Refused(Refused::not_run(Code::Leaving, "", tokens));
+    }
+    end.await.unwrap_or_else(|_| {
+        Reply::Refused(Refused::unknown(Code::FateUnknown, "the runner ended", 0))
+    })
+}
+
+/// Takes in what the end of an attempt tells of target and services.
+fn settle(node: &Node, context: &Context, route: &Route, picked: &Picked, lent: u8, reply: &Reply) {
+    let now = node.clock.now();
+    let (outcome, load, left) = match reply {
+        Reply::Answer(answer) => {
+            if answer.marked {
+                context.mark();
+            }
+            let failed = answer.status >= 500 && answer.status != 503;
+            let outcome = if failed {
+                Outcome::Failed
+            } else {
+                Outcome::Answered
+            };
+            (outcome, Some(answer.load.into()), answer.tokens)
+        }
+        Reply::Refused(refused) => {
+            if refused.is_shed() {
+                context.mark();
+            }
+            let outcome = match refused.code {
+                Code::TargetFailed | Code::TargetSilent | Code::FateUnknown | Code::LinkFailed => {
+                    Outcome::Failed
+                }
+                _ => Outcome::Neutral,
+            };
+            // A call that has not run has spent nothing of what it was lent.
+            let left = match refused.ran {
+                Ran::No => lent,
+                Ran::Unknown => refused.tokens,
+            };
+            (outcome, refused.load.map(Into::into), left)
+        }
+    };
+    context.restore(lent, left);
+    if picked.choice.tier == Tier::Remote {
+        let bytes = match reply {
+            Reply::Answer(answer) => answer.body.len(),
+            Reply::Refused(_) => 0,
+        };
+        lock(&node.slow_link).spend(bytes);
+    }
+    let standing = node
+        .services
+        .finished(&route.service, picked.choice.target, outcome, load, now);
+    log_standing(node, route, picked, standing);
+}
+
+/// Whether the reply leaves another attempt open, and pays for it.
+fn may_retry(node: &Node, context: &Context, route: &Route, reply: &Reply) -> bool {
+    let Reply::Refused(refused) = reply else {
+        return false;
+    };
+    let elsewhere = match (refused.ran, refused.code) {
+        (
+            Ran::No,
+            Code::QueueFull
+            | Code::Leaving
+            | Code::NoTarget
+            | Code::LinkFailed
+            | Code::TargetFailed,
+        ) => true,
+        (Ran::Unknown, Code::TargetFailed | Code::FateUnknown | Code::LinkFailed) => {
+            route.repeatable
+        }
+        _ => false,
+    };
+    elsewhere
+        && !node.clock.left(context.deadline).is_zero()
+        && context.spend()
+        && node.services.spend_retry(&route.service)
+}
+
+fn no_target(node: &Node, context: &Context, route: &Route, tried: usize) -> Reply {
+    node.decide(
+        Event::RouteMissing,
+        context.request,
+        format_args!("service={} tried={tried}", route.service),
+    );
+    let detail = format!("service {}", route.service);
+    Reply::Refused(Refused::not_run(Code::NoTarget, detail, context.tokens()))
+}
+
+fn log_choice(node: &Node, context: &Context, route: &Route, picked: &Picked) {
+    let rejected = picked.rejected.as_deref().unwrap_or("none");
+    let rejected_load = picked.choice.rejected.map_or(0.0, |(_, load)| load);
+    node.decide(
+        Event::RouteChosen,
+        context.request,
+        format_args!(
+            "service={} chosen={} tier={:?} load={:.2} rejected={rejected} rejected_load={rejected_load:.2}",
+            route.service, picked.peer.node, picked.choice.tier, picked.choice.load
+        ),
+    );
+}
+
+fn log_standing(node: &Node, route: &Route, picked: &Picked, standing: Option<Standing>) {
+    let target: TargetKey = picked.choice.target;
+    match standing {
+        Some(Standing::Ejected(length)) => node.note_event(
+            Event::TargetEjected,
+            format_args!(
+                "service={} node={} key={} for_ms={}",
+                route.service,
+                picked.peer.node,
+                target.0,
+                length.as_millis()
+            ),
+        ),
+        Some(Standing::Restored) => node.note_event(
+            Event::TargetRestored,
+            format_args!("service={} node={}", route.service, picked.peer.node),
+        ),
+        None => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,8 @@
+//! HTTP towards callers, the target beside this daemon, and operators.
+
+pub mod admin;
+pub mod announce;
+pub mod head;
+pub mod ingress;
+pub mod problem;
+pub mod server;
--- /dev/null
+++ b/crates/daemon/src/http/admin.rs
@@ -0,0 +1,83 @@
+//! The admin listener: metrics, status and explanations.
+
+use std::sync::Arc;
+
+use actix_web::{HttpResponse, web};
+use cardamomshed_code::{Code, Failure};
+use cardamomshed_policy::member::Record;
+use cardamomshed_wire::{Load, Request};
+use serde::Serialize;
+
+use super::problem;
+use crate::node::Node;
+use crate::reply::Refused;
+use crate::service::Summary;
+use crate::sync::lock;
+
+/// One daemon at a glance.
+#[derive(Debug, Serialize)]
+struct Status {
+    node: Arc<str>,
+    domain: Arc<str>,
+    region: Arc<str>,
+    revision: u64,
+    confirmed_ms_ago: u64,
+    leaving: bool,
+    open_requests: i64,
+    links: usize,
+    lender_slots: Vec<u16>,
+    target: Option<crate::beside::Announcement>,
+    load: Load,
+    services: Vec<Summary>,
+    members: Vec<Record>,
+    accounts: Vec<Arc<str>>,
+}
+
+/// Metrics in the collector's text format.
+pub async fn metrics(node: web::Data<Node>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(node.metrics.render())
+}
+
+/// This daemon and what it knows of the fleet.
+pub async fn status(node: web::Data<Node>) -> HttpResponse {
+    let now = node.clock.now();
+    let lookup = node.lookup();
+    let fleet = lock(&node.fleet);
+    let members = fleet.members().cloned().chain([fleet.own().clone()]);
+    let status = Status {
+        node: Arc::clone(&node.name),
+        domain: node.settings.domain.to_text(),
+        region: node.settings.region.to_text(),
+        revision: lookup.config.revision,
+        confirmed_ms_ago: now.since(node.confirmed()).as_millis() as u64,
+        leaving: node.is_leaving(),
+        open_requests: node.metrics.open.get(),
+        links: node.links.len(),
+        lender_slots: fleet.own().profile.lends.clone(),
+        target: node.beside.announcement(),
+        load: node.beside.load(),
+        services: node.services.summary(),
+        members: members.collect(),
+        accounts: lookup.config.accounts.keys().cloned().collect(),
+    };
+    HttpResponse::Ok().json(status)
+}
+
+/// Decisions that this daemon made about one request.
+pub async fn explain(node: web::Data<Node>, request: web::Path<String>) -> HttpResponse {
+    match request.parse::<Request>() {
+        Ok(id) => HttpResponse::Ok().json(node.trace.explain(&node.name, id, node.epoch_us)),
+        Err(Failure { code, detail }) => {
+            let refused = Refused::not_run(code, detail, 0);
+            problem::response(Request::random(), &refused, None)
+        }
+    }
+}
+
+/// Answers whatever else is asked.
+pub async fn unknown() -> HttpResponse {
+    let refused = Refused::not_run(Code::RouteUnknown, "see docs/operators", 0);
+    problem::response(Request::random(), &refused, None)
+}
--- /dev/null
+++ b/crates/daemon/src/http/ingress.rs
@@ -0,0 +1,397 @@
+//! Requests of callers, and calls that the target beside this daemon makes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::{Bytes, BytesMut};
+use cardamomshed_code::{Code, Event, Failure};
+use cardamomshed_note::{Access, Digest, Lookup, Unconfirmed};
+use cardamomshed_policy::admission;
+use cardamomshed_policy::{AccountKey, Moment};
+use cardamomshed_wire::Request;
+use futures_util::StreamExt;
+
+use super::{head, problem};
+use crate::actor::quota;
+use crate::claim;
+use crate::context::Context;
+use crate::dispatch::{Parts, dispatch};
+use crate::node::{Held, Node};
+use crate::reply::{Answer, Refused, Reply};
+use crate::runner::{CONTEXT_HEADER, REQUEST_HEADER, TIMEOUT_HEADER};
+use crate::sync::lock;
+
+/// Codes that tell a caller when to come back.
+const SPREAD: [Code; 9] = [
+    Code::QuotaExceeded,
+    Code::AdmissionShed,
+    Code::QueueFull,
+    Code::DeadlineUnmet,
+    Code::NoTarget,
+    Code::Leaving,
+    Code::MemoryShed,
+    Code::KeyUnconfirmed,
+    Code::ClaimUnavailable,
+];
+
+/// A root request whose caller is known.
+struct Root {
+    access: Access,
+    account: Arc<str>,
+    key: AccountKey,
+    deadline: Moment,
+    headers: Vec<(String, String)>,
+}
+
+/// Serves a request of a caller.
+pub async fn from_caller(
+    node: web::Data<Node>,
+    request: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let node = node.into_inner();
+    let id = Request::random();
+    let started = node.clock.now();
+    node.metrics.open.inc();
+    let served = serve_root(&node, id, &request, payload).await;
+    node.metrics.open.dec();
+    match served {
+        Ok((root, reply)) => conclude(&node, id, &root, started, &reply),
+        Err(failure) => {
+            let refused = Refused::not_run(failure.code, failure.detail, 0);
+            refuse(&node, id, None, &refused)
+        }
+    }
+}
+
+/// Serves a call that the target beside this daemon makes.
+pub async fn from_target(
+    node: web::Data<Node>,
+    request: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let node = node.into_inner();
+    let context = match live_context(&node, &request) {
+        Ok(context) => context,
+        Err(failure) => {
+            let refused = Refused::not_run(failure.code, failure.detail, 0);
+            return refuse(&node, Request::random(), None, &refused);
+        }
+    };
+    let now = node.clock.now();
+    context.child_started(now);
+    let reply = tokio::select! {
+        reply = serve_child(&node, &context, &request, payload) => reply,
+        () = context.ended() => {
+            Reply::Refused(Refused::unknown(Code::Cancelled, "the call above has ended", 0))
+        }
+    };
+    context.child_ended(node.clock.now());
+    respond(context.request, &reply)
+}
+
+fn live_context(node: &Node, request: &HttpRequest) -> Result<Arc<Context>, Failure> {
+    head::check(request)?;
+    let token = head::text(request.headers(), CONTEXT_HEADER)
+        .ok_or_else(|| Failure::new(Code::ContextUnknown, "the call names no context"))?;
+    node.contexts.find(token)
+}
+
+async fn serve_child(
+    node: &Arc<Node>,
+    above: &Context,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Reply {
+    match prepare_child(node, above, request, payload).await {
+        Ok((access, parts, context, _held)) => {
+            let lent = context.tokens();
+            let reply = dispatch(node, &context, &access.route, &parts).await;
+            above.restore(lent, context.tokens());
+            if context.is_marked() {
+                above.mark();
+            }
+            reply
+        }
+        Err(failure) => Reply::Refused(Refused::not_run(failure.code, failure.detail, 0)),
+    }
+}
+
+async fn prepare_child(
+    node: &Arc<Node>,
+    above: &Context,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<(Access, Parts, Context, Held), Failure> {
+    let lookup = node.lookup();
+    let path = path_of(request);
+    let access = lookup
+        .route(&path)
+        .cloned()
+        .ok_or_else(|| Failure::new(Code::RouteUnknown, path.clone()))?;
+    if above.depth >= lookup.config.limits.depth {
+        return Err(Failure::new(
+            Code::DepthExceeded,
+            format!("{}", above.depth),
+        ));
+    }
+    let headers = head::end_to_end(request.headers());
+    let (parts, held) = collect(node, &lookup, request, headers, payload).await?;
+    let deadline = deadline(node, request, access.route.timeout.get()).min(above.deadline);
+    let context = Context::new(
+        above.request,
+        Arc::clone(&above.account),
+        above.priority,
+        deadline,
+        above.depth,
+        above.lend(),
+    );
+    Ok((access, parts, context, held))
+}
+
+async fn serve_root(
+    node: &Arc<Node>,
+    id: Request,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<(Root, Reply), Failure> {
+    head::check(request)?;
+    let lookup = node.lookup();
+    let root = identify(node, &lookup, request)?;
+    if node.is_leaving() {
+        return Err(Failure::new(Code::Leaving, ""));
+    }
+    admit(node, &root).await?;
+    let collected = collect(node, &lookup, request, root.headers.clone(), payload).await;
+    let (parts, _held) = collected?;
+    node.decide(
+        Event::RequestAccepted,
+        id,
+        format_args!(
+            "account={} route={} priority={:?} left_ms={}",
+            root.account,
+            root.access.route.name,
+            root.access.route.priority,
+            node.clock.left(root.deadline).as_millis()
+        ),
+    );
+    let context = Context::new(
+        id,
+        Arc::clone(&root.account),
+        root.access.route.priority,
+        root.deadline,
+        0,
+        root.access.route.retries,
+    );
+    let reply = claimed_dispatch(node, request, &root, &context, &parts).await;
+    let shed = matches!(&reply, Reply::Refused(refused) if refused.is_shed());
+    lock(&node.admission).observe(root.access.key, context.is_marked(), shed, node.clock.now());
+    Ok((root, reply))
+}
+
+/// Dispatches a request, at most once where it carries an idempotency key
+/// and may not be repeated.
+async fn claimed_dispatch(
+    node: &Arc<Node>,
+    request: &HttpRequest,
+    root: &Root,
+    context: &Context,
+    parts: &Parts,
+) -> Reply {
+    let route = &root.access.route;
+    let key = head::text(request.headers(), claim::HEADER).filter(|_| !route.repeatable);
+    let Some(key) = key else {
+        return dispatch(node, context, route, parts).await;
+    };
+    let claim = match claim::make(node, context, key, parts).await {
+        Ok(claim) => claim,
+        Err(reply) => return reply,
+    };
+    let reply = dispatch(node, context, route, parts).await;
+    claim.settle(&reply);
+    reply
+}
+
+/// Finds out who calls and what for.
+fn identify(node: &Node, lookup: &Lookup, request: &HttpRequest) -> Result<Root, Failure> {
+    let path = path_of(request);
+    let key = head::presented_key(request.headers())?;
+    check_confirmed(node, lookup)?;
+    let (account, account_key) = lookup
+        .holder(&Digest::of(key))
+        .ok_or_else(|| Failure::new(Code::KeyUnknown, ""))?;
+    let access = lookup
+        .route(&path)
+        .ok_or_else(|| Failure::new(Code::RouteUnknown, ""))?;
+    Lookup::permit(&access.route, account)
+        .map_err(|code| Failure::new(code, access.route.name.to_string()))?;
+    let headers = head::end_to_end(request.headers());
+    head::check_exposure(key, &path, &headers)?;
+    Ok(Root {
+        deadline: deadline(node, request, access.route.timeout.get()),
+        access: access.clone(),
+        account: Arc::clone(account),
+        key: account_key,
+        headers,
+    })
+}
+
+/// Refuses keys that can no longer be confirmed, where the notes say so.
+fn check_confirmed(node: &Node, lookup: &Lookup) -> Result<(), Failure> {
+    let limits = &lookup.config.limits;
+    if lookup.config.revision == 0 {
+        let detail = "no release note has reached this daemon yet";
+        return Err(Failure::new(Code::KeyUnconfirmed, detail));
+    }
+    let age = node.clock.now().since(node.confirmed());
+    if limits.unconfirmed_keys == Unconfirmed::Refuse && age > limits.unconfirmed_after.get() {
+        let detail = format!("not confirmed for {} s", age.as_secs());
+        return Err(Failure::new(Code::KeyUnconfirmed, detail));
+    }
+    Ok(())
+}
+
+/// Sheds before any hop spends work, then takes quota, so that a request
+/// that is shed costs its account nothing.
+async fn admit(node: &Arc<Node>, root: &Root) -> Result<(), Failure> {
+    let request = admission::Request {
+        route: root.access.key,
+        account: root.key,
+        priority: root.access.route.priority,
+        draw: rand::random(),
+    };
+    if !lock(&node.admission).admit(&request, node.clock.now()) {
+        let detail = root.access.route.name.to_string();
+        return Err(Failure::new(Code::AdmissionShed, detail));
+    }
+    if !quota::take(node, &root.account, root.key).await {
+        return Err(Failure::new(Code::QuotaExceeded, root.account.to_string()));
+    }
+    Ok(())
+}
+
+/// Reads the whole body within its bounds.
+async fn collect(
+    node: &Arc<Node>,
+    lookup: &Lookup,
+    request: &HttpRequest,
+    headers: Vec<(String, String)>,
+    payload: web::Payload,
+) -> Result<(Parts, Held), Failure> {
+    let limit = lookup.config.limits.body.get();
+    let announced = head::text(request.headers(), "content-length")
+        .and_then(|length| length.parse::<usize>().ok());
+    let too_large = || Failure::new(Code::BodyTooLarge, format!("at most {limit} bytes"));
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let chunked = request.headers().contains_key("transfer-encoding");
+    let expected = announced.unwrap_or(if chunked { limit } else { 0 });
+    let held = node.hold(expected).map_err(|code| Failure::new(code, ""))?;
+    let body = read_body(payload, expected, limit).await?;
+    let parts = Parts {
+        method: request.method().to_string(),
+        path: path_of(request),
+        headers,
+        body: body.ok_or_else(too_large)?,
+    };
+    Ok((parts, held))
+}
+
+async fn read_body(
+    mut payload: web::Payload,
+    expected: usize,
+    limit: usize,
+) -> Result<Option<Bytes>, Failure> {
+    if expected == 0 {
+        return Ok(Some(Bytes::new()));
+    }
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| Failure::new(Code::BadRequest, error.to_string()))?;
+        if body.len() + chunk.len() > limit {
+            return Ok(None);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(Some(body.freeze()))
+}
+
+fn deadline(node: &Node, request: &HttpRequest, longest: Duration) -> Moment {
+    let asked = head::text(request.headers(), TIMEOUT_HEADER)
+        .and_then(|millis| millis.parse().ok())
+        .map_or(longest, Duration::from_millis);
+    node.clock.now() + asked.min(longest)
+}
+
+fn path_of(request: &HttpRequest) -> String {
+    let uri = request.uri();
+    uri.path_and_query()
+        .map_or_else(|| uri.path().to_owned(), ToString::to_string)
+}
+
+fn conclude(node: &Node, id: Request, root: &Root, started: Moment, reply: &Reply) -> HttpResponse {
+    let took = node.clock.now().since(started);
+    match reply {
+        Reply::Answer(answer) => {
+            node.metrics.latency.observe(took.as_secs_f64());
+            count(node, &root.account, "answered");
+            node.decide(
+                Event::RequestAnswered,
+                id,
+                format_args!("status={} took_us={}", answer.status, took.as_micros()),
+            );
+            respond(id, reply)
+        }
+        Reply::Refused(refused) => refuse(node, id, Some(root), refused),
+    }
+}
+
+fn refuse(node: &Node, id: Request, root: Option<&Root>, refused: &Refused) -> HttpResponse {
+    let account = root.map_or("", |root| &root.account);
+    count(node, account, &refused.code.number().to_string());
+    node.decide(
+        Event::RequestRefused,
+        id,
+        format_args!(
+            "account={account} code={} ran={} {}",
+            refused.code.number(),
+            refused.ran.as_str(),
+            refused.detail
+        ),
+    );
+    let retry_after = SPREAD.contains(&refused.code).then(|| {
+        let draw = rand::random::<f64>();
+        root.map_or_else(
+            || Duration::from_secs_f64(1.0 + draw),
+            |root| lock(&node.admission).retry_after(root.access.key, draw),
+        )
+    });
+    problem::response(id, refused, retry_after)
+}
+
+fn count(node: &Node, account: &str, outcome: &str) {
+    node.metrics
+        .requests
+        .with_label_values(&[account, outcome])
+        .inc();
+}
+
+fn respond(id: Request, reply: &Reply) -> HttpResponse {
+    match reply {
+        Reply::Answer(answer) => whole(id, answer),
+        Reply::Refused(refused) => problem::response(id, refused, None),
+    }
+}
+
+fn whole(id: Request, answer: &Answer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    for (name, value) in &answer.headers {
+        response.append_header((name.as_str(), value.as_str()));
+    }
+    response.insert_header((REQUEST_HEADER, id.to_string()));
+    response.body(answer.body.clone())
+}
--- /dev/null
+++ b/crates/daemon/src/http/problem.rs
@@ -0,0 +1,58 @@
+//! Refusals as problem documents (RFC 9457).
+
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use actix_web::http::header;
+use cardamomshed_code::{Code, Ran};
+use cardamomshed_wire::Request;
+use serde::Serialize;
+
+use crate::reply::Refused;
+use crate::runner::REQUEST_HEADER;
+
+/// A problem document.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    #[serde(rename = "type")]
+    kind: String,
+    title: &'static str,
+    status: u16,
+    detail: &'a str,
+    code: u16,
+    ran: Ran,
+    request: String,
+}
+
+/// A refusal as an answer. `retry_after` tells the caller when to come back.
+pub fn response(
+    request: Request,
+    refused: &Refused,
+    retry_after: Option<Duration>,
+) -> HttpResponse {
+    let code = refused.code;
+    let problem = Problem {
+        kind: format!("urn:cardamomshed:code:{}", code.number()),
+        title: code.text(),
+        status: code.status(),
+        detail: &refused.detail,
+        code: code.number(),
+        ran: refused.ran,
+        request: request.to_string(),
+    };
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = HttpResponse::build(status);
+    response.insert_header((REQUEST_HEADER, request.to_string()));
+    if let Some(length) = retry_after {
+        let seconds = length.as_secs_f64().ceil().max(1.0) as u64;
+        response.insert_header((header::RETRY_AFTER, seconds.to_string()));
+    }
+    if code == Code::BodyTooLarge {
+        // The rest of the body would be taken for the next request.
+        response.force_close();
+    }
+    response
+        .content_type("application/problem+json")
+        .json(&problem)
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,30 @@
+//! The daemon that stands beside each target.
+//!
+//! It is the ingress of whatever callers send to it, the only way in to its
+//! target, and one member of a fleet that agrees on nothing but what the
+//! platform's table service keeps. The policies decide; the modules here
+//! carry out. Long-lived parts are actors under one supervisor, and the
+//! request path is asynchronous functions over the shared [`node::Node`].
+
+pub mod actor;
+pub mod beside;
+pub mod claim;
+pub mod clock;
+pub mod context;
+pub mod daemon;
+pub mod dispatch;
+pub mod history;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod reply;
+pub mod runner;
+pub mod service;
+mod sync;
+pub mod tls;
+pub mod trace;
+
+pub use daemon::Daemon;
+pub use node::Options;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,102 @@
+//! Command line of the daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::{Context as _, Result};
+use cardamomshed_code::{Code, Failure};
+use cardamomshed_daemon::daemon::Bound;
+use cardamomshed_daemon::{Options, logging, tls};
+use cardamomshed_note::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// What the command line asks for.
+enum Command {
+    Help(String),
+    Version,
+    Check(PathBuf),
+    Run(PathBuf),
+}
+
+fn options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    options.optopt("s", "settings", "settings file", "FILE");
+    options.optflag("c", "check", "check the settings and exit");
+    options.optflag("h", "help", "show this help");
+    options.optflag("V", "version", "show the version");
+    options
+}
+
+fn parse(arguments: &[String]) -> Result<Command, Failure> {
+    let options = options();
+    let usage = |error: String| Failure::new(Code::UsageInvalid, error);
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| usage(error.to_string()))?;
+    if matches.opt_present("help") {
+        let brief = "Usage: cardamomshed --settings FILE [--check]";
+        return Ok(Command::Help(options.usage(brief)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Version);
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(usage(format!("unexpected `{extra}`")));
+    }
+    let path = matches
+        .opt_str("settings")
+        .map(PathBuf::from)
+        .ok_or_else(|| usage("--settings FILE is missing".to_owned()))?;
+    if matches.opt_present("check") {
+        return Ok(Command::Check(path));
+    }
+    Ok(Command::Run(path))
+}
+
+fn read(path: &std::path::Path) -> Result<Settings, Failure> {
+    let settings = Settings::read(path)?;
+    if let Some(files) = &settings.tls {
+        tls::load(files)?;
+    }
+    Ok(settings)
+}
+
+async fn run(settings: Settings) -> Result<()> {
+    let log = logging::logger(settings.log, &settings.node);
+    let daemon = Bound::new(settings)?.start(Options::default(), log)?;
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.leave().await.stop().await;
+    Ok(())
+}
+
+fn obey(arguments: &[String]) -> Result<()> {
+    match parse(arguments)? {
+        Command::Help(text) => print!("{text}"),
+        Command::Version => println!("cardamomshed {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(path) => {
+            read(&path)?;
+            println!("{}: valid", path.display());
+        }
+        Command::Run(path) => {
+            let settings = read(&path)?;
+            actix::System::new().block_on(run(settings))?;
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let arguments = std::env::args().skip(1).collect::<Vec<_>>();
+    match obey(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cardamomshed: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Metrics for the operators' collector.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the latency histograms in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+];
+
+/// Metrics of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Root requests by client account and outcome.
+    pub requests: IntCounterVec,
+    /// Time from accepting a root request to its whole answer.
+    pub latency: Histogram,
+    /// Calls that started on the target.
+    pub executions: IntCounter,
+    /// Calls shed beside the target, by result code.
+    pub shed: IntCounterVec,
+    /// Time that calls waited beside the target.
+    pub wait: Histogram,
+    /// Further attempts of calls.
+    pub retries: IntCounter,
+    /// Calls resumed on a new link.
+    pub resumed: IntCounter,
+    /// Bytes sent to other daemons, by purpose.
+    pub bytes: IntCounterVec,
+    /// Requests that are open.
+    pub open: IntGauge,
+    /// Revision of the release note in force.
+    pub revision: IntGauge,
+}
+
+fn histogram(name: &str, help: &str) -> prometheus::Result<Histogram> {
+    Histogram::with_opts(HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec()))
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
+    IntCounterVec::new(Opts::new(name, help), labels)
+}
+
+impl Metrics {
+    /// Registers every metric.
+    ///
+    /// # Errors
+    ///
+    /// When two metrics have one name, which a test rules out.
+    pub fn new() -> prometheus::Result<Self> {
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counters(
+                "cardamomshed_requests_total",
+                "Root requests by client account and outcome",
+                &["account", "outcome"],
+            )?,
+            latency: histogram(
+                "cardamomshed_request_seconds",
+                "Time from accepting a root request to its whole answer",
+            )?,
+            executions: IntCounter::new(
+                "cardamomshed_executions_total",
+                "Calls that started on the target",
+            )?,
+            shed: counters(
+                "cardamomshed_shed_total",
+                "Calls shed beside the target, by result code",
+                &["code"],
+            )?,
+            wait: histogram(
+                "cardamomshed_wait_seconds",
+                "Time that calls waited beside the target",
+            )?,
+            retries: IntCounter::new("cardamomshed_retries_total", "Further attempts of calls")?,
+            resumed: IntCounter::new("cardamomshed_resumed_total", "Calls resumed on a new link")?,
+            bytes: counters(
+                "cardamomshed_bytes_total",
+                "Bytes sent to other daemons, by purpose",
+                &["purpose"],
+            )?,
+            open: IntGauge::new("cardamomshed_open_requests", "Requests that are open")?,
+            revision: IntGauge::new(
+                "cardamomshed_revision",
+                "Revision of the release note in force",
+            )?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        self.registry.register(Box::new(self.requests.clone()))?;
+        self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry.register(Box::new(self.executions.clone()))?;
+        self.registry.register(Box::new(self.shed.clone()))?;
+        self.registry.register(Box::new(self.wait.clone()))?;
+        self.registry.register(Box::new(self.retries.clone()))?;
+        self.registry.register(Box::new(self.resumed.clone()))?;
+        self.registry.register(Box::new(self.bytes.clone()))?;
+        self.registry.register(Box::new(self.open.clone()))?;
+        self.registry.register(Box::new(self.revision.clone()))
+    }
+
+    /// The metrics in the collector's text format.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        encoded.map_or_else(
+            |error| format!("# {error}\n"),
+            |()| String::from_utf8_lossy(&buffer).into_owned(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/note/src/digest.rs
@@ -0,0 +1,104 @@
+//! Callers' keys and the digests that stand for them.
+
+use std::fmt;
+
+use cardamomshed_code::{Code, Failure};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+/// What every key starts with, so that one found in a log is recognised.
+const KEY_PREFIX: &str = "csk_";
+/// What a digest starts with in text.
+const DIGEST_PREFIX: &str = "sha256:";
+
+/// A caller's key: 256 random bits. Shown once, kept nowhere.
+pub struct Key(String);
+
+impl Key {
+    /// A new random key.
+    pub fn random() -> Self {
+        let bytes: [u8; 32] = rand::random();
+        Self(format!("{KEY_PREFIX}{}", hex(&bytes)))
+    }
+
+    /// The text that the caller presents.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// The digest that stands for it everywhere else.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.0)
+    }
+}
+
+/// SHA-256 of a caller's key.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Digest of a presented key.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Compares in constant time.
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        parse(&text).map_err(|failure| failure.detail)
+    }
+}
+
+fn parse(text: &str) -> Result<Digest, Failure> {
+    let invalid = || {
+        Failure::new(
+            Code::YamlInvalid,
+            "a digest is sha256: and 64 hexadecimal digits",
+        )
+    };
+    let digits = text.strip_prefix(DIGEST_PREFIX).ok_or_else(invalid)?;
+    if digits.len() != 64 || !digits.is_ascii() {
+        return Err(invalid());
+    }
+    let mut bytes = [0; 32];
+    for (place, byte) in bytes.iter_mut().enumerate() {
+        let pair = &digits[place * 2..place * 2 + 2];
+        *byte = u8::from_str_radix(pair, 16).map_err(|_| invalid())?;
+    }
+    Ok(Digest(bytes))
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{DIGEST_PREFIX}{}", hex(&self.0))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use fmt::Write as _;
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/crates/note/src/settings.rs
@@ -0,0 +1,196 @@
+//! A daemon's settings file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use cardamomshed_code::{Code, Failure};
+use serde::Deserialize;
+
+use crate::{Length, Name, Size, yaml};
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Unique name of this daemon in its fleet.
+    pub node: Name,
+    /// Failure domain of its VM.
+    pub domain: Name,
+    /// Region of the failure domain.
+    pub region: Name,
+    /// Secret of the fleet, the same in every daemon's settings.
+    pub fleet_secret: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the target beside this daemon connects; loopback.
+    pub target: SocketAddr,
+    /// Where other daemons open peer links and send gossip.
+    pub peers: SocketAddr,
+    /// Where operators and the metrics collector connect.
+    pub admin: SocketAddr,
+    /// Base address of the platform's service, such as `http://10.0.0.9:80`.
+    pub platform: Arc<str>,
+    /// Every failure domain of the deployment; quota is divided among them.
+    pub domains: Vec<Name>,
+    /// TLS towards callers; left out, callers are served in plain.
+    #[serde(default)]
+    pub tls: Option<Tls>,
+    /// Bytes a second that this daemon may send over the slow link.
+    #[serde(default = "default_slow_link")]
+    pub slow_link: Size,
+    /// Bytes of request and answer bodies that this daemon holds at once.
+    #[serde(default = "default_bodies")]
+    pub bodies: Size,
+    /// Intervals and time-outs.
+    #[serde(default)]
+    pub timing: Timing,
+    /// Form of the log.
+    #[serde(default)]
+    pub log: LogForm,
+}
+
+/// TLS towards callers. Both files are read again when they change.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// File with the certificate chain in PEM.
+    pub certificate: PathBuf,
+    /// File with the private key in PEM.
+    pub private_key: PathBuf,
+}
+
+/// Form of the log on standard error.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogForm {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Text for a terminal.
+    Text,
+    /// Decisions are kept for `explain` only.
+    Off,
+}
+
+/// Intervals and time-outs.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Between two signs of life on a peer link with open calls.
+    pub heartbeat: Length,
+    /// Without a sign of life after which a link is replaced.
+    pub silence: Length,
+    /// For opening a link or a connection to the target.
+    pub connect: Length,
+    /// Between two reads of the platform by a poller.
+    pub poll: Length,
+    /// For one request to the platform.
+    pub platform: Length,
+    /// Between two announcements of a target after which it has lapsed.
+    pub announce: Length,
+    /// For open requests to end once the daemon is leaving.
+    pub drain: Length,
+    /// Without a call after which a link is closed.
+    pub idle: Length,
+    /// Length of a lease on quota shares.
+    pub lease: Length,
+    /// Between two gossip probes.
+    pub probe: Length,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat: Length::from_millis(500),
+            silence: Length::from_millis(1_500),
+            connect: Length::from_millis(1_000),
+            poll: Length::from_millis(500),
+            platform: Length::from_millis(2_000),
+            announce: Length::from_millis(3_000),
+            drain: Length::from_millis(30_000),
+            idle: Length::from_millis(60_000),
+            lease: Length::from_millis(120_000),
+            probe: Length::from_millis(1_000),
+        }
+    }
+}
+
+const fn default_slow_link() -> Size {
+    Size::from_bytes(200 * 1024)
+}
+
+const fn default_bodies() -> Size {
+    Size::from_bytes(256 * 1024 * 1024)
+}
+
+/// Shortest interval or time-out that is accepted.
+const MIN_LENGTH: Length = Length::from_millis(5);
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// What [`yaml::read`] refuses, and [`Code::FigureRange`] or
+    /// [`Code::ReferenceUnknown`] where figures or names do not fit.
+    pub fn read(path: &Path) -> Result<Self, Failure> {
+        let (settings, _) = yaml::read::<Self>(path)?;
+        settings
+            .check()
+            .map_err(|failure| yaml::in_file(path, &failure))?;
+        Ok(settings)
+    }
+
+    /// Checks figures and names against each other.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::FigureRange`] or [`Code::ReferenceUnknown`].
+    pub fn check(&self) -> Result<(), Failure> {
+        let range = |detail: &str| Err(Failure::new(Code::FigureRange, format!("1:1: {detail}")));
+        if !self.domains.contains(&self.domain) {
+            return Err(Failure::new(
+                Code::ReferenceUnknown,
+                format!("1:1: domain: `{}` is not listed in domains", self.domain),
+            ));
+        }
+        if !self.target.ip().is_loopback() {
+            return range("target: must be a loopback address");
+        }
+        if self.peers.ip().is_unspecified() || self.admin.ip().is_unspecified() {
+            return range("peers and admin: must be addresses that others can reach");
+        }
+        let timing = &self.timing;
+        let lengths = [
+            timing.heartbeat,
+            timing.silence,
+            timing.connect,
+            timing.poll,
+            timing.platform,
+            timing.announce,
+            timing.drain,
+            timing.idle,
+            timing.lease,
+            timing.probe,
+        ];
+        if lengths.iter().any(|length| *length < MIN_LENGTH) {
+            return range("timing: each length must be 5ms or more");
+        }
+        if timing.silence.get() < timing.heartbeat.get() * 2 {
+            return range("timing.silence: must be twice timing.heartbeat or more");
+        }
+        check_secret(&self.fleet_secret)
+    }
+}
+
+/// Shortest fleet secret, in bytes.
+const MIN_SECRET: usize = 16;
+
+fn check_secret(secret: &str) -> Result<(), Failure> {
+    if secret.len() < MIN_SECRET {
+        let detail = "1:1: fleet_secret: must have 16 bytes or more";
+        return Err(Failure::new(Code::FigureRange, detail));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/policy/src/gate.rs
@@ -0,0 +1,323 @@
+//! Admission beside one target.
+//!
+//! The daemon beside a target is the only way in to it, so the gate knows
+//! exactly what runs there: slots are counted, not estimated. What cannot
+//! start waits in a queue ordered by priority, then by fair shares between
+//! client accounts, and leaves it when its deadline can no longer be met.
+
+mod limit;
+mod queue;
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+pub use limit::Limit;
+use queue::Queue;
+
+use crate::key::{AccountKey, Priority};
+use crate::moment::Moment;
+
+/// Wait that never shows pressure.
+const MIN_PRESSED_WAIT: Duration = Duration::from_millis(5);
+
+/// Names one call at one gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Settings of a [`Gate`].
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Calls that the target runs at once.
+    pub slots: u32,
+    /// Time over which a cold target is given its slots, zero for at once.
+    pub cold_start: Duration,
+    /// Longest wait in the queue whatever the deadline.
+    pub max_wait: Duration,
+    /// Estimate of the service time before any call has finished.
+    pub first_estimate: Duration,
+}
+
+impl Config {
+    /// Settings for a target with this many slots.
+    pub const fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            cold_start: Duration::ZERO,
+            max_wait: Duration::from_millis(500),
+            first_estimate: Duration::from_millis(10),
+        }
+    }
+
+    /// Sets the time over which a cold target is given its slots.
+    #[must_use]
+    pub const fn cold_start(mut self, length: Duration) -> Self {
+        self.cold_start = length;
+        self
+    }
+
+    /// Sets the longest wait in the queue.
+    #[must_use]
+    pub const fn max_wait(mut self, length: Duration) -> Self {
+        self.max_wait = length;
+        self
+    }
+}
+
+/// A call that asks to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Names the call in every later event.
+    pub ticket: Ticket,
+    /// Whose call it is.
+    pub account: AccountKey,
+    /// How important it is.
+    pub priority: Priority,
+    /// Hops between the caller and this call; deeper calls have cost more.
+    pub depth: u8,
+    /// When its answer is of no use any more.
+    pub deadline: Moment,
+}
+
+/// Why a call was shed. It has not run and will not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shed {
+    /// Its deadline would pass before it could finish.
+    Deadline,
+    /// The queue holds only calls of equal or higher standing.
+    Full,
+    /// The gate is closed to new calls.
+    Closed,
+}
+
+/// What becomes of an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Start it now.
+    Run,
+    /// It waits.
+    Wait,
+    /// It is refused.
+    Shed(Shed),
+}
+
+/// A change in the standing of calls that were waiting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Start this call now.
+    Run(Ticket),
+    /// Refuse this call.
+    Shed(Ticket, Shed),
+}
+
+/// Load as told to the daemons that send calls here.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Calls that run now.
+    pub running: u32,
+    /// Calls that wait now.
+    pub waiting: u32,
+    /// Calls that may run at once.
+    pub limit: u32,
+    /// Smoothed service time.
+    pub service_time: Duration,
+}
+
+/// Admission beside one target.
+#[derive(Debug)]
+pub struct Gate {
+    config: Config,
+    limit: Limit,
+    queue: Queue,
+    /// Start of each running call. `running.len()` never exceeds the limit
+    /// in force when the last of them started.
+    running: IndexMap<Ticket, Moment>,
+    opened: Moment,
+    closed: bool,
+}
+
+impl Gate {
+    /// An open gate before a target that announced itself at `now`.
+    pub fn new(config: Config, now: Moment) -> Self {
+        Self {
+            config,
+            limit: Limit::new(config.slots, config.first_estimate),
+            queue: Queue::default(),
+            running: IndexMap::new(),
+            opened: now,
+            closed: false,
+        }
+    }
+
+    /// Refuses new calls from now on; those that wait or run go on.
+    pub const fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Whether no call runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.len() == 0
+    }
+
+    /// Decides on a new call. `changes` receives what it displaces.
+    pub fn offer(&mut self, offer: Offer, now: Moment, changes: &mut Vec<Change>) -> Verdict {
+        if self.closed {
+            return Verdict::Shed(Shed::Closed);
+        }
+        let service_time = self.limit.service_time();
+        if now + service_time > offer.deadline {
+            return Verdict::Shed(Shed::Deadline);
+        }
+        if self.queue.len() == 0 && self.has_room(now) {
+            self.running.insert(offer.ticket, now);
+            return Verdict::Run;
+        }
+        let ahead = self.queue.ahead_of(offer.priority);
+        let wait = self.wait_behind(ahead, now);
+        let latest_start = self.latest_start(&offer, now);
+        if now + wait > latest_start && !self.displace(&offer, changes) {
+            return Verdict::Shed(self.shed_cause(&offer, wait, now));
+        }
+        self.enqueue(offer, latest_start, now, changes)
+    }
+
+    /// Notes that a running call ended. `own_time` is its time on the target
+    /// without the calls it made in turn; `None` says that the call tells
+    /// nothing about the target's speed.
+    pub fn finish(
+        &mut self,
+        ticket: Ticket,
+        own_time: Option<Duration>,
+        now: Moment,
+        changes: &mut Vec<Change>,
+    ) {
+        if let Some(started) = self.running.swap_remove(&ticket) {
+            let total = now.since(started);
+            self.limit
+                .observe(total, own_time, self.running.len() as u32 + 1, now);
+        }
+        self.start_waiting(now, changes);
+    }
+
+    /// Takes a call out, whether it waits or runs; says whether it ran.
+    pub fn cancel(&mut self, ticket: Ticket, now: Moment, changes: &mut Vec<Change>) -> bool {
+        let ran = self.running.swap_remove(&ticket).is_some();
+        if !ran {
+            self.queue.remove(ticket);
+        }
+        self.start_waiting(now, changes);
+        ran
+    }
+
+    /// Sheds what can no longer meet its deadline and starts what may start.
+    pub fn tick(&mut self, now: Moment, changes: &mut Vec<Change>) {
+        self.start_waiting(now, changes);
+    }
+
+    /// Load as told to other daemons.
+    pub fn load(&self, now: Moment) -> Load {
+        Load {
+            running: self.running.len() as u32,
+            waiting: self.queue.len() as u32,
+            limit: self.allowed(now),
+            service_time: self.limit.service_time(),
+        }
+    }
+
+    /// Whether a call that waited this long shows that the target is
+    /// pressed, which the ingress should be told.
+    pub fn is_pressed(&self, wait: Duration) -> bool {
+        wait > MIN_PRESSED_WAIT.max(self.limit.service_time() / 2)
+    }
+
+    /// Longest time that a call now in the queue has waited.
+    pub fn oldest_wait(&self, now: Moment) -> Duration {
+        self.queue
+            .oldest()
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Calls that may run at once: the adaptive limit, less what a cold
+    /// start withholds.
+    pub fn allowed(&self, now: Moment) -> u32 {
+        let limit = self.limit.current();
+        let age = now.since(self.opened);
+        if age >= self.config.cold_start {
+            return limit;
+        }
+        let warm = age.as_secs_f64() / self.config.cold_start.as_secs_f64();
+        ((f64::from(limit) * warm).floor() as u32).clamp(1, limit)
+    }
+
+    fn has_room(&self, now: Moment) -> bool {
+        (self.running.len() as u32) < self.allowed(now)
+    }
+
+    fn latest_start(&self, offer: &Offer, now: Moment) -> Moment {
+        let by_wait = now + self.config.max_wait;
+        let by_deadline = offer.deadline.as_micros()
+            - self
+                .limit
+                .service_time()
+                .as_micros()
+                .min(u128::from(offer.deadline.as_micros())) as u64;
+        by_wait.min(Moment::from_micros(by_deadline))
+    }
+
+    /// Expected wait of a call with `ahead` calls before it.
+    fn wait_behind(&self, ahead: usize, now: Moment) -> Duration {
+        let rounds = (ahead + 1) as f64 / f64::from(self.allowed(now).max(1));
+        self.limit.service_time().mul_f64(rounds)
+    }
+
+    /// Makes room by shedding a waiting call of lower standing.
+    fn displace(&mut self, offer: &Offer, changes: &mut Vec<Change>) -> bool {
+        match self.queue.evict_below(offer.priority, offer.account) {
+            Some(ticket) => {
+                changes.push(Change::Shed(ticket, Shed::Full));
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn shed_cause(&self, offer: &Offer, wait: Duration, now: Moment) -> Shed {
+        if now + wait + self.limit.service_time() > offer.deadline {
+            Shed::Deadline
+        } else {
+            Shed::Full
+        }
+    }
+
+    fn enqueue(
+        &mut self,
+        offer: Offer,
+        latest_start: Moment,
+        now: Moment,
+        changes: &mut Vec<Change>,
+    ) -> Verdict {
+        self.queue.push(offer, latest_start, now);
+        self.start_waiting(now, changes);
+        match changes
+            .iter()
+            .position(|change| *change == Change::Run(offer.ticket))
+        {
+            Some(place) => {
+                changes.remove(place);
+                Verdict::Run
+            }
+            None => Verdict::Wait,
+        }
+    }
+
+    fn start_waiting(&mut self, now: Moment, changes: &mut Vec<Change>) {
+        self.queue.expire(now, changes);
+        while self.has_room(now) {
+            let Some(ticket) = self.queue.pop() else {
+                return;
+            };
+            self.running.insert(ticket, now);
+            changes.push(Change::Run(ticket));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gate/limit.rs
@@ -0,0 +1,111 @@
+//! A concurrency limit that follows a target slower than it says.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+
+/// Weight of one observation in the smoothed service time.
+const SMOOTHING: f64 = 0.1;
+/// Weight of one window in the base time once the base is exceeded.
+const BASE_DRIFT: f64 = 0.02;
+/// Ratio of recent to base time that is taken for noise.
+const TOLERANCE: f64 = 2.0;
+/// Smallest share of the slots that the limit falls to.
+const FLOOR_SHARE: f64 = 0.25;
+/// Length of one observation window.
+const WINDOW: Duration = Duration::from_millis(100);
+/// Observations without which a window decides nothing.
+const WINDOW_SAMPLES: u32 = 8;
+
+/// Adaptive concurrency limit between a share of the slots and the slots.
+///
+/// The gradient compares a call's *own* time on the target, without the
+/// calls it makes in turn, to the base time seen when the target was not
+/// pressed. A target that waits for a slow service below it therefore keeps
+/// its slots; one that thrashes loses some.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    slots: u32,
+    /// Within `[floor, slots]`.
+    current: f64,
+    /// Smoothed time from start to end of a call, in seconds.
+    total_time: f64,
+    /// Own time when the target is not pressed, in seconds; zero when unknown.
+    base_time: f64,
+    window_start: Moment,
+    window_sum: f64,
+    window_count: u32,
+    window_peak: u32,
+}
+
+impl Limit {
+    /// A limit that starts at all the slots.
+    pub fn new(slots: u32, first_estimate: Duration) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            current: f64::from(slots),
+            total_time: first_estimate.as_secs_f64(),
+            base_time: 0.0,
+            window_start: Moment::ZERO,
+            window_sum: 0.0,
+            window_count: 0,
+            window_peak: 0,
+        }
+    }
+
+    /// Calls that may run at once.
+    pub const fn current(&self) -> u32 {
+        let whole = self.current as u32;
+        if whole == 0 { 1 } else { whole }
+    }
+
+    /// Smoothed time from start to end of a call.
+    pub fn service_time(&self) -> Duration {
+        Duration::from_secs_f64(self.total_time)
+    }
+
+    /// Takes in a finished call that ran beside `running - 1` others.
+    pub fn observe(
+        &mut self,
+        total: Duration,
+        own_time: Option<Duration>,
+        running: u32,
+        now: Moment,
+    ) {
+        let Some(own_time) = own_time else {
+            return;
+        };
+        self.total_time += SMOOTHING * (total.as_secs_f64() - self.total_time);
+        self.window_sum += own_time.as_secs_f64();
+        self.window_count += 1;
+        self.window_peak = self.window_peak.max(running);
+        if now.since(self.window_start) >= WINDOW && self.window_count >= WINDOW_SAMPLES {
+            self.close_window(now);
+        }
+    }
+
+    fn close_window(&mut self, now: Moment) {
+        let recent = self.window_sum / f64::from(self.window_count);
+        self.update_base(recent);
+        let gradient = (TOLERANCE * self.base_time / recent).clamp(0.5, 1.0);
+        let pressed = f64::from(self.window_peak) * 2.0 >= self.current;
+        if gradient < 1.0 || pressed {
+            let headroom = self.current.sqrt();
+            let floor = (f64::from(self.slots) * FLOOR_SHARE).max(1.0);
+            self.current = (self.current * gradient + headroom).clamp(floor, f64::from(self.slots));
+        }
+        self.window_start = now;
+        self.window_sum = 0.0;
+        self.window_count = 0;
+        self.window_peak = 0;
+    }
+
+    fn update_base(&mut self, recent: f64) {
+        if self.base_time == 0.0 || recent < self.base_time {
+            self.base_time = recent.max(1e-6);
+        } else {
+            self.base_time += BASE_DRIFT * (recent - self.base_time);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/moment.rs
@@ -0,0 +1,45 @@
+//! Points in time as the policies see them.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// Microseconds since an origin that the caller chooses and never moves.
+///
+/// Policies compare moments of one process only; moments of two processes
+/// have nothing to do with each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+
+    /// The moment this many microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// The moment this many milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time from `earlier` to this moment, zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, length: Duration) -> Self {
+        let micros = u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quota/holders.rs
@@ -0,0 +1,58 @@
+//! Who holds the shares of an account.
+//!
+//! Every failure domain has a few lender slots, each leased to one daemon.
+//! The shares of an account lie in the slots in an order that its name
+//! decides, so every daemon finds the same holders without asking. A small
+//! account lies in few slots, so that each share is still worth whole
+//! tokens.
+
+use std::sync::Arc;
+
+use super::{Bound, MILLION};
+
+/// Lender slots of each failure domain.
+pub const SLOTS_PER_DOMAIN: u16 = 2;
+/// Smallest burst of one share.
+const MIN_BURST: f64 = 8.0;
+
+/// One lender slot.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Slot {
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Number within the failure domain.
+    pub number: u16,
+}
+
+/// Slots that hold a share of the account, and the size of each share.
+pub fn holders(account: &str, bound: Bound, domains: &[Arc<str>]) -> (Vec<Slot>, Bound) {
+    let slots = domains.iter().flat_map(|domain| {
+        (0..SLOTS_PER_DOMAIN).map(|number| Slot {
+            domain: Arc::clone(domain),
+            number,
+        })
+    });
+    let mut slots = slots.collect::<Vec<_>>();
+    let most = slots.len().max(1);
+    let count = ((bound.burst / MIN_BURST) as usize).clamp(1, most);
+    if count < slots.len() {
+        slots.sort_by_cached_key(|slot| weight(account, slot));
+        slots.truncate(count);
+    }
+    (slots, bound.share(MILLION / count as u32))
+}
+
+/// Weight of a slot for an account: FNV-1a, which is the same in every
+/// version and on every machine.
+fn weight(account: &str, slot: &Slot) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let bytes = account
+        .bytes()
+        .chain([0])
+        .chain(slot.domain.bytes())
+        .chain(slot.number.to_be_bytes());
+    bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- /dev/null
+++ b/crates/policy/src/quota/lender.rs
@@ -0,0 +1,163 @@
+//! The holder of a share, which hands out prepaid tokens.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{Bound, Bucket, validity};
+use crate::key::AccountKey;
+use crate::moment::Moment;
+
+/// Time after which every daemon has a release note in force.
+const RAISE_AFTER: Duration = Duration::from_secs(6);
+
+/// A lease on a share.
+///
+/// The holder counts from the moment before it asked, the next holder from
+/// the moment it last saw the row unchanged, each on a clock of its own;
+/// the margin covers their drift.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// The share may not be used from this moment on.
+    pub until: Moment,
+}
+
+impl Lease {
+    /// Share of the lease's length that covers the drift of two clocks.
+    const MARGIN: f64 = 0.05;
+
+    /// A lease that was asked for at `asked` and granted.
+    pub fn granted(asked: Moment, length: Duration) -> Self {
+        Self {
+            until: asked + length.mul_f64(1.0 - Self::MARGIN),
+        }
+    }
+
+    /// Whether the share may be used.
+    pub fn holds(self, now: Moment) -> bool {
+        now < self.until
+    }
+
+    /// Time for which a row must be seen unchanged before its lease is
+    /// taken over.
+    pub fn wait_out(length: Duration) -> Duration {
+        length.mul_f64(1.0 + Self::MARGIN)
+    }
+}
+
+/// Hands out prepaid tokens from the shares it holds.
+#[derive(Debug, Default)]
+pub struct Lender {
+    lease: Option<Lease>,
+    accounts: HashMap<AccountKey, Account>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    share: Bound,
+    /// A larger share that comes into force at that moment, when no other
+    /// holder counts on the earlier division any more.
+    raise: Option<(Bound, Moment)>,
+    bucket: Bucket,
+    /// Tokens asked for and not given since the last report.
+    unmet: u32,
+    /// Tokens given since the last report.
+    given: u32,
+}
+
+/// Demand at a lender since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Tokens given.
+    pub given: u32,
+    /// Tokens asked for and not given.
+    pub unmet: u32,
+}
+
+impl Lender {
+    /// Takes over or renews the lease.
+    pub const fn set_lease(&mut self, lease: Lease) {
+        self.lease = Some(lease);
+    }
+
+    /// Gives the lease up.
+    pub fn clear_lease(&mut self) {
+        self.lease = None;
+        self.accounts.clear();
+    }
+
+    /// Whether the lease holds.
+    pub fn holds(&self, now: Moment) -> bool {
+        self.lease.is_some_and(|lease| lease.holds(now))
+    }
+
+    /// Sets the share of an account. A new share starts with no tokens,
+    /// since an earlier holder may just have handed out its last.
+    pub fn set_share(&mut self, account: AccountKey, share: Bound, now: Moment) {
+        let bound = reserve(share);
+        let entry = self.accounts.entry(account).or_insert_with(|| Account {
+            share,
+            raise: None,
+            bucket: Bucket::new(bound, 0.0, now),
+            unmet: 0,
+            given: 0,
+        });
+        if share.rate > entry.share.rate || share.burst > entry.share.burst {
+            entry.raise.get_or_insert((share, now + RAISE_AFTER)).0 = share;
+        } else if share != entry.share {
+            entry.raise = None;
+            entry.set_share(share, now);
+        }
+    }
+
+    /// Keeps only the accounts for which `keep` holds.
+    pub fn retain(&mut self, keep: impl Fn(AccountKey) -> bool) {
+        self.accounts.retain(|account, _| keep(*account));
+    }
+
+    /// Hands out up to `wanted` tokens, valid for [`validity`] of the share.
+    pub fn lend(&mut self, account: AccountKey, wanted: u32, now: Moment) -> u32 {
+        if !self.holds(now) {
+            return 0;
+        }
+        let Some(entry) = self.accounts.get_mut(&account) else {
+            return 0;
+        };
+        if let Some((share, _)) = entry.raise.take_if(|(_, due)| *due <= now) {
+            entry.set_share(share, now);
+        }
+        let given = entry.bucket.take(wanted, now);
+        entry.given += given;
+        entry.unmet += wanted - given;
+        given
+    }
+
+    /// Demand for an account since the last call of this function.
+    pub fn take_demand(&mut self, account: AccountKey) -> Demand {
+        let Some(entry) = self.accounts.get_mut(&account) else {
+            return Demand::default();
+        };
+        let demand = Demand {
+            given: entry.given,
+            unmet: entry.unmet,
+        };
+        entry.given = 0;
+        entry.unmet = 0;
+        demand
+    }
+}
+
+impl Account {
+    fn set_share(&mut self, share: Bound, now: Moment) {
+        self.share = share;
+        self.bucket.set_bound(reserve(share), now);
+    }
+}
+
+/// The bound of the bucket for a share: the tokens that may be outstanding
+/// during their validity come out of the burst.
+fn reserve(share: Bound) -> Bound {
+    Bound {
+        rate: share.rate,
+        burst: share.burst - share.rate * validity(share).as_secs_f64(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/experiment.rs
@@ -0,0 +1,123 @@
+//! The form of every experiment: a table for people and JSON for `report`.
+
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+
+/// One figure of an experiment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Measure {
+    /// What was measured.
+    pub name: String,
+    /// Unit of the figures.
+    pub unit: String,
+    /// Figure of the naive baseline.
+    pub naive: Option<f64>,
+    /// Figure of this project.
+    pub ours: f64,
+    /// Stated target, as text.
+    pub target: String,
+    /// Whether `ours` meets the target; none where there is no target.
+    pub holds: Option<bool>,
+}
+
+/// The figures of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Experiment {
+    /// Seed of the run.
+    pub seed: u64,
+    /// The figures.
+    pub measures: Vec<Measure>,
+    #[serde(skip)]
+    name: String,
+}
+
+/// What a target asks of a figure.
+#[derive(Clone, Copy, Debug)]
+pub enum Bound {
+    /// At least this.
+    AtLeast(f64),
+    /// At most this.
+    AtMost(f64),
+    /// Nothing.
+    None,
+}
+
+impl Experiment {
+    /// An experiment with the seed of the command line, `--seed N`.
+    ///
+    /// # Panics
+    ///
+    /// When the seed is no number.
+    pub fn from_arguments(name: &str) -> Self {
+        let mut options = getopts::Options::new();
+        options.optopt("", "seed", "seed of arrivals, sizes and faults", "N");
+        options.optflag("", "bench", "given by cargo");
+        let arguments = std::env::args().skip(1).collect::<Vec<_>>();
+        let matches = options.parse(&arguments).expect("--seed N");
+        let seed = matches
+            .opt_str("seed")
+            .map_or(1, |seed| seed.parse().expect("the seed is a number"));
+        Self {
+            seed,
+            measures: Vec::new(),
+            name: name.to_owned(),
+        }
+    }
+
+    /// Adds a figure and prints it.
+    pub fn add(&mut self, name: &str, unit: &str, naive: Option<f64>, ours: f64, bound: Bound) {
+        let (target, holds) = match bound {
+            Bound::AtLeast(least) => (format!(">= {least}"), Some(ours >= least)),
+            Bound::AtMost(most) => (format!("<= {most}"), Some(ours <= most)),
+            Bound::None => (String::new(), None),
+        };
+        let measure = Measure {
+            name: name.to_owned(),
+            unit: unit.to_owned(),
+            naive,
+            ours,
+            target,
+            holds,
+        };
+        println!("{}", row(&measure));
+        self.measures.push(measure);
+    }
+
+    /// Prints the table and writes the JSON.
+    ///
+    /// # Panics
+    ///
+    /// When the file cannot be written.
+    pub fn finish(&self) {
+        println!("\n{} (seed {})", self.name, self.seed);
+        println!(
+            "{:<58} {:>10} {:>12} {:>12} {:>12} {:>6}",
+            "measure", "unit", "naive", "ours", "target", "holds"
+        );
+        for measure in &self.measures {
+            println!("{}", row(measure));
+        }
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/experiments");
+        fs::create_dir_all(&folder).expect("the folder for results");
+        let path = folder.join(format!("{}.json", self.name));
+        let json = serde_json::to_string_pretty(self).expect("figures are JSON");
+        fs::write(path, json).expect("the file of results");
+    }
+}
+
+fn row(measure: &Measure) -> String {
+    let naive = measure
+        .naive
+        .map_or_else(String::new, |naive| format!("{naive:.4}"));
+    let holds = match measure.holds {
+        Some(true) => "yes",
+        Some(false) => "NO",
+        None => "",
+    };
+    format!(
+        "{:<58} {:>10} {naive:>12} {:>12.4} {:>12} {holds:>6}",
+        measure.name, measure.unit, measure.ours, measure.target
+    )
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,290 @@
+//! The platform's table service and object store, in memory, with faults.
+
+mod table;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use cardamomshed_platform::{Expect, Operation};
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::thread::Thread;
+use table::Tables;
+
+/// Largest body that is accepted, in bytes.
+const MAX_BODY: usize = 32 * 1024 * 1024;
+
+/// What goes wrong at the platform.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// No request is answered with anything but an error.
+    pub down: bool,
+    /// Every request takes this much longer.
+    pub delay: Duration,
+    /// Share of the writes that take effect and whose answer is lost.
+    pub lose_answers: f64,
+}
+
+/// Requests served so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Rows and lists read.
+    pub reads: u64,
+    /// Writes; a transaction counts once.
+    pub writes: u64,
+}
+
+/// Requests a second that the platform serves.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Reads a second.
+    pub reads: f64,
+    /// Writes a second.
+    pub writes: f64,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        Self {
+            reads: 2_000.0,
+            writes: 400.0,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    tables: Tables,
+    faults: Faults,
+    counts: Counts,
+    capacity: Capacity,
+    /// When the next read and write may be served.
+    next: [Instant; 2],
+}
+
+/// The platform on a thread of its own.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    state: Shared,
+    _thread: Thread,
+}
+
+/// State shared between the server and its handle.
+#[derive(Clone, Debug)]
+struct Shared(Arc<Mutex<State>>);
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits as long as a request takes; `Err` is the answer of an outage.
+    async fn admit(&self, write: bool) -> Result<(), HttpResponse> {
+        let (down, delay) = {
+            let mut state = self.lock();
+            let rate = if write {
+                state.counts.writes += 1;
+                state.capacity.writes
+            } else {
+                state.counts.reads += 1;
+                state.capacity.reads
+            };
+            let now = Instant::now();
+            let next = &mut state.next[usize::from(write)];
+            let start = (*next).max(now);
+            *next = start + Duration::from_secs_f64(1.0 / rate);
+            (state.faults.down, start - now + state.faults.delay)
+        };
+        sleep(delay).await;
+        if down {
+            return Err(HttpResponse::ServiceUnavailable().finish());
+        }
+        Ok(())
+    }
+
+    /// Whether the answer to a write is lost.
+    fn loses_answer(&self) -> bool {
+        rand::random::<f64>() < self.lock().faults.lose_answers
+    }
+
+    fn answer_write(&self, response: HttpResponse) -> HttpResponse {
+        if self.loses_answer() {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        response
+    }
+}
+
+impl Platform {
+    /// Starts a platform on a free port.
+    ///
+    /// # Panics
+    ///
+    /// When the loopback has no free port.
+    pub fn start(capacity: Capacity) -> Self {
+        let now = Instant::now();
+        let state = Shared(Arc::new(Mutex::new(State {
+            tables: Tables::default(),
+            faults: Faults::default(),
+            counts: Counts::default(),
+            capacity,
+            next: [now, now],
+        })));
+        let shared = state.clone();
+        let (thread, address) = Thread::start(
+            "platform",
+            async move || {
+                let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                let address = listener.local_addr().expect("a bound port");
+                let server = serve(shared, listener);
+                let handle = server.handle();
+                actix_rt::spawn(server);
+                (address, handle)
+            },
+            async |handle: actix_web::dev::ServerHandle| handle.stop(false).await,
+        );
+        Self {
+            address,
+            state,
+            _thread: thread,
+        }
+    }
+
+    /// Base address for settings and clients.
+    pub fn base(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sets what goes wrong.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Requests served so far.
+    pub fn counts(&self) -> Counts {
+        self.state.lock().counts
+    }
+
+    /// Contents of a row.
+    pub fn peek(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.state.lock();
+        state.tables.get(table, key).map(|row| row.value)
+    }
+
+    /// Rows of a table.
+    pub fn rows(&self, table: &str) -> usize {
+        self.state.lock().tables.list(table, "", usize::MAX).len()
+    }
+}
+
+fn serve(state: Shared, listener: TcpListener) -> actix_web::dev::Server {
+    HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(state.clone()))
+            .app_data(web::PayloadConfig::new(MAX_BODY))
+            .app_data(web::JsonConfig::default().limit(MAX_BODY))
+            .route("/v1/tables/{table}/rows", web::get().to(list))
+            .route("/v1/tables/{table}/rows/{key}", web::get().to(get))
+            .route("/v1/tables/{table}/rows/{key}", web::put().to(put))
+            .route("/v1/transactions", web::post().to(transact))
+            .route("/v1/objects/{name}", web::get().to(object))
+            .route("/v1/objects/{name}", web::put().to(put_object))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)
+    .expect("a bound listener")
+    .run()
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    #[serde(default)]
+    after: String,
+    limit: usize,
+}
+
+type Handle = web::Data<Shared>;
+
+async fn list(state: Handle, table: web::Path<String>, page: web::Query<Page>) -> HttpResponse {
+    if let Err(outage) = state.admit(false).await {
+        return outage;
+    }
+    HttpResponse::Ok().json(state.lock().tables.list(&table, &page.after, page.limit))
+}
+
+async fn get(state: Handle, path: web::Path<(String, String)>) -> HttpResponse {
+    if let Err(outage) = state.admit(false).await {
+        return outage;
+    }
+    match state.lock().tables.get(&path.0, &path.1) {
+        Some(row) => HttpResponse::Ok().json(row),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn put(
+    state: Handle,
+    path: web::Path<(String, String)>,
+    request: HttpRequest,
+    value: web::Json<Value>,
+) -> HttpResponse {
+    if let Err(outage) = state.admit(true).await {
+        return outage;
+    }
+    let headers = request.headers();
+    let version = headers
+        .get("if-match")
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let expect = match version {
+        Some(version) => Expect::Version(version),
+        None if headers.contains_key("if-none-match") => Expect::Absent,
+        None => Expect::Any,
+    };
+    let (table, key) = path.into_inner();
+    let operation = Operation {
+        table,
+        key,
+        expect,
+        value: Some(value.into_inner()),
+    };
+    let written = state.lock().tables.transact(&[operation]);
+    state.answer_write(match written {
+        Some(versions) => HttpResponse::Ok().json(versions[0]),
+        None => HttpResponse::PreconditionFailed().finish(),
+    })
+}
+
+async fn transact(state: Handle, operations: web::Json<Vec<Operation>>) -> HttpResponse {
+    if let Err(outage) = state.admit(true).await {
+        return outage;
+    }
+    let written = state.lock().tables.transact(&operations);
+    state.answer_write(match written {
+        Some(versions) => HttpResponse::Ok().json(versions),
+        None => HttpResponse::PreconditionFailed().finish(),
+    })
+}
+
+async fn object(state: Handle, name: web::Path<String>) -> HttpResponse {
+    if let Err(outage) = state.admit(false).await {
+        return outage;
+    }
+    match state.lock().tables.object(&name) {
+        Some(contents) => HttpResponse::Ok().body(contents),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn put_object(state: Handle, name: web::Path<String>, body: web::Bytes) -> HttpResponse {
+    if let Err(outage) = state.admit(true).await {
+        return outage;
+    }
+    state.lock().tables.put_object(&name, &body);
+    state.answer_write(HttpResponse::Ok().finish())
+}
