Shed at the ingress by levels that targets' daemons set, not by marks

Cause: at half the capacity 5 to 27 % of the requests were refused. Each ingress cut its own rate by the share of marked answers; with about one answer in a 50 ms window one mark halved an ingress, and a single 5 ms wait at a target with two slots made a mark.

Ruled out: quota (no CS1301), retries (off), time-outs (none unknown).

Change: the daemon beside the target decides from a queue that stands, over the histogram of all that arrives, and every answer carries the lowest level of its chain; the ingress only compares ranks.

--- a/crates/code/src/result.rs
+++ b/crates/code/src/result.rs
@@ -117,7 +117,8 @@
 }
 
 /// What is known of the execution of a refused request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// The request was not run by any target and will not be.
--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -29,7 +29,8 @@
 const POLLERS: usize = 3;
 
 /// What a daemon tells a peer that is behind.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 enum Row {
     Note(Arc<Note>),
     Config(Arc<Config>),
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -38,7 +38,8 @@
 const DRY: Duration = Duration::from_millis(40);
 
 /// Row of one lender slot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Holder {
     /// Daemon and number of its process; empty when given back.
     node: Arc<str>,
--- a/crates/daemon/src/actor/worker.rs
+++ b/crates/daemon/src/actor/worker.rs
@@ -37,7 +37,8 @@
 }
 
 /// Ends an actor and what it runs.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct Stop;
 
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -7,6 +7,7 @@
 
 use cardamomshed_code::Code;
 use cardamomshed_policy::Moment;
+use cardamomshed_policy::admission::{Level, OPEN, Rank, Steering};
 use cardamomshed_policy::gate::{self, Change, Gate, Offer, Shed, Ticket, Verdict};
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
@@ -17,7 +18,8 @@
 use crate::sync::lock;
 
 /// What a target tells its daemon when it announces itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Service that the target serves.
@@ -52,6 +54,7 @@
     announcement: Announcement,
     announced: Moment,
     gate: Gate,
+    steering: Steering,
     waiting: HashMap<Ticket, oneshot::Sender<Result<(), Shed>>>,
 }
 
@@ -74,8 +77,6 @@
     pub connections: u32,
     /// Time that the call waited.
     pub waited: Duration,
-    /// Whether that wait shows that the target is pressed.
-    pub pressed: bool,
     own_time: Option<Duration>,
 }
 
@@ -90,6 +91,8 @@
     pub priority: cardamomshed_policy::Priority,
     /// Hops from the caller.
     pub depth: u8,
+    /// Place of the root request in the order of shedding.
+    pub rank: Rank,
     /// Deadline of the call.
     pub deadline: Moment,
 }
@@ -129,6 +132,7 @@
             .cold_start(Duration::from_millis(announcement.cold_start_ms));
         *target = Some(Target {
             gate: Gate::new(config, now),
+            steering: Steering::default(),
             announced: now,
             waiting: HashMap::new(),
             announcement,
@@ -181,7 +185,7 @@
         let shed = match timeout(self.clock.left(visitor.deadline), verdict).await {
             Ok(Ok(Ok(()))) => {
                 entry.waited = self.clock.now().since(arrived);
-                entry.pressed = self.is_pressed(entry.waited);
+                self.note_wait(entry.waited);
                 return Ok(entry);
             }
             Ok(Ok(Err(shed))) => shed,
@@ -214,16 +218,24 @@
             deadline: visitor.deadline,
         };
         let mut changes = Vec::new();
+        target.steering.arrived(visitor.rank);
+        target.steering.tick(now);
         let verdict = target.gate.offer(offer, now, &mut changes);
         target.tell(&changes);
         let receiver = match verdict {
-            Verdict::Run => None,
+            Verdict::Run => {
+                target.steering.started(false);
+                None
+            }
             Verdict::Wait => {
                 let (sender, receiver) = oneshot::channel();
                 target.waiting.insert(ticket, sender);
                 Some(receiver)
             }
-            Verdict::Shed(shed) => return Err(shed_code(shed)),
+            Verdict::Shed(shed) => {
+                target.note_shed(shed);
+                return Err(shed_code(shed));
+            }
         };
         let entry = Entry {
             beside: self,
@@ -231,7 +243,6 @@
             address: target.announcement.address,
             connections: target.announcement.connections,
             waited: Duration::ZERO,
-            pressed: false,
             own_time: None,
         };
         Ok((entry, receiver))
@@ -243,6 +254,7 @@
         if let Some(target) = lock(&self.target).as_mut() {
             let mut changes = Vec::new();
             target.gate.tick(now, &mut changes);
+            target.steering.tick(now);
             target.tell(&changes);
         }
     }
@@ -254,10 +266,18 @@
             .is_none_or(|target| target.gate.is_idle())
     }
 
-    fn is_pressed(&self, wait: Duration) -> bool {
+    /// Admission level for the target.
+    pub fn level(&self) -> Level {
         lock(&self.target)
             .as_ref()
-            .is_some_and(|target| target.gate.is_pressed(wait))
+            .map_or(OPEN, |target| target.steering.level())
+    }
+
+    fn note_wait(&self, wait: Duration) {
+        if let Some(target) = lock(&self.target).as_mut() {
+            let long = target.gate.is_long(wait);
+            target.steering.started(long);
+        }
     }
 
     fn leave(&self, ticket: Ticket, own_time: Option<Duration>) {
@@ -277,12 +297,22 @@
 }
 
 impl Target {
+    fn note_shed(&mut self, shed: Shed) {
+        // A target that leaves is not pressed.
+        if shed != Shed::Closed {
+            self.steering.shed();
+        }
+    }
+
     fn tell(&mut self, changes: &[Change]) {
         for change in changes {
             let (ticket, verdict) = match *change {
                 Change::Run(ticket) => (ticket, Ok(())),
                 Change::Shed(ticket, shed) => (ticket, Err(shed)),
             };
+            if let Err(shed) = verdict {
+                self.note_shed(shed);
+            }
             if let Some(sender) = self.waiting.remove(&ticket) {
                 // A receiver that is gone has its entry dropped, which gives
                 // the place back.
--- a/crates/daemon/src/claim/row.rs
+++ b/crates/daemon/src/claim/row.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cardamomshed_note::Digest;
+use cardamomshed_policy::admission::OPEN;
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
 
@@ -55,7 +56,8 @@
 }
 
 /// Contents of a row.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Row {
     pub(crate) claim: u64,
     pub(crate) fingerprint: String,
@@ -64,7 +66,8 @@
 }
 
 /// State of a claimed request.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub(crate) enum State {
     Open,
@@ -73,7 +76,8 @@
 }
 
 /// An answer as it is repeated to a second caller.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     status: u16,
     headers: Vec<(String, String)>,
@@ -129,7 +133,7 @@
             headers: self.headers,
             body: Bytes::from(self.body.unwrap_or_default()),
             load: Load::default(),
-            marked: false,
+            level: OPEN,
             tokens,
         }
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,11 +7,11 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cardamomshed_code::{Code, Failure};
+use cardamomshed_policy::admission::{Level, Rank};
 use cardamomshed_policy::retry::Escrow;
 use cardamomshed_policy::{Moment, Priority};
 use cardamomshed_wire::Request;
@@ -45,6 +45,19 @@
     }
 }
 
+/// What every call of a chain has from its root.
+#[derive(Clone, Debug)]
+pub struct Root {
+    /// Identity of the root request.
+    pub request: Request,
+    /// Its client account.
+    pub account: Arc<str>,
+    /// Its priority.
+    pub priority: Priority,
+    /// Its place in the order of shedding.
+    pub rank: Rank,
+}
+
 /// Time during which a call waits for calls that it made.
 #[derive(Debug, Default)]
 struct Children {
@@ -62,39 +75,45 @@
     pub account: Arc<str>,
     /// Priority of the root request.
     pub priority: Priority,
+    /// Place of the root request in the order of shedding.
+    pub rank: Rank,
     /// Never later than the deadline of the call above.
     pub deadline: Moment,
     /// Hops from the caller to the calls made in this context.
     pub depth: u8,
     escrow: Mutex<Escrow>,
     children: Mutex<Children>,
-    marked: AtomicBool,
+    level: Mutex<Option<Level>>,
     ended: watch::Sender<bool>,
 }
 
 impl Context {
-    /// A context with these attempt tokens.
-    pub fn new(
-        request: Request,
-        account: Arc<str>,
-        priority: Priority,
-        deadline: Moment,
-        depth: u8,
-        tokens: u8,
-    ) -> Self {
+    /// A context of a root with these attempt tokens.
+    pub fn new(root: Root, deadline: Moment, depth: u8, tokens: u8) -> Self {
         Self {
-            request,
-            account,
-            priority,
+            request: root.request,
+            account: root.account,
+            priority: root.priority,
+            rank: root.rank,
             deadline,
             depth,
             escrow: Mutex::new(Escrow::new(tokens)),
             children: Mutex::default(),
-            marked: AtomicBool::new(false),
+            level: Mutex::new(None),
             ended: watch::Sender::new(false),
         }
     }
 
+    /// What a call made in this context has from its root.
+    pub fn root(&self) -> Root {
+        Root {
+            request: self.request,
+            account: Arc::clone(&self.account),
+            priority: self.priority,
+            rank: self.rank,
+        }
+    }
+
     /// Lends attempt tokens to a call.
     pub fn lend(&self) -> u8 {
         self.escrow().lend()
@@ -115,14 +134,17 @@
         self.escrow().held()
     }
 
-    /// Notes that a service below is pressed.
-    pub fn mark(&self) {
-        self.marked.store(true, Ordering::Relaxed);
+    /// Takes in an admission level told by a service below.
+    pub fn learn(&self, level: Option<Level>) {
+        if let Some(told) = level {
+            let mut known = lock(&self.level);
+            *known = Some(known.map_or(told, |known| known.lower(told)));
+        }
     }
 
-    /// Whether a service below is pressed.
-    pub fn is_marked(&self) -> bool {
-        self.marked.load(Ordering::Relaxed)
+    /// Lowest admission level told by the services below.
+    pub fn level(&self) -> Option<Level> {
+        *lock(&self.level)
     }
 
     /// Notes the start of a call made in this context.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -82,6 +82,7 @@
         request: context.request,
         account: Arc::clone(&context.account),
         priority: context.priority,
+        rank: context.rank,
         timeout_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
         tokens: lent,
         depth: context.depth,
@@ -136,9 +137,7 @@
     let now = node.clock.now();
     let (outcome, load, left) = match reply {
         Reply::Answer(answer) => {
-            if answer.marked {
-                context.mark();
-            }
+            context.learn(Some(answer.level));
             let failed = answer.status >= 500 && answer.status != 503;
             let outcome = if failed {
                 Outcome::Failed
@@ -148,9 +147,7 @@
             (outcome, Some(answer.load.into()), answer.tokens)
         }
         Reply::Refused(refused) => {
-            if refused.is_shed() {
-                context.mark();
-            }
+            context.learn(refused.level);
             let outcome = match refused.code {
                 Code::TargetFailed | Code::TargetSilent | Code::FateUnknown | Code::LinkFailed => {
                     Outcome::Failed
--- a/crates/daemon/src/http/admin.rs
+++ b/crates/daemon/src/http/admin.rs
@@ -15,7 +15,8 @@
 use crate::sync::lock;
 
 /// One daemon at a glance.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Status {
     node: Arc<str>,
     domain: Arc<str>,
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_note::{Access, Digest, Lookup, Unconfirmed};
-use cardamomshed_policy::admission;
+use cardamomshed_policy::admission::{self, Rank};
 use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_wire::Request;
 use futures_util::StreamExt;
@@ -16,7 +16,7 @@
 use super::{head, problem};
 use crate::actor::quota;
 use crate::claim;
-use crate::context::Context;
+use crate::context::{self, Context};
 use crate::dispatch::{Parts, dispatch};
 use crate::node::{Held, Node};
 use crate::reply::{Answer, Refused, Reply};
@@ -110,9 +110,7 @@
             let lent = context.tokens();
             let reply = dispatch(node, &context, &access.route, &parts).await;
             above.restore(lent, context.tokens());
-            if context.is_marked() {
-                above.mark();
-            }
+            above.learn(context.level());
             reply
         }
         Err(failure) => Reply::Refused(Refused::not_run(failure.code, failure.detail, 0)),
@@ -140,14 +138,8 @@
     let headers = head::end_to_end(request.headers());
     let (parts, held) = collect(node, &lookup, request, headers, payload).await?;
     let deadline = deadline(node, request, access.route.timeout.get()).min(above.deadline);
-    let context = Context::new(
-        above.request,
-        Arc::clone(&above.account),
-        above.priority,
-        deadline,
-        above.depth,
-        above.lend(),
-    );
+    let tokens = above.lend();
+    let context = Context::new(above.root(), deadline, above.depth, tokens);
     Ok((access, parts, context, held))
 }
 
@@ -163,7 +155,7 @@
     if node.is_leaving() {
         return Err(Failure::new(Code::Leaving, ""));
     }
-    admit(node, &root).await?;
+    let rank = admit(node, &root).await?;
     let collected = collect(node, &lookup, request, root.headers.clone(), payload).await;
     let (parts, _held) = collected?;
     node.decide(
@@ -177,17 +169,16 @@
             node.clock.left(root.deadline).as_millis()
         ),
     );
-    let context = Context::new(
-        id,
-        Arc::clone(&root.account),
-        root.access.route.priority,
-        root.deadline,
-        0,
-        root.access.route.retries,
-    );
+    let above = context::Root {
+        request: id,
+        account: Arc::clone(&root.account),
+        priority: root.access.route.priority,
+        rank,
+    };
+    let context = Context::new(above, root.deadline, 0, root.access.route.retries);
     let reply = claimed_dispatch(node, request, &root, &context, &parts).await;
     let shed = matches!(&reply, Reply::Refused(refused) if refused.is_shed());
-    lock(&node.admission).observe(root.access.key, context.is_marked(), shed, node.clock.now());
+    lock(&node.admission).observe(root.access.key, context.level(), shed, node.clock.now());
     Ok((root, reply))
 }
 
@@ -255,21 +246,22 @@
 
 /// Sheds before any hop spends work, then takes quota, so that a request
 /// that is shed costs its account nothing.
-async fn admit(node: &Arc<Node>, root: &Root) -> Result<(), Failure> {
+async fn admit(node: &Arc<Node>, root: &Root) -> Result<Rank, Failure> {
     let request = admission::Request {
         route: root.access.key,
         account: root.key,
         priority: root.access.route.priority,
         draw: rand::random(),
     };
-    if !lock(&node.admission).admit(&request, node.clock.now()) {
+    let admitted = lock(&node.admission).admit(&request, node.clock.now());
+    let Some(rank) = admitted else {
         let detail = root.access.route.name.to_string();
         return Err(Failure::new(Code::AdmissionShed, detail));
-    }
+    };
     if !quota::take(node, &root.account, root.key).await {
         return Err(Failure::new(Code::QuotaExceeded, root.account.to_string()));
     }
-    Ok(())
+    Ok(rank)
 }
 
 /// Reads the whole body within its bounds.
@@ -366,7 +358,7 @@
         let draw = rand::random::<f64>();
         root.map_or_else(
             || Duration::from_secs_f64(1.0 + draw),
-            |root| lock(&node.admission).retry_after(root.access.key, draw),
+            |root| lock(&node.admission).retry_after(root.access.key, draw, node.clock.now()),
         )
     });
     problem::response(id, refused, retry_after)
--- a/crates/daemon/src/http/problem.rs
+++ b/crates/daemon/src/http/problem.rs
@@ -13,7 +13,8 @@
 use crate::runner::REQUEST_HEADER;
 
 /// A problem document.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Problem<'a> {
     #[serde(rename = "type")]
     kind: String,
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -278,6 +278,7 @@
         detail: refusal.detail,
         // A limit of zero says that there is no target.
         load: (refusal.load.limit > 0).then_some(refusal.load),
+        level: (refusal.load.limit > 0).then_some(refusal.level),
         tokens: refusal.tokens,
     }
 }
@@ -327,7 +328,7 @@
         headers: answer.headers,
         body,
         load: answer.load,
-        marked: answer.marked,
+        level: answer.level,
         tokens: answer.tokens,
     }
 }
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event};
 use cardamomshed_policy::Moment;
+use cardamomshed_policy::admission::OPEN;
 use cardamomshed_wire::{Answer, Call, Frame, Refusal, decode};
 use futures_util::StreamExt;
 use tokio::sync::{mpsc, oneshot};
@@ -314,7 +315,7 @@
                 headers: answer.headers.clone(),
                 length: answer.body.len() as u64,
                 load: answer.load,
-                marked: answer.marked,
+                level: answer.level,
                 tokens: answer.tokens,
             };
             Out::Body(Frame::Answer(Box::new(head)), answer.body.clone())
@@ -325,6 +326,7 @@
             ran: refused.ran,
             detail: refused.detail.clone(),
             load: refused.load.unwrap_or_default(),
+            level: refused.level.unwrap_or(OPEN),
             tokens: refused.tokens,
         }))),
     };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -116,7 +116,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            shedding: admission::Method::Marks,
+            shedding: admission::Method::Levels,
             gossip: member::Config::default(),
         }
     }
@@ -166,10 +166,7 @@
             services: Services::new(settings.domain.to_text(), settings.region.to_text()),
             links,
             fleet: Mutex::new(fleet),
-            admission: Mutex::new(Admission::new(
-                options.shedding,
-                admission::Config::default(),
-            )),
+            admission: Mutex::new(Admission::new(options.shedding)),
             wallet: Mutex::default(),
             lenders: Mutex::default(),
             tokens_arrived: Notify::new(),
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cardamomshed_code::{Code, Ran};
+use cardamomshed_policy::admission::Level;
 use cardamomshed_wire::Load;
 
 /// The end of a call.
@@ -24,8 +25,8 @@
     pub body: Bytes,
     /// Load of the target.
     pub load: Load,
-    /// A target on the call's way was pressed.
-    pub marked: bool,
+    /// Lowest admission level along the call's chain.
+    pub level: Level,
     /// Attempt tokens left.
     pub tokens: u8,
 }
@@ -42,6 +43,8 @@
     pub detail: String,
     /// Load of the target, where it is known.
     pub load: Option<Load>,
+    /// Lowest admission level along the call's chain, where it is known.
+    pub level: Option<Level>,
     /// Attempt tokens left.
     pub tokens: u8,
 }
@@ -54,6 +57,7 @@
             ran: Ran::No,
             detail: detail.into(),
             load: None,
+            level: None,
             tokens,
         }
     }
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -15,11 +15,12 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event, Ran};
 use cardamomshed_policy::Moment;
+use cardamomshed_policy::admission::{Level, OPEN};
 use cardamomshed_wire::Call;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::beside::{Entry, Visitor};
-use crate::context::{Context, Live};
+use crate::context::{Context, Live, Root};
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
 
@@ -124,6 +125,7 @@
         account: node.names.account(&call.account),
         priority: call.priority,
         depth: call.depth,
+        rank: call.rank,
         deadline,
     };
     let mut entry = match node.beside.enter(visitor).await {
@@ -143,26 +145,24 @@
             entry.waited.as_micros()
         ),
     );
-    let live = node.contexts.open(Context::new(
-        call.request,
-        Arc::clone(&call.account),
-        call.priority,
-        deadline,
-        call.depth + 1,
-        call.tokens,
-    ));
-    if entry.pressed {
-        live.context.mark();
-    }
+    let root = Root {
+        request: call.request,
+        account: Arc::clone(&call.account),
+        priority: call.priority,
+        rank: call.rank,
+    };
+    let context = Context::new(root, deadline, call.depth + 1, call.tokens);
+    let live = node.contexts.open(context);
     let started = node.clock.now();
     let sent = send(node, pool, call, body, &entry, &live).await;
     let total = node.clock.now().since(started);
     entry.finish(total.saturating_sub(live.context.waited()));
     let tokens = live.context.tokens();
-    let marked = live.context.is_marked();
+    live.context.learn(Some(node.beside.level()));
+    let level = live.context.level().unwrap_or(OPEN);
     drop(live);
     drop(entry);
-    conclude(node, call, sent, total, tokens, marked)
+    conclude(node, call, sent, total, tokens, level)
 }
 
 /// Sheds a call that has not run.
@@ -189,6 +189,7 @@
     );
     let mut refused = Refused::not_run(code, "", call.tokens);
     refused.load = Some(load);
+    refused.level = Some(node.beside.level());
     Reply::Refused(refused)
 }
 
@@ -198,7 +199,7 @@
     sent: Result<Answer, Refused>,
     total: Duration,
     tokens: u8,
-    marked: bool,
+    level: Level,
 ) -> Reply {
     let load = node.beside.load();
     let (outcome, reply) = match sent {
@@ -206,7 +207,7 @@
             let outcome = answer.status;
             let answer = Answer {
                 load,
-                marked,
+                level,
                 tokens,
                 ..answer
             };
@@ -216,6 +217,7 @@
             let outcome = refused.code.number();
             let refused = Refused {
                 load: Some(load),
+                level: Some(level),
                 tokens,
                 ..refused
             };
@@ -226,10 +228,11 @@
         Event::CallFinished,
         call.request,
         format_args!(
-            "call={} service={} outcome={outcome} total_us={} marked={marked} tokens={tokens}",
+            "call={} service={} outcome={outcome} total_us={} level={:.1} tokens={tokens}",
             call.id,
             call.service,
-            total.as_micros()
+            total.as_micros(),
+            level.0
         ),
     );
     reply
@@ -298,7 +301,7 @@
         headers,
         body,
         load: cardamomshed_wire::Load::default(),
-        marked: false,
+        level: OPEN,
         tokens: 0,
     })
 }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -65,7 +65,8 @@
 }
 
 /// One service at a glance.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Summary {
     /// Name of the service.
     pub service: Arc<str>,
--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -14,7 +14,8 @@
 const CAPACITY: usize = 32_768;
 
 /// One decision about one request.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Daemon that decided.
     pub node: String,
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -13,7 +13,8 @@
 const MAX_LATENCY_US: u64 = 120_000_000;
 
 /// Outcomes of one source's requests.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Tally {
     /// Requests that were to be sent.
     pub offered: u64,
@@ -160,6 +161,11 @@
             self.worst_share(),
             total.retries
         )?;
+        if !total.refused.is_empty() {
+            let codes = total.refused.iter();
+            let codes = codes.map(|(code, count)| format!("CS{code}: {count}"));
+            writeln!(f, "refused: {}", codes.collect::<Vec<_>>().join(", "))?;
+        }
         writeln!(f, "latency of answered requests:")?;
         for quantile in [0.5, 0.9, 0.99, 0.999, 1.0] {
             let millis = self.latency_us(quantile) as f64 / 1_000.0;
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -21,7 +21,8 @@
 const MAX_DEPTH: u8 = 32;
 
 /// The configuration in force at one revision.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Config {
     /// Number of release notes merged; it never falls.
     pub revision: u64,
--- a/crates/note/src/digest.rs
+++ b/crates/note/src/digest.rs
@@ -34,7 +34,8 @@
 }
 
 /// SHA-256 of a caller's key.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; 32]);
 
--- a/crates/note/src/figure.rs
+++ b/crates/note/src/figure.rs
@@ -6,17 +6,20 @@
 use serde::{Deserialize, Serialize};
 
 /// A length of time such as `250ms`, `2s` or `5m`, up to one day.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Length(Duration);
 
 /// A rate such as `120/s`, above zero and up to ten million a second.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct PerSecond(f64);
 
 /// A size such as `64KiB` or `4MiB`, up to 1 GiB.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Size(u64);
 
--- a/crates/note/src/name.rs
+++ b/crates/note/src/name.rs
@@ -11,7 +11,8 @@
 
 /// A name of lower-case letters, digits, `-`, `_` and `.`, which starts with
 /// a letter or digit and has at most 64 bytes.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "Arc<str>")]
 pub struct Name(Arc<str>);
 
--- a/crates/note/src/release.rs
+++ b/crates/note/src/release.rs
@@ -8,7 +8,8 @@
 use crate::{Digest, Length, Name, PerSecond, Size};
 
 /// A change to the configuration: what is added, changed and withdrawn.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Note {
     /// Unique name, by which a lost answer of the platform is settled.
@@ -33,7 +34,8 @@
 }
 
 /// Changes to the things of one kind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Section<T> {
     /// Things that did not exist.
@@ -65,7 +67,8 @@
 }
 
 /// A route from a path to a service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Unique name.
@@ -93,7 +96,8 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Unique name.
@@ -105,7 +109,8 @@
 }
 
 /// A key granted to a client account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Grant {
     /// Unique name.
@@ -118,7 +123,8 @@
 
 /// What a daemon does with keys that it can no longer confirm, because it
 /// has reached neither the platform nor an up-to-date peer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Unconfirmed {
     /// Goes on serving.
@@ -129,7 +135,8 @@
 }
 
 /// Limits that hold everywhere.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Longest call chain.
--- a/crates/note/src/settings.rs
+++ b/crates/note/src/settings.rs
@@ -10,7 +10,8 @@
 use crate::{Length, Name, Size, yaml};
 
 /// Settings of one daemon.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Unique name of this daemon in its fleet.
@@ -51,7 +52,8 @@
 }
 
 /// TLS towards callers. Both files are read again when they change.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tls {
     /// File with the certificate chain in PEM.
@@ -61,7 +63,8 @@
 }
 
 /// Form of the log on standard error.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogForm {
     /// One JSON object a line.
@@ -74,7 +77,8 @@
 }
 
 /// Intervals and time-outs.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timing {
     /// Between two signs of life on a peer link with open calls.
--- a/crates/platform/src/row.rs
+++ b/crates/platform/src/row.rs
@@ -4,7 +4,8 @@
 use serde_json::Value;
 
 /// A row of a table.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Key, unique within its table.
     pub key: String,
@@ -16,7 +17,8 @@
 }
 
 /// What a write expects of the row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Expect {
     /// The row does not exist.
@@ -28,7 +30,8 @@
 }
 
 /// One write of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Operation {
     /// Table of the row.
     pub table: String,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,76 +1,58 @@
-//! Shedding at the ingress, steered by marks from the services below.
+//! Shedding at the ingress, by levels that come from the services below.
 //!
-//! The daemon beside a pressed target marks the answers that waited too
-//! long; a mark travels up the chain with the answer. The ingress keeps one
-//! admitted rate per route and lowers it by the share of marked answers, as
-//! DCTCP lowers its window. Which requests make up that rate is decided by
-//! rank: priority first, then the client account's use, so that the cut
-//! falls on the heaviest accounts of the lowest priority.
-
-mod rate;
+//! Requests are ordered by [`Rank`]: priority first, then the client
+//! account's use. The daemon beside a pressed target lowers its [`Level`] to
+//! what its target can serve, and every answer carries the lowest level
+//! along its call chain. The ingress refuses what ranks above the level of
+//! its route before any hop spends work on it. The form is that of
+//! DAGOR (Zhou and others, 2018); here the order within a priority comes from the account's share of
+//! the load instead of a hash, so that the cut falls on the heaviest
+//! accounts first and a light one is not refused because of them.
+
+mod level;
+mod rank;
 mod usage;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-pub use rate::{Config, Rate};
+pub use level::{Level, OPEN, Steering};
+pub use rank::Rank;
 use usage::Usage;
 
 use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
 
-/// Steps within one priority. Eight steps double an account's weight.
-const STEPS: usize = 128;
-/// Steps that double the weight.
-const STEPS_PER_OCTAVE: f64 = 8.0;
-/// Step of a request with the weight one.
-const MIDDLE_STEP: f64 = 64.0;
-/// Ranks over all priorities.
-const RANKS: usize = STEPS * Priority::ALL.len();
-/// Share of the histogram kept from one window to the next.
-const KEEP: f64 = 0.8;
+/// Weight of a newly told level.
+const LEARN: f32 = 0.3;
+/// Time without an answer after which a level rises by itself, so that an
+/// ingress that refuses everything finds out when the services are well.
+const SILENCE: Duration = Duration::from_millis(500);
+/// Ranks by which it then rises in a second.
+const RISE: f32 = 64.0;
 
 /// How the ingress sheds; the alternatives stay for comparison.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Method {
-    /// Admitted rate steered by marks, cut by rank.
-    Marks,
-    /// Probability from the ratio of accepted to offered requests, as in
-    /// the Google SRE book's client-side throttling.
+    /// By the levels that come with the answers.
+    Levels,
+    /// By the ratio of accepted to offered requests, as in the Google SRE
+    /// book's client-side throttling.
     AcceptRatio,
     /// Everything is admitted.
     None,
 }
 
-/// Requests offered and accepted by the services below, halved with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Ratio {
+/// What an ingress knows of the services behind one route.
+#[derive(Clone, Copy, Debug)]
+struct Route {
+    level: f32,
+    told: Moment,
+    /// Requests offered and accepted, halved now and then.
     offered: f64,
     accepted: f64,
 }
 
-/// One route's admission at this ingress.
-#[derive(Debug)]
-struct Route {
-    rate: Rate,
-    /// Offered requests by rank over the recent windows.
-    histogram: Box<[f64; RANKS]>,
-    /// Ranks below it are admitted.
-    cut: usize,
-    /// Share of the requests of rank `cut` that is admitted.
-    cut_share: f64,
-    ratio: Ratio,
-}
-
-/// Admission at the ingress, for every route.
-#[derive(Debug)]
-pub struct Admission {
-    method: Method,
-    config: Config,
-    routes: HashMap<RouteKey, Route>,
-    usage: Usage,
-}
-
 /// A request at the ingress.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
@@ -80,127 +62,91 @@
     pub account: AccountKey,
     /// Priority of the route.
     pub priority: Priority,
-    /// Uniform in 0..1; spreads an account's requests over its steps.
+    /// Uniform in 0..1; spreads an account's requests over ranks.
     pub draw: f64,
 }
 
+/// Admission at the ingress, for every route.
+#[derive(Debug)]
+pub struct Admission {
+    method: Method,
+    routes: HashMap<RouteKey, Route>,
+    usage: Usage,
+}
+
 impl Admission {
-    /// Admits everything until marks arrive.
-    pub fn new(method: Method, config: Config) -> Self {
+    /// Admits everything until told otherwise.
+    pub fn new(method: Method) -> Self {
         Self {
             method,
-            config,
             routes: HashMap::new(),
             usage: Usage::default(),
         }
     }
 
-    /// Decides on a request.
-    pub fn admit(&mut self, request: &Request, now: Moment) -> bool {
-        let weight = self.usage.count(request.account, now) * request.draw;
-        let route = self.routes.entry(request.route).or_insert_with(Route::new);
-        match self.method {
+    /// Decides on a request; gives its rank if it is admitted.
+    pub fn admit(&mut self, request: &Request, now: Moment) -> Option<Rank> {
+        let share = self.usage.count(request.account, now);
+        let rank = Rank::new(request.priority, share * request.draw);
+        let route = self.routes.entry(request.route).or_insert(Route {
+            level: OPEN.0,
+            told: now,
+            offered: 0.0,
+            accepted: 0.0,
+        });
+        let admitted = match self.method {
             Method::None => true,
-            Method::AcceptRatio => route.admit_by_ratio(request.draw),
-            Method::Marks => {
-                let rank = rank_of(request.priority, weight);
-                route.histogram[rank] += 1.0;
-                route.turn_window(&self.config, now);
-                route.admit_by_rank(rank, request.draw)
-            }
-        }
+            Method::AcceptRatio => route.admits_by_ratio(request.draw),
+            Method::Levels => route.level(now).admits(rank),
+        };
+        admitted.then_some(rank)
     }
 
-    /// Takes in the outcome of an admitted request: whether a service below
-    /// marked or shed it.
-    pub fn observe(&mut self, route: RouteKey, marked: bool, shed: bool, now: Moment) {
-        let route = self.routes.entry(route).or_insert_with(Route::new);
-        route.ratio.accepted += f64::from(u8::from(!shed));
-        route.rate.observe(marked || shed);
-        route.turn_window(&self.config, now);
+    /// Takes in the end of an admitted request: the lowest level along its
+    /// chain, if one was told, and whether a service shed it.
+    pub fn observe(&mut self, route: RouteKey, level: Option<Level>, shed: bool, now: Moment) {
+        let Some(route) = self.routes.get_mut(&route) else {
+            return;
+        };
+        route.accepted += f64::from(u8::from(!shed));
+        if let Some(level) = level {
+            let current = route.level(now).0;
+            route.level = current + LEARN * (level.0 - current);
+            route.told = now;
+        }
     }
 
-    /// Requests a second that a route admits, `None` while it is open.
-    pub fn limit(&self, route: RouteKey) -> Option<f64> {
-        self.routes.get(&route)?.rate.limit()
+    /// Level in force for a route.
+    pub fn level(&self, route: RouteKey, now: Moment) -> Level {
+        self.routes
+            .get(&route)
+            .map_or(OPEN, |route| route.level(now))
     }
 
-    /// Wait before a refused caller should come back, spread by `draw`.
-    pub fn retry_after(&self, route: RouteKey, draw: f64) -> Duration {
-        let pressed = self.limit(route).is_some();
-        let base = if pressed { 2.0 } else { 0.5 };
+    /// Wait after which a refused caller should come back, spread by `draw`
+    /// so that refused callers do not return together.
+    pub fn retry_after(&self, route: RouteKey, draw: f64, now: Moment) -> Duration {
+        let pressed = self.level(route, now) < OPEN;
+        let base = if pressed { 2.0 } else { 1.0 };
         Duration::from_secs_f64(base * (0.5 + draw))
     }
 }
 
 impl Route {
-    fn new() -> Self {
-        Self {
-            rate: Rate::default(),
-            histogram: Box::new([0.0; RANKS]),
-            cut: RANKS,
-            cut_share: 1.0,
-            ratio: Ratio::default(),
-        }
+    fn level(&self, now: Moment) -> Level {
+        let silent = now.since(self.told).saturating_sub(SILENCE);
+        Level((self.level + RISE * silent.as_secs_f32()).min(OPEN.0))
     }
 
-    fn admit_by_ratio(&mut self, draw: f64) -> bool {
+    fn admits_by_ratio(&mut self, draw: f64) -> bool {
         const MULTIPLIER: f64 = 1.5;
-        const HALVE_AT: f64 = 2_000.0;
-        self.ratio.offered += 1.0;
-        if self.ratio.offered > HALVE_AT {
-            self.ratio.offered *= 0.5;
-            self.ratio.accepted *= 0.5;
-        }
-        let excess = self.ratio.offered - MULTIPLIER * self.ratio.accepted;
-        draw >= excess / (self.ratio.offered + 1.0)
-    }
-
-    fn admit_by_rank(&mut self, rank: usize, draw: f64) -> bool {
-        let admitted = match rank.cmp(&self.cut) {
-            std::cmp::Ordering::Less => true,
-            std::cmp::Ordering::Equal => (draw * 1024.0).fract() < self.cut_share,
-            std::cmp::Ordering::Greater => false,
-        };
-        if admitted {
-            self.rate.count_admitted();
+        const HALVE_AT: f64 = 200.0;
+        self.offered += 1.0;
+        if self.offered > HALVE_AT {
+            self.offered *= 0.5;
+            self.accepted *= 0.5;
         }
-        admitted
+        let excess = self.offered - MULTIPLIER * self.accepted;
+        draw >= excess / (self.offered + 1.0)
     }
-
-    fn turn_window(&mut self, config: &Config, now: Moment) {
-        if !self.rate.turn_window(config, now) {
-            return;
-        }
-        self.place_cut(config);
-        self.histogram.iter_mut().for_each(|count| *count *= KEEP);
-    }
-
-    /// Sets the cut where the offered requests below it make up the limit.
-    fn place_cut(&mut self, config: &Config) {
-        self.cut = RANKS;
-        let Some(limit) = self.rate.limit() else {
-            return;
-        };
-        // The histogram is a geometric sum of windows.
-        let windows = 1.0 / (1.0 - KEEP);
-        let mut left = limit * config.window.as_secs_f64() * windows;
-        for (rank, count) in self.histogram.iter().enumerate() {
-            if *count > left {
-                self.cut = rank;
-                self.cut_share = left / *count;
-                return;
-            }
-            left -= count;
-        }
-    }
-}
-
-/// Rank of a request: the smaller, the later it is shed. Admitting the
-/// weights below a threshold gives each account the lesser of its load and
-/// one common bound, which is max-min fairness.
-fn rank_of(priority: Priority, weight: f64) -> usize {
-    let octaves = weight.max(1e-9).log2();
-    let step = (MIDDLE_STEP + STEPS_PER_OCTAVE * octaves).clamp(0.0, (STEPS - 1) as f64);
-    priority.index() * STEPS + step as usize
 }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -18,8 +18,8 @@
 use crate::key::{AccountKey, Priority};
 use crate::moment::Moment;
 
-/// Wait that never shows pressure.
-const MIN_PRESSED_WAIT: Duration = Duration::from_millis(5);
+/// Wait that is never long.
+const MIN_LONG_WAIT: Duration = Duration::from_millis(10);
 
 /// Names one call at one gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -224,10 +224,10 @@
         }
     }
 
-    /// Whether a call that waited this long shows that the target is
-    /// pressed, which the ingress should be told.
-    pub fn is_pressed(&self, wait: Duration) -> bool {
-        wait > MIN_PRESSED_WAIT.max(self.limit.service_time() / 2)
+    /// Whether a wait is long for this target: one that only a queue that
+    /// stands brings about.
+    pub fn is_long(&self, wait: Duration) -> bool {
+        wait > MIN_LONG_WAIT.max(self.limit.service_time() / 2)
     }
 
     /// Longest time that a call now in the queue has waited.
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -19,7 +19,8 @@
 pub struct TargetKey(pub u32);
 
 /// How important a request is; the smallest is shed last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Priority {
     /// Bookings, charges, loans and transfers.
--- a/crates/policy/src/member/packet.rs
+++ b/crates/policy/src/member/packet.rs
@@ -7,7 +7,8 @@
 use super::Record;
 
 /// One gossip packet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Packet {
     /// Name of the sender.
     #[serde(rename = "s")]
@@ -27,7 +28,8 @@
 }
 
 /// What a packet asks or answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Payload {
     /// Asks for an acknowledgement.
     #[serde(rename = "i")]
--- a/crates/policy/src/member/record.rs
+++ b/crates/policy/src/member/record.rs
@@ -7,7 +7,8 @@
 
 /// State of a member; of two records with one incarnation the later state
 /// in this order wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum State {
     /// It answers.
     #[serde(rename = "a")]
@@ -31,7 +32,8 @@
 }
 
 /// What a member tells of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Profile {
     /// Failure domain.
     #[serde(rename = "d")]
@@ -63,7 +65,8 @@
 }
 
 /// What is known of one member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Unique name.
     #[serde(rename = "n")]
--- a/crates/standin/examples/quickstart.rs
+++ b/crates/standin/examples/quickstart.rs
@@ -113,7 +113,11 @@
     );
     println!(
         "  keys seen by targets: {}\n",
-        fleet.targets.iter().map(|t| t.keys_seen()).sum::<u64>()
+        fleet
+            .targets
+            .iter()
+            .map(cardamomshed_standin::target::Target::keys_seen)
+            .sum::<u64>()
     );
 }
 
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// One figure of an experiment.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Measure {
     /// What was measured.
     pub name: String,
@@ -23,7 +24,8 @@
 }
 
 /// The figures of one run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Experiment {
     /// Seed of the run.
     pub seed: u64,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -202,7 +202,8 @@
     .run()
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Page {
     #[serde(default)]
     after: String,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cardamomshed_code::{Code, Ran};
+use cardamomshed_policy::admission::{Level, Rank};
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::{Priority, gate};
 use serde::{Deserialize, Serialize};
@@ -17,7 +18,8 @@
 pub const VERSION: u16 = 1;
 
 /// One message on a peer link.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Frame {
     /// First frame, from the end that dialled.
     Hello(Hello),
@@ -86,7 +88,8 @@
 }
 
 /// First frame of the end that dialled.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Hello {
     /// Version of the link protocol.
     pub version: u16,
@@ -99,7 +102,8 @@
 }
 
 /// First frame of the end that accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Welcome {
     /// Name of the daemon that accepted.
     pub node: Arc<str>,
@@ -112,7 +116,8 @@
 }
 
 /// A call for the target beside the receiver.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Call {
     /// Unique among the calls of the process that dialled.
     #[serde(rename = "i")]
@@ -126,6 +131,9 @@
     /// Priority of the root request.
     #[serde(rename = "p")]
     pub priority: Priority,
+    /// Place of the root request in the order of shedding.
+    #[serde(rename = "o")]
+    pub rank: Rank,
     /// Time left until the deadline, in milliseconds.
     #[serde(rename = "t")]
     pub timeout_ms: u32,
@@ -153,7 +161,8 @@
 }
 
 /// Load of a target, attached to every answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Calls that run.
     #[serde(rename = "r")]
@@ -192,7 +201,8 @@
 }
 
 /// The head of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// The call.
     #[serde(rename = "i")]
@@ -209,16 +219,17 @@
     /// Load of the target.
     #[serde(rename = "o")]
     pub load: Load,
-    /// The call, or one that it made, waited too long beside its target.
+    /// Lowest admission level along the call's chain.
     #[serde(rename = "x")]
-    pub marked: bool,
+    pub level: Level,
     /// Attempt tokens left of those lent.
     #[serde(rename = "k")]
     pub tokens: u8,
 }
 
 /// The end of a call without an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// The call.
     #[serde(rename = "i")]
@@ -235,13 +246,17 @@
     /// Load of the target.
     #[serde(rename = "o")]
     pub load: Load,
+    /// Lowest admission level along the call's chain.
+    #[serde(rename = "x")]
+    pub level: Level,
     /// Attempt tokens left of those lent.
     #[serde(rename = "k")]
     pub tokens: u8,
 }
 
 /// Prepaid quota tokens, asked for or given.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Grant {
     /// Client account.
     #[serde(rename = "a")]
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Random identity of a root request, the same on every hop of its chain.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Request(u64, u64);
 
 impl Request {
