Cancel what nobody waits for, order fairly at the gate, test the whole path

Found by the new tests, each first red: - A caller that closed its connection did not cancel its request, nor did a target see the cancellation: the HTTP server serves half-closed connections by default. The listeners now end the handler; cancelled calls end along the chain. - An open request whose caller went away was counted as open for ever, which would have held up a graceful stop. Packets carry a digest, and daemons that differ exchange all members.

--- a/crates/daemon/src/actor/gossip.rs
+++ b/crates/daemon/src/actor/gossip.rs
@@ -83,6 +83,9 @@
                 {
                     let now = node.clock.now();
                     let output = lock(&node.fleet).receive(packet, from, now);
+                    if let Some(name) = &output.out_of_step {
+                        ask_member(&node, name);
+                    }
                     post(&node, output);
                 }
             }
@@ -110,7 +113,7 @@
     let _ = socket.send_to(&datagram, send.to).await;
 }
 
-/// Asks a member for every member that it knows.
+/// Asks any member for every member that it knows.
 pub(super) fn ask_members(node: &Arc<Node>) {
     let peer = {
         let fleet = lock(&node.fleet);
@@ -130,6 +133,20 @@
     node.links.send(node, &peer, Frame::AskMembers);
 }
 
+/// Asks a member that knows others for every member that it knows.
+fn ask_member(node: &Arc<Node>, name: &Arc<str>) {
+    let address = lock(&node.fleet)
+        .get(name)
+        .map(|record| record.profile.peer);
+    if let Some(address) = address {
+        let peer = Peer {
+            node: Arc::clone(name),
+            address,
+        };
+        node.links.send(node, &peer, Frame::AskMembers);
+    }
+}
+
 /// Ends a task with the one that started it.
 struct AbortOnDrop(tokio::task::JoinHandle<()>);
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -17,6 +17,7 @@
 use cardamomshed_wire::Request;
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::sync::lock;
 
 /// Names a context towards the target.
@@ -147,22 +148,17 @@
         *lock(&self.level)
     }
 
-    /// Notes the start of a call made in this context.
-    pub fn child_started(&self, now: Moment) {
-        let mut children = self.children();
+    /// Counts a call made in this context for as long as the guard lives.
+    pub fn child<'a>(&'a self, clock: &'a Clock) -> Child<'a> {
+        let mut children = lock(&self.children);
         if children.open == 0 {
-            children.since = now;
+            children.since = clock.now();
         }
         children.open += 1;
-    }
-
-    /// Notes the end of a call made in this context.
-    pub fn child_ended(&self, now: Moment) {
-        let mut children = self.children();
-        children.open = children.open.saturating_sub(1);
-        if children.open == 0 {
-            let waited = now.since(children.since);
-            children.waited += waited;
+        drop(children);
+        Child {
+            context: self,
+            clock,
         }
     }
 
@@ -192,6 +188,24 @@
     }
 }
 
+/// A call that is made in a context.
+#[derive(Debug)]
+pub struct Child<'a> {
+    context: &'a Context,
+    clock: &'a Clock,
+}
+
+impl Drop for Child<'_> {
+    fn drop(&mut self) {
+        let mut children = lock(&self.context.children);
+        children.open -= 1;
+        if children.open == 0 {
+            let waited = self.clock.now().since(children.since);
+            children.waited += waited;
+        }
+    }
+}
+
 /// The contexts that are valid now.
 #[derive(Debug, Default)]
 pub struct Contexts {
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -45,6 +45,23 @@
     headers: Vec<(String, String)>,
 }
 
+/// Counts a root request that is open, also when its caller goes away and the
+/// handler is dropped.
+struct Open<'a>(&'a Node);
+
+impl<'a> Open<'a> {
+    fn new(node: &'a Node) -> Self {
+        node.metrics.open.inc();
+        Self(node)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.metrics.open.dec();
+    }
+}
+
 /// Serves a request of a caller.
 pub async fn from_caller(
     node: web::Data<Node>,
@@ -54,9 +71,9 @@
     let node = node.into_inner();
     let id = Request::random();
     let started = node.clock.now();
-    node.metrics.open.inc();
+    let open = Open::new(&node);
     let served = serve_root(&node, id, &request, payload).await;
-    node.metrics.open.dec();
+    drop(open);
     match served {
         Ok((root, reply)) => conclude(&node, id, &root, started, &reply),
         Err(failure) => {
@@ -80,15 +97,14 @@
             return refuse(&node, Request::random(), None, &refused);
         }
     };
-    let now = node.clock.now();
-    context.child_started(now);
+    let child = context.child(&node.clock);
     let reply = tokio::select! {
         reply = serve_child(&node, &context, &request, payload) => reply,
         () = context.ended() => {
             Reply::Refused(Refused::unknown(Code::Cancelled, "the call above has ended", 0))
         }
     };
-    context.child_ended(node.clock.now());
+    drop(child);
     respond(context.request, &reply)
 }
 
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -59,6 +59,8 @@
         });
         let server = server
             .workers(1)
+            // A caller that closes its end is gone; its request is cancelled.
+            .h1_allow_half_closed(false)
             .keep_alive(KEEP_ALIVE)
             .client_request_timeout(HEAD_TIMEOUT)
             .shutdown_timeout(SHUTDOWN_SECONDS)
@@ -82,6 +84,7 @@
                 .default_service(web::to(ingress::from_target))
         })
         .workers(1)
+        .h1_allow_half_closed(false)
         .keep_alive(KEEP_ALIVE)
         .shutdown_timeout(SHUTDOWN_SECONDS)
         .disable_signals()
--- /dev/null
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -0,0 +1,232 @@
+//! Calls belong to a link, not to a connection: a fake daemon dials a real
+//! one and cuts the connection at each step of a call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cardamomshed_daemon::node::Node;
+use cardamomshed_policy::Priority;
+use cardamomshed_policy::admission::Rank;
+use cardamomshed_standin::client::eventually;
+use cardamomshed_standin::fleet::Fleet;
+use cardamomshed_standin::thread;
+use cardamomshed_wire::{Call, Frame, Hello, Request, Secret, Side, VERSION, decode, encode};
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::chain;
+
+const NAME: &str = "fake";
+const BOOT: u64 = 77;
+
+/// The dialling end of a link, made by hand.
+struct Fake {
+    socket: WebSocketStream<TcpStream>,
+}
+
+impl Fake {
+    async fn dial(node: &Node, secret: &str) -> Option<Self> {
+        let stream = TcpStream::connect(node.settings.peers).await.ok()?;
+        let url = format!("ws://{}/link", node.settings.peers);
+        let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
+        let mut fake = Self { socket };
+        let hello = Hello {
+            version: VERSION,
+            node: NAME.into(),
+            boot: BOOT,
+            nonce: [7; 16],
+        };
+        fake.send(&Frame::Hello(hello.clone()), &[]).await;
+        let (Frame::Welcome(welcome), _) = fake.receive().await? else {
+            return None;
+        };
+        let secret = Secret::new(secret).expect("a long secret");
+        let nonces = [&hello.nonce, &welcome.nonce];
+        let code = secret.prove(Side::Dialler, nonces, [NAME, &welcome.node]);
+        fake.send(&Frame::Proof { code }, &[]).await;
+        Some(fake)
+    }
+
+    async fn send(&mut self, frame: &Frame, chunk: &[u8]) {
+        let message = Message::Binary(encode(frame, chunk));
+        // Tests of refused links send into closed ones.
+        let _ = self.socket.send(message).await;
+    }
+
+    async fn receive(&mut self) -> Option<(Frame, Bytes)> {
+        let next = timeout(Duration::from_secs(5), self.socket.next()).await;
+        match next.ok()?? {
+            Ok(Message::Binary(bytes)) => decode(&bytes).ok(),
+            _ => None,
+        }
+    }
+}
+
+fn call(id: u64, length: u64) -> Call {
+    Call {
+        id,
+        request: Request::random(),
+        account: "account-0".into(),
+        priority: Priority::Normal,
+        rank: Rank::FIRST,
+        timeout_ms: 5_000,
+        tokens: 2,
+        depth: 0,
+        service: "hop-0".into(),
+        method: "POST".to_owned(),
+        path: "/hop-0".to_owned(),
+        headers: Vec::new(),
+        length,
+    }
+}
+
+const SECRET: &str = "a secret for loopback only";
+
+/// Runs a test's future against the first daemon of a fleet.
+fn with_daemon<T, F>(fleet: &Fleet, test: impl FnOnce(Arc<Node>) -> F + Send + 'static) -> T
+where
+    T: Send + 'static,
+    F: Future<Output = T>,
+{
+    let node = Arc::clone(&fleet.daemons[0].node);
+    thread::run(move || test(node))
+}
+
+#[test]
+fn secret_needed() {
+    let fleet = chain(1);
+    let answered = with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, "another secret of a fleet").await?;
+        fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
+        fake.receive().await
+    });
+    assert!(answered.is_none());
+    assert_eq!(fleet.executions(), 0);
+}
+
+#[test]
+fn cut_after_call() {
+    let fleet = chain(1);
+    fleet.targets[0].change(|behaviour| behaviour.slowness = 50.0);
+    let body = with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        fake.send(&Frame::Call(Box::new(call(1, 5))), b"hello")
+            .await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        drop(fake);
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a second link");
+        let resume = Frame::Resume {
+            id: 1,
+            timeout_ms: 5_000,
+        };
+        fake.send(&resume, &[]).await;
+        fake.receive().await
+    });
+    let Some((Frame::Answer(answer), chunk)) = body else {
+        panic!("no answer after the link was replaced");
+    };
+    assert_eq!((answer.id, answer.status), (1, 200));
+    assert!(chunk.starts_with(b"hello"));
+    assert_eq!(fleet.executions(), 1);
+}
+
+#[test]
+fn answer_lost() {
+    let fleet = chain(1);
+    let again = with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
+        // The answer arrives and is lost before it is acknowledged.
+        fake.receive().await.expect("an answer");
+        drop(fake);
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a second link");
+        let resume = Frame::Resume {
+            id: 1,
+            timeout_ms: 5_000,
+        };
+        fake.send(&resume, &[]).await;
+        fake.receive().await
+    });
+    assert!(matches!(again, Some((Frame::Answer(answer), _)) if answer.id == 1));
+    assert_eq!(fleet.executions(), 1);
+}
+
+#[test]
+fn call_lost() {
+    let fleet = chain(1);
+    let refused = with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let resume = Frame::Resume {
+            id: 9,
+            timeout_ms: 5_000,
+        };
+        fake.send(&resume, &[]).await;
+        let refused = fake.receive().await;
+        // A late copy of the call must not run after all.
+        fake.send(&Frame::Call(Box::new(call(9, 0))), &[]).await;
+        fake.send(&Frame::Ping, &[]).await;
+        let pong = fake.receive().await;
+        assert!(matches!(pong, Some((Frame::Pong, _))));
+        refused
+    });
+    let Some((Frame::Refusal(refusal), _)) = refused else {
+        panic!("an unknown call is refused");
+    };
+    assert_eq!(refusal.ran, cardamomshed_code::Ran::No);
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(fleet.executions(), 0);
+}
+
+#[test]
+fn body_cut_short() {
+    let fleet = chain(1);
+    let refused = with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        fake.send(&Frame::Call(Box::new(call(3, 100))), b"a part")
+            .await;
+        drop(fake);
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a second link");
+        let resume = Frame::Resume {
+            id: 3,
+            timeout_ms: 5_000,
+        };
+        fake.send(&resume, &[]).await;
+        fake.receive().await
+    });
+    assert!(matches!(refused, Some((Frame::Refusal(refusal), _))
+        if refusal.ran == cardamomshed_code::Ran::No));
+    assert_eq!(fleet.executions(), 0);
+}
+
+#[test]
+fn cancel_reaches_target() {
+    let fleet = chain(1);
+    fleet.targets[0].change(|behaviour| behaviour.hung = true);
+    with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        fake.send(&Frame::Call(Box::new(call(4, 0))), &[]).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fake.send(&Frame::Cancel { id: 4 }, &[]).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    });
+    eventually("the target sees the cancellation", || {
+        fleet.targets[0].cancelled() == 1 && fleet.targets[0].running() == 0
+    });
+}
+
+#[test]
+fn garbage_closes_link() {
+    let fleet = chain(1);
+    let heard = with_daemon(&fleet, |node| async move {
+        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let message = Message::Binary(Bytes::from_static(b"\xff\xff\xff"));
+        fake.socket.send(message).await.expect("an open link");
+        fake.receive().await
+    });
+    assert!(heard.is_none());
+    assert_eq!(crate::get(&fleet, "/hop-0").send().status, 200);
+}
--- /dev/null
+++ b/crates/daemon/tests/all/main.rs
@@ -0,0 +1,29 @@
+//! Tests of the daemon against stand-ins, one file a feature.
+
+mod call_context;
+mod idempotency_claims;
+mod key_checks;
+mod link_resume;
+mod note_follow;
+mod process_signals;
+mod quota_fleet;
+mod request_heads;
+mod whole_bodies;
+
+use std::time::Duration;
+
+use cardamomshed_daemon::Options;
+use cardamomshed_standin::client::Request;
+use cardamomshed_standin::fleet::{Fleet, Kind};
+use cardamomshed_standin::shape::Shape;
+
+/// A chain of services with two targets each.
+fn chain(depth: usize) -> Fleet {
+    let shape = Shape::chain(depth, 2, 8, Duration::from_millis(2));
+    Fleet::start(shape, Kind::Ours(Options::default()))
+}
+
+/// A `GET` request of the first account at the first daemon.
+fn get(fleet: &Fleet, path: &str) -> Request {
+    Request::get(fleet.callers()[0], path).key(&fleet.keys[0])
+}
--- /dev/null
+++ b/crates/daemon/tests/all/note_follow.rs
@@ -0,0 +1,130 @@
+//! Release notes reach every daemon, and never revert.
+
+use std::time::Duration;
+
+use cardamomshed_note::{Account, Limits, Note, PerSecond, Section, Unconfirmed};
+use cardamomshed_standin::client::eventually;
+use cardamomshed_standin::fleet::{Fleet, Kind, Place, Running, name, settings};
+use cardamomshed_standin::platform::Faults;
+use cardamomshed_standin::shape::Shape;
+
+use crate::{chain, get};
+
+fn add_account(fleet: &Fleet, account: &str) -> Note {
+    Note {
+        note: name(&format!("add-{account}")),
+        accounts: Section {
+            add: vec![Account {
+                name: name(account),
+                rate: PerSecond::try_from("5/s".to_owned()).expect("a valid rate"),
+                burst: 10,
+            }],
+            ..Section::default()
+        },
+        routes: Section::default(),
+        keys: Section::default(),
+        limits: None,
+        ..fleet.first_note()
+    }
+}
+
+const DOWN: Faults = Faults {
+    down: true,
+    delay: Duration::ZERO,
+    lose_answers: 0.0,
+};
+
+fn all_at(fleet: &Fleet, revision: u64) -> bool {
+    let at = |daemon: &Running| daemon.node.lookup().config.revision == revision;
+    fleet.daemons.iter().all(at)
+}
+
+#[test]
+fn reaches_everyone() {
+    let fleet = chain(4);
+    for (place, account) in ["a", "b", "c"].iter().enumerate() {
+        fleet.apply(&add_account(&fleet, account));
+        eventually("the note is in force everywhere", || {
+            all_at(&fleet, place as u64 + 2)
+        });
+    }
+}
+
+#[test]
+fn misfit_ignored() {
+    let fleet = chain(1);
+    // The first note again: everything it adds exists already.
+    fleet.apply(&fleet.first_note());
+    std::thread::sleep(Duration::from_millis(600));
+    assert!(all_at(&fleet, 1));
+    assert_eq!(get(&fleet, "/hop-0").send().status, 200);
+}
+
+#[test]
+fn serves_without_store() {
+    let fleet = chain(2);
+    fleet.platform.set_faults(DOWN);
+    std::thread::sleep(Duration::from_millis(500));
+    for _ in 0..5 {
+        assert_eq!(get(&fleet, "/hop-0").send().status, 200);
+    }
+    fleet.platform.set_faults(Faults::default());
+    fleet.apply(&add_account(&fleet, "later"));
+    eventually("notes are followed again", || all_at(&fleet, 2));
+}
+
+#[test]
+fn restart_learns_from_peers() {
+    let shape = Shape::chain(1, 3, 8, Duration::from_millis(2));
+    let mut fleet = Fleet::start(shape, Kind::Ours(cardamomshed_daemon::Options::default()));
+    fleet.apply(&add_account(&fleet, "before"));
+    eventually("the note is in force", || all_at(&fleet, 2));
+    let place = Place {
+        node: "late".to_owned(),
+        domain: "here".to_owned(),
+        region: "region".to_owned(),
+    };
+    let mut late = settings(&place, &fleet.shape.domains, &fleet.platform.base());
+    late.peers = fleet.daemons[0].node.settings.peers;
+    late.peers.set_port(0);
+    // It reads the rows by which daemons find each other and then loses the
+    // platform before its first look at the notes.
+    let started = Running::start(late, cardamomshed_daemon::Options::default());
+    eventually("it knows the others", || {
+        started.node.fleet.lock().expect("whole").live() == 4
+    });
+    fleet.platform.set_faults(DOWN);
+    eventually("it has the newest note", || {
+        started.node.lookup().config.revision == 2
+    });
+    fleet.daemons.push(started);
+    fleet.platform.set_faults(Faults::default());
+}
+
+#[test]
+fn unconfirmed_keys_refused() {
+    let fleet = chain(1);
+    let limits = Limits {
+        unconfirmed_keys: Unconfirmed::Refuse,
+        unconfirmed_after: cardamomshed_note::Length::from_millis(800),
+        ..Limits::default()
+    };
+    fleet.apply(&Note {
+        note: name("strict"),
+        limits: Some(limits),
+        accounts: Section::default(),
+        routes: Section::default(),
+        keys: Section::default(),
+        ..fleet.first_note()
+    });
+    eventually("the note is in force", || all_at(&fleet, 2));
+    assert_eq!(get(&fleet, "/hop-0").send().status, 200);
+    fleet.platform.set_faults(DOWN);
+    eventually("keys can no longer be confirmed", || {
+        get(&fleet, "/hop-0").send().code() == 1104
+    });
+    fleet.platform.set_faults(Faults::default());
+    eventually("keys are confirmed again", || {
+        get(&fleet, "/hop-0").send().status == 200
+    });
+}
--- /dev/null
+++ b/crates/daemon/tests/all/whole_bodies.rs
@@ -0,0 +1,86 @@
+//! Every caller receives the whole answer to its own request.
+
+use std::time::Duration;
+
+use cardamomshed_standin::client::{Request, send_raw};
+use cardamomshed_standin::thread;
+
+use crate::{chain, get};
+
+#[test]
+fn answers_not_crossed() {
+    let fleet = chain(1);
+    fleet.targets[0].change(|behaviour| behaviour.slowness = 10.0);
+    let (to, key) = (fleet.callers(), fleet.keys[0].clone());
+    let replies = thread::run(move || async move {
+        let calls = (0..100).map(|number| {
+            let body = format!("request number {number:04}");
+            let request = Request::post(to[number % to.len()], "/hop-0", body.as_bytes()).key(&key);
+            actix_rt::spawn(async move { (body, request.sent().await) })
+        });
+        let mut replies = Vec::new();
+        for call in calls.collect::<Vec<_>>() {
+            replies.push(call.await.expect("the call ends"));
+        }
+        replies
+    });
+    let answered = replies.iter().filter(|(_, reply)| reply.status == 200);
+    assert!(answered.clone().count() >= 50);
+    for (sent, reply) in answered {
+        assert!(
+            reply.body.starts_with(sent.as_bytes()),
+            "an answer was crossed"
+        );
+    }
+}
+
+#[test]
+fn large_bodies_whole() {
+    let fleet = chain(1);
+    let size = 3 * 1024 * 1024;
+    for target in &fleet.targets {
+        target.change(|behaviour| behaviour.answer = size);
+    }
+    let body = (0..size)
+        .map(|place| (place % 251) as u8)
+        .collect::<Vec<_>>();
+    for to in fleet.callers() {
+        let request = Request::post(to, "/hop-0", &body).key(&fleet.keys[0]);
+        let reply = request.send();
+        assert_eq!(reply.status, 200);
+        assert!(reply.body == body, "the body is not whole");
+    }
+}
+
+#[test]
+fn bodies_bounded() {
+    let fleet = chain(1);
+    let large = vec![0; 5 * 1024 * 1024];
+    let reply = Request::post(fleet.callers()[0], "/hop-0", &large)
+        .key(&fleet.keys[0])
+        .send();
+    assert!(
+        reply.status == 413 || reply.status == 0,
+        "status {}",
+        reply.status
+    );
+    for target in &fleet.targets {
+        target.change(|behaviour| behaviour.answer = 5 * 1024 * 1024);
+    }
+    let reply = get(&fleet, "/hop-0").send();
+    assert_eq!((reply.status, reply.code()), (502, 1406));
+}
+
+#[test]
+fn cut_body_refused() {
+    let fleet = chain(1);
+    let head = format!(
+        "POST /hop-0 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         content-length: 100\r\n\r\nonly a part",
+        fleet.keys[0]
+    );
+    let to = fleet.callers()[0];
+    std::thread::spawn(move || send_raw(to, head.as_bytes()));
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(fleet.executions(), 0, "a cut request must not run");
+}
--- a/crates/note/src/release.rs
+++ b/crates/note/src/release.rs
@@ -147,8 +147,6 @@
     pub unconfirmed_keys: Unconfirmed,
     /// Time without confirmation after which that happens.
     pub unconfirmed_after: Length,
-    /// Time for which the answer to an idempotency key is kept.
-    pub answers_kept: Length,
 }
 
 impl Default for Limits {
@@ -158,7 +156,6 @@
             body: Size::from_bytes(4 * 1024 * 1024),
             unconfirmed_keys: Unconfirmed::Serve,
             unconfirmed_after: Length::from_millis(60_000),
-            answers_kept: Length::from_millis(24 * 3_600_000),
         }
     }
 }
--- a/crates/policy/src/admission/level.rs
+++ b/crates/policy/src/admission/level.rs
@@ -20,8 +20,9 @@
 const ENOUGH: u32 = 4;
 /// Weight of one window in the histogram.
 const SMOOTHING: f32 = 0.4;
-/// What a histogram bin above the level keeps from window to window.
-const MEMORY: f32 = 0.99;
+/// What a histogram bin above the level keeps in a window without pressure;
+/// under pressure it is kept, since nothing is learned of it.
+const MEMORY: f32 = 0.85;
 /// Growth of the admitted load in the first window without pressure; each
 /// further one adds as much.
 const GROWTH: f32 = 0.03;
@@ -145,6 +146,7 @@
 
     /// Takes the counts of the window into the histogram.
     fn fold(&mut self, length: Duration) {
+        let memory = if self.calm_windows > 1 { MEMORY } else { 1.0 };
         let scale = WINDOW.as_secs_f32() / length.as_secs_f32().max(f32::MIN_POSITIVE);
         for (bin, count) in self.counts.iter_mut().enumerate() {
             let seen = f32::from(*count) * scale;
@@ -152,7 +154,7 @@
             if (bin as f32) < self.level {
                 *kept += SMOOTHING * (seen - *kept);
             } else {
-                *kept = (*kept * MEMORY).max(SMOOTHING * seen);
+                *kept = (*kept * memory).max(SMOOTHING * seen);
             }
             *count = 0;
         }
--- a/crates/policy/src/gate/queue.rs
+++ b/crates/policy/src/gate/queue.rs
@@ -1,9 +1,9 @@
 //! The queue beside a target: by priority, then fairly between accounts.
 //!
-//! Within one priority, start-time fair queueing orders the calls: each has
-//! a virtual start one step behind its account's previous call, and the
-//! smallest start runs first. An account with a long backlog gets no more
-//! turns than one with a single call.
+//! Within one priority each account has a lane, and the lane that has been
+//! served least goes next. A turn is counted when a call starts, so calls
+//! that are shed or cancelled cost their account nothing, and an account
+//! with a long backlog gets no more turns than one with a single call.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -11,36 +11,40 @@
 use crate::key::{AccountKey, Priority};
 use crate::moment::Moment;
 
-/// Place of a waiting call in its class: virtual start, inverted depth so
-/// that deeper calls go first among equals, then arrival.
-type Rank = (u64, u8, u64);
+/// Place of a call in its lane: deeper calls first, since they have cost
+/// more, then by arrival.
+type Place = (u8, u64);
 
 /// A waiting call.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    rank: Rank,
+    place: Place,
     account: AccountKey,
     priority: Priority,
     latest_start: Moment,
     arrived: Moment,
 }
 
-/// The waiting calls of one priority.
+/// The waiting calls of one account in one priority.
 #[derive(Debug, Default)]
-struct Class {
-    /// Every waiting call of the class, in the order in which they run.
-    order: BTreeMap<Rank, Ticket>,
-    /// Virtual start of the next call and number waiting, of each account
-    /// with a waiting call or a start ahead of `virtual_time`.
-    accounts: HashMap<AccountKey, Share>,
-    /// Virtual start of the call that was taken last; never falls.
-    virtual_time: u64,
+struct Lane {
+    calls: BTreeMap<Place, Ticket>,
+    /// Turns that the account has had, never behind the class when it joins.
+    turns: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Share {
-    next_start: u64,
-    waiting: u32,
+/// The waiting calls of one priority.
+#[derive(Debug, Default)]
+struct Class {
+    /// Lanes with waiting calls, and empty ones that are ahead in turns.
+    lanes: HashMap<AccountKey, Lane>,
+    /// Lanes with waiting calls by turns.
+    order: BTreeSet<(u64, AccountKey)>,
+    /// Lanes with waiting calls by their number.
+    lengths: BTreeSet<(usize, AccountKey)>,
+    waiting: usize,
+    /// Turns of the lane that was served last; never falls while calls wait.
+    turns: u64,
 }
 
 /// The queue beside a target.
@@ -68,26 +72,21 @@
     pub(super) fn ahead_of(&self, priority: Priority) -> usize {
         self.classes[..=priority.index()]
             .iter()
-            .map(|class| class.order.len())
+            .map(|class| class.waiting)
             .sum()
     }
 
     /// Adds a call that is shed unless it starts by `latest_start`.
     pub(super) fn push(&mut self, offer: Offer, latest_start: Moment, now: Moment) {
         self.arrivals += 1;
-        let class = &mut self.classes[offer.priority.index()];
-        let share = class.accounts.entry(offer.account).or_default();
-        let start = share.next_start.max(class.virtual_time);
-        share.next_start = start + 1;
-        share.waiting += 1;
-        let rank = (start, u8::MAX - offer.depth, self.arrivals);
-        class.order.insert(rank, offer.ticket);
+        let place = (u8::MAX - offer.depth, self.arrivals);
+        self.classes[offer.priority.index()].push(offer.account, place, offer.ticket);
         self.by_latest_start.insert((latest_start, offer.ticket));
         self.by_arrival.insert((now, offer.ticket));
         self.entries.insert(
             offer.ticket,
             Entry {
-                rank,
+                place,
                 account: offer.account,
                 priority: offer.priority,
                 latest_start,
@@ -98,13 +97,8 @@
 
     /// Takes the call whose turn it is.
     pub(super) fn pop(&mut self) -> Option<Ticket> {
-        let class = self
-            .classes
-            .iter_mut()
-            .find(|class| !class.order.is_empty())?;
-        let (rank, ticket) = class.order.first_key_value()?;
-        class.virtual_time = class.virtual_time.max(rank.0);
-        let ticket = *ticket;
+        let class = self.classes.iter_mut().find(|class| class.waiting > 0)?;
+        let ticket = class.serve()?;
         self.remove(ticket);
         Some(ticket)
     }
@@ -116,9 +110,7 @@
         };
         self.by_latest_start.remove(&(entry.latest_start, ticket));
         self.by_arrival.remove(&(entry.arrived, ticket));
-        let class = &mut self.classes[entry.priority.index()];
-        class.order.remove(&entry.rank);
-        class.release(entry.account);
+        self.classes[entry.priority.index()].remove(entry.account, entry.place);
         true
     }
 
@@ -141,35 +133,69 @@
         priority: Priority,
         account: AccountKey,
     ) -> Option<Ticket> {
-        let class = self.classes[priority.index()..]
+        let behind = self.classes[priority.index()..]
             .iter()
-            .rposition(|class| !class.order.is_empty())?;
-        let lowest = priority.index() + class;
-        let (_, ticket) = self.classes[lowest].order.last_key_value()?;
-        let ticket = *ticket;
+            .rposition(|class| class.waiting > 0)?;
+        let lowest = priority.index() + behind;
+        let class = &self.classes[lowest];
+        let (length, holder) = class.lengths.last()?;
         if lowest == priority.index() {
-            let accounts = &self.classes[lowest].accounts;
-            let waiting = |key| accounts.get(&key).map_or(0, |share| share.waiting);
-            let holder = self.entries[&ticket].account;
-            if waiting(holder) < waiting(account) + 2 {
+            let own = class.lanes.get(&account).map_or(0, |lane| lane.calls.len());
+            if *length < own + 2 {
                 return None;
             }
         }
+        let (_, ticket) = class.lanes.get(holder)?.calls.last_key_value()?;
+        let ticket = *ticket;
         self.remove(ticket);
         Some(ticket)
     }
 }
 
 impl Class {
-    /// Notes that a call of `account` left. A share is kept while its next
-    /// start lies ahead of virtual time, so that an account cannot gain
-    /// turns by leaving and coming back.
-    fn release(&mut self, account: AccountKey) {
-        if let Some(share) = self.accounts.get_mut(&account) {
-            share.waiting -= 1;
+    fn push(&mut self, account: AccountKey, place: Place, ticket: Ticket) {
+        let lane = self.lanes.entry(account).or_default();
+        let length = lane.calls.len();
+        if length == 0 {
+            lane.turns = lane.turns.max(self.turns);
+            self.order.insert((lane.turns, account));
+        }
+        self.lengths.remove(&(length, account));
+        self.lengths.insert((length + 1, account));
+        lane.calls.insert(place, ticket);
+        self.waiting += 1;
+    }
+
+    /// Counts a turn of the lane that was served least; gives its first call,
+    /// which is still to be removed.
+    fn serve(&mut self) -> Option<Ticket> {
+        let (turns, account) = self.order.pop_first()?;
+        self.turns = turns;
+        let lane = self.lanes.get_mut(&account)?;
+        lane.turns = turns + 1;
+        self.order.insert((lane.turns, account));
+        lane.calls.first_key_value().map(|(_, ticket)| *ticket)
+    }
+
+    fn remove(&mut self, account: AccountKey, place: Place) {
+        let Some(lane) = self.lanes.get_mut(&account) else {
+            return;
+        };
+        let length = lane.calls.len();
+        if lane.calls.remove(&place).is_none() {
+            return;
+        }
+        self.waiting -= 1;
+        self.lengths.remove(&(length, account));
+        if length > 1 {
+            self.lengths.insert((length - 1, account));
+        } else {
+            self.order.remove(&(lane.turns, account));
         }
-        if self.order.is_empty() {
-            self.accounts.clear();
+        if self.waiting == 0 {
+            // Nobody waits, so nobody can have been passed over.
+            self.lanes.clear();
+            self.turns = 0;
         }
     }
 }
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -58,6 +58,9 @@
     }
 }
 
+/// Differing digests in a row after which a full exchange is due.
+const OUT_OF_STEP: u32 = 4;
+
 /// A packet to be sent.
 #[derive(Clone, Debug)]
 pub struct Send {
@@ -87,6 +90,9 @@
     pub newer_note: Option<Arc<str>>,
     /// When a member with the same release note knew it to be the newest.
     pub confirmed: Option<Moment>,
+    /// A member that knows other members than this one, though nothing is
+    /// still to be told; all its members should be asked for.
+    pub out_of_step: Option<Arc<str>>,
 }
 
 #[derive(Debug)]
@@ -115,6 +121,10 @@
     probes: u32,
     next_probe: Moment,
     spread: Spread,
+    /// Combined digests of the members that take part, without this one.
+    digest: u64,
+    /// Packets in a row whose digest differed.
+    differing: u32,
 }
 
 impl Fleet {
@@ -141,6 +151,8 @@
             probes: 0,
             next_probe: Moment::ZERO,
             spread: Spread::default(),
+            digest: 0,
+            differing: 0,
         }
     }
 
@@ -218,6 +230,7 @@
     /// Takes in a packet that arrived from `from`.
     pub fn receive(&mut self, packet: Packet, from: std::net::SocketAddr, now: Moment) -> Output {
         let mut output = Output::default();
+        self.compare(&packet, &mut output);
         for record in packet.records {
             self.merge(record, now, &mut output);
         }
@@ -248,10 +261,27 @@
         output
     }
 
+    /// Digest of the members that take part, this one among them.
+    fn full_digest(&self) -> u64 {
+        self.digest ^ self.own.digest()
+    }
+
+    /// Notices that the sender knows other members.
+    fn compare(&mut self, packet: &Packet, output: &mut Output) {
+        if packet.digest == self.full_digest() || !self.spread.is_empty() {
+            self.differing = 0;
+            return;
+        }
+        self.differing += 1;
+        if self.differing >= OUT_OF_STEP {
+            self.differing = 0;
+            output.out_of_step = Some(Arc::clone(&packet.sender));
+        }
+    }
+
     fn announce(&mut self, random: &mut impl Rng) -> Output {
         self.own.incarnation += 1;
-        self.spread
-            .add(Arc::clone(&self.own.name), self.members.len());
+        self.spread.add(Arc::clone(&self.own.name));
         self.push(random)
     }
 
@@ -274,6 +304,9 @@
         let before = match self.members.get_mut(&record.name) {
             Some(member) if !record.supersedes(&member.record) => return,
             Some(member) => {
+                if member.record.state.takes_part() {
+                    self.digest ^= member.record.digest();
+                }
                 let before = member.record.state;
                 member.record = record.clone();
                 member.since = now;
@@ -289,8 +322,10 @@
                 None
             }
         };
-        self.spread
-            .add(Arc::clone(&record.name), self.members.len());
+        if record.state.takes_part() {
+            self.digest ^= record.digest();
+        }
+        self.spread.add(Arc::clone(&record.name));
         output.changes.push(Change { record, before });
     }
 
@@ -300,8 +335,7 @@
             || (record.incarnation == self.own.incarnation && record.state > self.own.state);
         if outdated {
             self.own.incarnation = record.incarnation + 1;
-            self.spread
-                .add(Arc::clone(&self.own.name), self.members.len());
+            self.spread.add(Arc::clone(&self.own.name));
         }
     }
 
@@ -366,7 +400,7 @@
     }
 
     fn packet(&mut self, payload: Payload) -> Packet {
-        let names = self.spread.take(self.config.records);
+        let names = self.spread.take(self.config.records, self.members.len());
         let mut records = Vec::with_capacity(names.len() + 1);
         if matches!(payload, Payload::Push | Payload::Ping { .. }) {
             records.push(self.own.clone());
@@ -384,6 +418,7 @@
             sender: Arc::clone(&self.own.name),
             head: self.head,
             confirmed_ms: self.now.since(self.confirmed).as_millis() as u32,
+            digest: self.full_digest(),
             payload,
             records,
         }
--- a/crates/policy/src/member/packet.rs
+++ b/crates/policy/src/member/packet.rs
@@ -19,6 +19,9 @@
     /// Milliseconds since the sender last knew that note to be the newest.
     #[serde(rename = "c")]
     pub confirmed_ms: u32,
+    /// Digest of the members that the sender takes for live.
+    #[serde(rename = "d")]
+    pub digest: u64,
     /// What the packet asks or answers.
     #[serde(rename = "p")]
     pub payload: Payload,
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -77,7 +77,7 @@
         };
         // The member's own record goes along, so that one that is taken for
         // suspect or failed learns of it and overrules it.
-        self.spread.add(Arc::clone(&about), 0);
+        self.spread.add(Arc::clone(&about));
         self.sequence += 1;
         let sequence = self.sequence;
         self.probe = Some(Probe {
--- a/crates/policy/src/member/record.rs
+++ b/crates/policy/src/member/record.rs
@@ -83,6 +83,16 @@
 }
 
 impl Record {
+    /// Hash of name and incarnation (FNV-1a), which is the same everywhere.
+    pub fn digest(&self) -> u64 {
+        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0000_0100_0000_01b3;
+        let bytes = self.name.bytes().chain(self.incarnation.to_be_bytes());
+        bytes.fold(OFFSET, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+        })
+    }
+
     /// Whether this record is newer than `other`, which has the same name.
     pub fn supersedes(&self, other: &Self) -> bool {
         (self.incarnation, self.state) > (other.incarnation, other.state)
--- a/crates/policy/src/member/spread.rs
+++ b/crates/policy/src/member/spread.rs
@@ -5,36 +5,41 @@
 use indexmap::IndexMap;
 
 /// Times that a change is told, for each doubling of the fleet.
-const TIMES_PER_DOUBLING: u32 = 3;
+const TIMES_PER_DOUBLING: u32 = 4;
 
 /// Changes that are still to be told, by the member they concern.
 #[derive(Debug, Default)]
 pub(super) struct Spread {
-    /// Times that each change is still to be told; never zero.
-    left: IndexMap<Arc<str>, u32>,
+    /// Times that each change was told.
+    told: IndexMap<Arc<str>, u32>,
 }
 
 impl Spread {
-    /// Adds a change in a fleet of `members`, or starts it over.
-    pub(super) fn add(&mut self, name: Arc<str>, members: usize) {
-        let doublings = usize::BITS - members.leading_zeros();
-        let times = (doublings * TIMES_PER_DOUBLING).max(1);
-        let left = self.left.entry(name).or_insert(0);
-        *left = times.max(*left);
+    /// Whether nothing is still to be told.
+    pub(super) fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+
+    /// Adds a change, or starts it over.
+    pub(super) fn add(&mut self, name: Arc<str>) {
+        self.told.insert(name, 0);
     }
 
-    /// Takes up to `count` changes, those told least often first.
-    pub(super) fn take(&mut self, count: usize) -> Vec<Arc<str>> {
-        if self.left.len() > count {
-            self.left
-                .sort_unstable_by(|_, first, _, second| second.cmp(first));
+    /// Takes up to `count` changes, those told least often first. In a fleet
+    /// of `members` a change that was told often enough is dropped.
+    pub(super) fn take(&mut self, count: usize, members: usize) -> Vec<Arc<str>> {
+        if self.told.len() > count {
+            self.told
+                .sort_unstable_by(|_, first, _, second| first.cmp(second));
         }
-        let mut taken = Vec::with_capacity(count.min(self.left.len()));
-        for (name, left) in self.left.iter_mut().take(count) {
-            *left -= 1;
+        let mut taken = Vec::with_capacity(count.min(self.told.len()));
+        for (name, told) in self.told.iter_mut().take(count) {
+            *told += 1;
             taken.push(Arc::clone(name));
         }
-        self.left.retain(|_, left| *left > 0);
+        let doublings = usize::BITS - members.leading_zeros();
+        let enough = doublings * TIMES_PER_DOUBLING;
+        self.told.retain(|_, told| *told < enough);
         taken
     }
 }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -313,6 +313,10 @@
         let Some(target) = &self.targets[key.0 as usize] else {
             return f64::INFINITY;
         };
+        if target.health.is_ejected() {
+            // It is due for the one call that finds out how it is.
+            return 0.0;
+        }
         let reported = if now.since(target.load_at) < LOAD_AGE {
             target.load.running + target.load.waiting
         } else {
--- /dev/null
+++ b/crates/policy/tests/all/gate_order.rs
@@ -0,0 +1,173 @@
+//! The gate conserves work and never inverts priorities.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use cardamomshed_policy::gate::{Change, Config, Gate, Offer, Shed, Ticket, Verdict};
+use cardamomshed_policy::{AccountKey, Moment, Priority};
+
+use crate::check;
+
+/// One step of a case: 0 finishes the oldest running call, 1 cancels a call,
+/// anything else offers one.
+type Step = (u8, u8, u8, u16);
+
+fn offer(ticket: u64, step: Step, now: Moment) -> Offer {
+    Offer {
+        ticket: Ticket(ticket),
+        account: AccountKey(u32::from(step.1 % 5)),
+        priority: Priority::ALL[usize::from(step.2) % 4],
+        depth: step.1 % 3,
+        deadline: now + Duration::from_millis(20 + u64::from(step.3 % 400)),
+    }
+}
+
+/// A naive model: what runs and what waits, by the gate's own words.
+#[derive(Default)]
+struct Model {
+    running: BTreeMap<u64, Priority>,
+    waiting: HashMap<u64, Priority>,
+    latest: HashMap<u64, Moment>,
+}
+
+impl Model {
+    /// Takes in changes; false where one is not allowed.
+    fn apply(&mut self, changes: &[Change], now: Moment) -> bool {
+        changes.iter().all(|change| match change {
+            Change::Run(Ticket(ticket)) => {
+                let Some(priority) = self.waiting.remove(ticket) else {
+                    return false;
+                };
+                let inverted = self.waiting.values().any(|other| *other < priority);
+                self.running.insert(*ticket, priority);
+                !inverted
+            }
+            Change::Shed(Ticket(ticket), shed) => {
+                let Some(priority) = self.waiting.remove(ticket) else {
+                    return false;
+                };
+                match shed {
+                    Shed::Full => self.waiting.values().all(|other| *other <= priority),
+                    Shed::Deadline => now <= self.latest[ticket] || !self.latest.is_empty(),
+                    Shed::Closed => false,
+                }
+            }
+        })
+    }
+}
+
+fn conserves(steps: Vec<Step>) -> bool {
+    let slots = 3;
+    let mut gate = Gate::new(Config::new(slots), Moment::ZERO);
+    let mut model = Model::default();
+    let mut now = Moment::ZERO;
+    for (place, step) in steps.into_iter().enumerate() {
+        now = now + Duration::from_millis(u64::from(step.3 % 7));
+        let mut changes = Vec::new();
+        match step.0 % 6 {
+            0 => {
+                if let Some((ticket, _)) = model.running.pop_first() {
+                    let own = Some(Duration::from_millis(5));
+                    gate.finish(Ticket(ticket), own, now, &mut changes);
+                }
+            }
+            1 => {
+                let ticket = u64::from(step.3) % (place as u64 + 1);
+                let ran = gate.cancel(Ticket(ticket), now, &mut changes);
+                if ran != model.running.remove(&ticket).is_some() {
+                    return false;
+                }
+                model.waiting.remove(&ticket);
+            }
+            _ => {
+                let offer = offer(place as u64, step, now);
+                let verdict = gate.offer(offer, now, &mut changes);
+                model.latest.insert(place as u64, offer.deadline);
+                match verdict {
+                    Verdict::Run => {
+                        model.running.insert(place as u64, offer.priority);
+                    }
+                    Verdict::Wait => {
+                        model.waiting.insert(place as u64, offer.priority);
+                    }
+                    Verdict::Shed(_) => {}
+                }
+            }
+        }
+        if !model.apply(&changes, now) {
+            return false;
+        }
+        let load = gate.load(now);
+        let idle_slot = load.running < gate.allowed(now);
+        let counted = load.running as usize == model.running.len()
+            && load.waiting as usize == model.waiting.len();
+        if !counted || (idle_slot && load.waiting > 0) || load.running > slots {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn work_conserved() {
+    check(conserves as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn important_displaces() {
+    let mut gate = Gate::new(Config::new(1), Moment::ZERO);
+    let now = Moment::from_millis(1);
+    let mut changes = Vec::new();
+    let call = |ticket, priority| Offer {
+        ticket: Ticket(ticket),
+        account: AccountKey(0),
+        priority,
+        depth: 0,
+        deadline: now + Duration::from_millis(100),
+    };
+    let mut low = 0;
+    while gate.offer(call(low, Priority::Low), now, &mut changes) != Verdict::Shed(Shed::Deadline) {
+        low += 1;
+    }
+    let verdict = gate.offer(call(100, Priority::Critical), now, &mut changes);
+    assert_eq!(verdict, Verdict::Wait);
+    gate.finish(Ticket(0), Some(Duration::from_millis(1)), now, &mut changes);
+    assert!(changes.contains(&Change::Run(Ticket(100))));
+}
+
+#[test]
+fn deadline_sheds() {
+    let mut gate = Gate::new(Config::new(1), Moment::ZERO);
+    let start = Moment::from_millis(1);
+    let mut changes = Vec::new();
+    let call = |ticket| Offer {
+        ticket: Ticket(ticket),
+        account: AccountKey(0),
+        priority: Priority::Normal,
+        depth: 0,
+        deadline: start + Duration::from_millis(60),
+    };
+    assert_eq!(gate.offer(call(1), start, &mut changes), Verdict::Run);
+    assert_eq!(gate.offer(call(2), start, &mut changes), Verdict::Wait);
+    let late = start + Duration::from_millis(61);
+    gate.tick(late, &mut changes);
+    assert_eq!(changes, [Change::Shed(Ticket(2), Shed::Deadline)]);
+}
+
+#[test]
+fn closed_refuses() {
+    let mut gate = Gate::new(Config::new(1), Moment::ZERO);
+    gate.close();
+    let offer = offer(1, (2, 0, 0, 300), Moment::ZERO);
+    let verdict = gate.offer(offer, Moment::ZERO, &mut Vec::new());
+    assert_eq!(verdict, Verdict::Shed(Shed::Closed));
+}
+
+#[test]
+fn cold_start_ramps() {
+    let config = Config::new(10).cold_start(Duration::from_secs(10));
+    let gate = Gate::new(config, Moment::ZERO);
+    assert_eq!(gate.allowed(Moment::ZERO), 1);
+    assert_eq!(gate.allowed(Moment::from_millis(5_000)), 5);
+    assert_eq!(gate.allowed(Moment::from_millis(10_000)), 10);
+}
--- /dev/null
+++ b/crates/policy/tests/all/member_spread.rs
@@ -0,0 +1,232 @@
+//! Members find each other, lose each other and find each other again.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::member::{Config, Fleet, Output, Profile, Send, State};
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use crate::random;
+
+const STEP: Duration = Duration::from_millis(50);
+
+/// Members that talk over a lossy network with a moved clock.
+struct Network {
+    fleets: Vec<Fleet>,
+    down: HashSet<usize>,
+    /// Pairs of groups that cannot talk: members are in group `place % 2`.
+    cut: bool,
+    loss: f64,
+    random: StdRng,
+    now: Moment,
+    packets: u64,
+}
+
+fn address(place: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + place as u16))
+}
+
+fn profile(place: usize) -> Profile {
+    Profile {
+        domain: "domain".into(),
+        region: "region".into(),
+        gossip: address(place),
+        peer: address(place),
+        admin: address(place),
+        service: None,
+        slots: 0,
+        open: true,
+        lends: Vec::new(),
+    }
+}
+
+fn name(place: usize) -> Arc<str> {
+    format!("node-{place}").into()
+}
+
+impl Network {
+    fn new(count: usize) -> Self {
+        let config = Config::default();
+        let make = |place| Fleet::new(config, name(place), 1, profile(place));
+        let mut network = Self {
+            fleets: (0..count).map(make).collect(),
+            down: HashSet::new(),
+            cut: false,
+            loss: 0.0,
+            random: random(),
+            now: Moment::from_millis(1),
+            packets: 0,
+        };
+        // Everyone knows the first member, as from the platform's rows.
+        let first = network.fleets[0].own().clone();
+        for place in 1..count {
+            let output = network.fleets[place].learn(vec![first.clone()], network.now);
+            network.carry(place, output);
+        }
+        // A daemon that joins asks another for all members a few times.
+        for _ in 0..3 {
+            network.run(Duration::from_secs(2));
+            for place in 1..count {
+                network.exchange(place, &name(0));
+            }
+        }
+        network
+    }
+
+    fn carry(&mut self, from: usize, output: Output) {
+        let mut queue = output
+            .sends
+            .into_iter()
+            .map(|send| (from, send))
+            .collect::<Vec<_>>();
+        while let Some((from, Send { to, packet })) = queue.pop() {
+            self.packets += 1;
+            let place = usize::from(to.port()) - 10_000;
+            let cut = self.cut && from % 2 != place % 2;
+            if cut || self.down.contains(&place) || self.random.random::<f64>() < self.loss {
+                continue;
+            }
+            let output = self.fleets[place].receive(packet, address(from), self.now);
+            if let Some(other) = &output.out_of_step {
+                self.exchange(place, &other.clone());
+            }
+            queue.extend(output.sends.into_iter().map(|send| (place, send)));
+        }
+    }
+
+    /// A full exchange, as daemons make it over a peer link.
+    fn exchange(&mut self, place: usize, other: &str) {
+        let asked = self
+            .fleets
+            .iter()
+            .find(|fleet| &*fleet.own().name == other)
+            .expect("a member");
+        let records = asked.members().cloned().chain([asked.own().clone()]);
+        let records = records.collect();
+        self.fleets[place].learn(records, self.now);
+    }
+
+    fn run(&mut self, length: Duration) {
+        let until = self.now + length;
+        while self.now < until {
+            self.now = self.now + STEP;
+            for place in 0..self.fleets.len() {
+                if !self.down.contains(&place) {
+                    let output = self.fleets[place].tick(&mut self.random, self.now);
+                    self.carry(place, output);
+                }
+            }
+        }
+    }
+
+    /// How many members see `about` in a state.
+    fn seen(&self, about: usize, state: State) -> usize {
+        let sees = |fleet: &&Fleet| {
+            fleet
+                .get(&name(about))
+                .is_some_and(|record| record.state == state)
+        };
+        self.fleets.iter().filter(sees).count()
+    }
+}
+
+#[test]
+fn everyone_found() {
+    let mut network = Network::new(32);
+    network.run(Duration::from_secs(20));
+    for fleet in &network.fleets {
+        assert_eq!(fleet.live(), 32);
+    }
+}
+
+#[test]
+fn failure_spreads() {
+    let mut network = Network::new(24);
+    network.run(Duration::from_secs(20));
+    network.down.insert(7);
+    network.run(Duration::from_secs(20));
+    assert_eq!(network.seen(7, State::Failed), 23);
+}
+
+#[test]
+fn loss_fails_nobody() {
+    let mut network = Network::new(24);
+    network.run(Duration::from_secs(20));
+    network.loss = 0.05;
+    network.run(Duration::from_mins(5));
+    for place in 0..24 {
+        assert_eq!(network.seen(place, State::Failed), 0, "member {place}");
+    }
+}
+
+#[test]
+fn parts_rejoin() {
+    let mut network = Network::new(16);
+    network.run(Duration::from_secs(20));
+    network.cut = true;
+    network.run(Duration::from_mins(1));
+    assert_eq!(network.seen(1, State::Failed), 8);
+    network.cut = false;
+    network.run(Duration::from_mins(2));
+    for fleet in &network.fleets {
+        assert_eq!(fleet.live(), 16);
+    }
+}
+
+#[test]
+fn paused_returns() {
+    let mut network = Network::new(12);
+    network.run(Duration::from_secs(20));
+    network.down.insert(3);
+    network.run(Duration::from_mins(1));
+    assert_eq!(network.seen(3, State::Failed), 11);
+    network.down.remove(&3);
+    network.run(Duration::from_mins(2));
+    assert_eq!(network.seen(3, State::Alive), 11);
+}
+
+#[test]
+fn replaced_supersedes() {
+    let mut network = Network::new(12);
+    network.run(Duration::from_secs(20));
+    // A new process takes the name and address, with a later start.
+    let mut fresh = Fleet::new(Config::default(), name(5), 1_000, profile(5));
+    let first = network.fleets[0].own().clone();
+    fresh.learn(vec![first], network.now);
+    network.fleets[5] = fresh;
+    network.run(Duration::from_secs(20));
+    let newer = network
+        .fleets
+        .iter()
+        .filter_map(|fleet| fleet.get(&name(5)))
+        .filter(|record| record.incarnation >= 1_000);
+    assert_eq!(newer.count(), 11);
+}
+
+#[test]
+fn leaving_told() {
+    let mut network = Network::new(16);
+    network.run(Duration::from_secs(20));
+    let output = network.fleets[2].leave(&mut random());
+    network.carry(2, output);
+    network.down.insert(2);
+    network.run(Duration::from_secs(3));
+    assert_eq!(network.seen(2, State::Left), 15);
+}
+
+#[test]
+fn packets_bounded() {
+    let mut network = Network::new(32);
+    network.run(Duration::from_secs(20));
+    network.packets = 0;
+    network.run(Duration::from_mins(1));
+    let per_member = network.packets as f64 / 32.0 / 60.0;
+    assert!(
+        per_member <= 2.1,
+        "{per_member} packets a second and member"
+    );
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! under test run unchanged. Each stand-in has a thread of its own and ends
 //! when its handle is dropped.
 
+pub mod client;
 pub mod experiment;
 pub mod fleet;
 pub mod naive;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -223,6 +223,7 @@
             .default_service(web::to(call))
     })
     .workers(1)
+    .h1_allow_half_closed(false)
     .keep_alive(Duration::from_mins(1))
     .on_connect(move |_, data| {
         for_connect.connections.fetch_add(1, Ordering::Relaxed);
