--- /dev/null
+++ b/crates/ctl/tests/all/load_report.rs
@@ -0,0 +1,74 @@
+//! Load is driven and results become a page.
+
+use std::path::Path;
+
+use crate::{complained, fleet, printed, shedctl};
+
+#[test]
+fn load_reported() {
+    let fleet = fleet();
+    let to = fleet.callers()[0].to_string();
+    let source = format!("one,{},50,GET,/hop-0", fleet.keys[0]);
+    let run = shedctl(&[
+        "load", "--to", &to, "--source", &source, "--stage", "1,1", "--json",
+    ]);
+    assert!(run.status.success(), "{}", complained(&run));
+    let json: serde_json::Value = serde_json::from_str(&printed(&run)).expect("JSON");
+    let offered = json["total"]["offered"].as_u64().expect("a figure");
+    assert!(offered > 20);
+    assert_eq!(json["total"]["answered"].as_u64(), Some(offered));
+    let table = shedctl(&["load", "--to", &to, "--source", &source, "--stage", "1,1"]);
+    assert!(printed(&table).contains("p99"));
+}
+
+#[test]
+fn usage_checked() {
+    for wrong in [
+        vec!["load"],
+        vec!["load", "--to", "nowhere"],
+        vec!["load", "--to", "127.0.0.1:1", "--source", "a,b,-5,GET,/"],
+        vec![
+            "load",
+            "--to",
+            "127.0.0.1:1",
+            "--source",
+            "a,b,5,GET,/",
+            "--stage",
+            "x",
+        ],
+        vec!["status"],
+        vec!["note", "apply"],
+        vec!["frobnicate"],
+        vec![],
+    ] {
+        let run = shedctl(&wrong);
+        assert!(!run.status.success(), "{wrong:?}");
+        assert!(
+            complained(&run).contains("CS3001"),
+            "{wrong:?}: {}",
+            complained(&run)
+        );
+    }
+    for fine in ["--help", "--version"] {
+        assert!(shedctl(&[fine]).status.success());
+    }
+}
+
+#[test]
+fn page_written() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let results = folder.join("results.json");
+    let json = r#"{"seed": 1, "measures": [{"name": "goodput <1>", "unit": "share",
+        "naive": 0.5, "ours": 0.9, "target": ">= 0.8", "holds": true}]}"#;
+    std::fs::write(&results, json).expect("a file for a test");
+    let page = folder.join("page.html");
+    let run = shedctl(&[
+        "report",
+        results.to_str().expect("a path"),
+        "--output",
+        page.to_str().expect("a path"),
+    ]);
+    assert!(run.status.success(), "{}", complained(&run));
+    let html = std::fs::read_to_string(page).expect("the page");
+    assert!(html.contains("goodput &lt;1&gt;") && html.contains("<svg"));
+}
--- /dev/null
+++ b/crates/ctl/tests/all/main.rs
@@ -0,0 +1,45 @@
+//! Tests of the operators' tool against stand-ins, one file a feature.
+
+mod load_report;
+mod note_commands;
+mod status_explain;
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use cardamomshed_daemon::Options;
+use cardamomshed_standin::fleet::{Fleet, Kind};
+use cardamomshed_standin::shape::Shape;
+
+fn fleet() -> Fleet {
+    let shape = Shape::chain(2, 2, 8, Duration::from_millis(1));
+    Fleet::start(shape, Kind::Ours(Options::default()))
+}
+
+/// Runs the tool.
+fn shedctl(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_shedctl"))
+        .args(arguments)
+        .output()
+        .expect("the tool runs")
+}
+
+fn printed(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn complained(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// A note file that adds one account.
+fn note_file(name: &str, account: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"));
+    let text = format!(
+        "note: {name}\nauthor: test\nsummary: adds {account}\naccounts:\n  add:\n    \
+         - {{name: {account}, rate: 5/s, burst: 10}}\n"
+    );
+    std::fs::write(&path, text).expect("a file for a test");
+    path
+}
