Shed what a stalled target cannot run; settle attempts that are dropped

Calls sat at the hung target until their deadline and held slots of the service above. Found on the way: a call whose caller went away stayed counted as in flight at its target for ever, since nothing settled it.

Change: the gate notices that calls run and none has ended for eight service times; it sheds what waits with a true 'not run' (CS1309), gives up repeatable calls for another target, and lets one call at a time find out. Attempts settle when they are dropped.

--- a/crates/code/src/result.rs
+++ b/crates/code/src/result.rs
@@ -56,6 +56,7 @@
     NoTarget = 1305, 503, "no target of the service is available";
     Leaving = 1306, 503, "the daemon or target is leaving";
     MemoryShed = 1308, 503, "the daemon holds as many request bodies as its limit allows";
+    TargetStalled = 1309, 503, "the target has stopped answering; the call was not started";
     LinkFailed = 1401, 502, "the peer daemon cannot be reached";
     TargetFailed = 1402, 502, "the target broke off the call";
     TargetSilent = 1403, 504, "the target did not answer before the deadline";
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event, Ran};
 use cardamomshed_note::Route;
-use cardamomshed_policy::TargetKey;
+use cardamomshed_policy::gate;
 use cardamomshed_policy::route::{Outcome, Standing, Tier};
 use cardamomshed_wire::Call;
 use tokio::sync::oneshot;
@@ -22,6 +22,9 @@
 /// the call.
 const GRACE: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// Bytes of the heads of a call and its answer, for the slow link's budget.
+const HEADS: usize = 600;
+
 /// A request as it is sent on.
 #[derive(Clone, Debug)]
 pub struct Parts {
@@ -35,6 +38,39 @@
     pub body: Bytes,
 }
 
+/// One attempt of a call; when it is dropped unsettled, as a cancelled call
+/// is, the balancer stops counting it all the same.
+struct Attempt<'a> {
+    node: &'a Node,
+    service: &'a str,
+    picked: Picked,
+    /// Attempt tokens lent with it.
+    lent: u8,
+    /// Bytes of the body sent.
+    sent: usize,
+    settled: bool,
+}
+
+impl Attempt<'_> {
+    /// Tells the balancer how the attempt ended.
+    fn settle(&mut self, outcome: Outcome, load: Option<gate::Load>) -> Option<Standing> {
+        self.settled = true;
+        let target = self.picked.choice.target;
+        let now = self.node.clock.now();
+        self.node
+            .services
+            .finished(self.service, target, outcome, load, now)
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.settle(Outcome::Neutral, None);
+        }
+    }
+}
+
 /// Sends a call made in `context` along a route.
 pub async fn dispatch(node: &Arc<Node>, context: &Context, route: &Route, parts: &Parts) -> Reply {
     let mut tried = Vec::new();
@@ -46,9 +82,16 @@
         };
         log_choice(node, context, route, &picked);
         let target = picked.choice.target;
-        let lent = context.lend();
-        let reply = attempt(node, context, route, parts, &picked, lent).await;
-        settle(node, context, route, &picked, lent, &reply);
+        let mut attempt = Attempt {
+            node,
+            service: &route.service,
+            settled: false,
+            lent: context.lend(),
+            sent: parts.body.len(),
+            picked,
+        };
+        let reply = send(node, context, route, parts, &attempt).await;
+        settle(node, context, route, &mut attempt, &reply);
         tried.push(target);
         if !may_retry(node, context, route, &reply) {
             return reply;
@@ -62,20 +105,20 @@
                 route.service,
                 tried.len() + 1,
                 context.tokens(),
-                picked.peer.node
+                attempt.picked.peer.node
             ),
         );
     }
 }
 
-async fn attempt(
+async fn send(
     node: &Arc<Node>,
     context: &Context,
     route: &Route,
     parts: &Parts,
-    picked: &Picked,
-    lent: u8,
+    attempt: &Attempt<'_>,
 ) -> Reply {
+    let peer = &attempt.picked.peer;
     let left = node.clock.left(context.deadline);
     let call = Call {
         id: node.links.next_call(),
@@ -84,7 +127,8 @@
         priority: context.priority,
         rank: context.rank,
         timeout_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-        tokens: lent,
+        tokens: attempt.lent,
+        repeatable: route.repeatable,
         depth: context.depth,
         service: route.service.to_text(),
         method: parts.method.clone(),
@@ -93,17 +137,11 @@
         length: parts.body.len() as u64,
     };
     let wait = tokio::time::timeout(left + GRACE, async {
-        if picked.peer.node == node.name {
+        if peer.node == node.name {
             return run_here(node, context, call, parts.body.clone()).await;
         }
         node.links
-            .call(
-                node,
-                &picked.peer,
-                call,
-                parts.body.clone(),
-                context.deadline,
-            )
+            .call(node, peer, call, parts.body.clone(), context.deadline)
             .await
     });
     wait.await.unwrap_or_else(|_| {
@@ -133,8 +171,7 @@
 }
 
 /// Takes in what the end of an attempt tells of target and services.
-fn settle(node: &Node, context: &Context, route: &Route, picked: &Picked, lent: u8, reply: &Reply) {
-    let now = node.clock.now();
+fn settle(node: &Node, context: &Context, route: &Route, attempt: &mut Attempt<'_>, reply: &Reply) {
     let (outcome, load, left) = match reply {
         Reply::Answer(answer) => {
             context.learn(Some(answer.level));
@@ -149,31 +186,36 @@
         Reply::Refused(refused) => {
             context.learn(refused.level);
             let outcome = match refused.code {
-                Code::TargetFailed | Code::TargetSilent | Code::FateUnknown | Code::LinkFailed => {
-                    Outcome::Failed
-                }
+                Code::TargetFailed
+                | Code::TargetSilent
+                | Code::TargetStalled
+                | Code::FateUnknown
+                | Code::LinkFailed => Outcome::Failed,
                 _ => Outcome::Neutral,
             };
             // A call that has not run has spent nothing of what it was lent.
             let left = match refused.ran {
-                Ran::No => lent,
+                Ran::No => attempt.lent,
                 Ran::Unknown => refused.tokens,
             };
             (outcome, refused.load.map(Into::into), left)
         }
     };
-    context.restore(lent, left);
-    if picked.choice.tier == Tier::Remote {
-        let bytes = match reply {
+    context.restore(attempt.lent, left);
+    if attempt.picked.choice.tier == Tier::Remote {
+        let answered = match reply {
             Reply::Answer(answer) => answer.body.len(),
             Reply::Refused(_) => 0,
         };
+        let bytes = attempt.sent + answered + HEADS;
         lock(&node.slow_link).spend(bytes);
+        node.metrics
+            .bytes
+            .with_label_values(&["slow_link_calls"])
+            .inc_by(bytes as u64);
     }
-    let standing = node
-        .services
-        .finished(&route.service, picked.choice.target, outcome, load, now);
-    log_standing(node, route, picked, standing);
+    let standing = attempt.settle(outcome, load);
+    log_standing(node, route, &attempt.picked, standing);
 }
 
 /// Whether the reply leaves another attempt open, and pays for it.
@@ -185,14 +227,16 @@
         (
             Ran::No,
             Code::QueueFull
+            | Code::TargetStalled
             | Code::Leaving
             | Code::NoTarget
             | Code::LinkFailed
             | Code::TargetFailed,
         ) => true,
-        (Ran::Unknown, Code::TargetFailed | Code::FateUnknown | Code::LinkFailed) => {
-            route.repeatable
-        }
+        (
+            Ran::Unknown,
+            Code::TargetFailed | Code::TargetStalled | Code::FateUnknown | Code::LinkFailed,
+        ) => route.repeatable,
         _ => false,
     };
     elsewhere
@@ -225,7 +269,6 @@
 }
 
 fn log_standing(node: &Node, route: &Route, picked: &Picked, standing: Option<Standing>) {
-    let target: TargetKey = picked.choice.target;
     match standing {
         Some(Standing::Ejected(length)) => node.note_event(
             Event::TargetEjected,
@@ -233,7 +276,7 @@
                 "service={} node={} key={} for_ms={}",
                 route.service,
                 picked.peer.node,
-                target.0,
+                picked.choice.target.0,
                 length.as_millis()
             ),
         ),
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -24,7 +24,7 @@
 use crate::sync::lock;
 
 /// Codes that tell a caller when to come back.
-const SPREAD: [Code; 9] = [
+const SPREAD: [Code; 10] = [
     Code::QuotaExceeded,
     Code::AdmissionShed,
     Code::QueueFull,
@@ -32,6 +32,7 @@
     Code::NoTarget,
     Code::Leaving,
     Code::MemoryShed,
+    Code::TargetStalled,
     Code::KeyUnconfirmed,
     Code::ClaimUnavailable,
 ];
--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -10,12 +10,10 @@
 use cardamomshed_policy::admission::Rank;
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::Fleet;
+use cardamomshed_standin::peer::{Dialler, SECRET};
 use cardamomshed_standin::thread;
-use cardamomshed_wire::{Call, Frame, Hello, Request, Secret, Side, VERSION, decode, encode};
-use futures_util::{SinkExt, StreamExt};
-use tokio::net::TcpStream;
-use tokio::time::timeout;
-use tokio_tungstenite::WebSocketStream;
+use cardamomshed_wire::{Call, Frame, Request};
+use futures_util::SinkExt;
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::chain;
@@ -23,47 +21,9 @@
 const NAME: &str = "fake";
 const BOOT: u64 = 77;
 
-/// The dialling end of a link, made by hand.
-struct Fake {
-    socket: WebSocketStream<TcpStream>,
-}
-
-impl Fake {
-    async fn dial(node: &Node, secret: &str) -> Option<Self> {
-        let stream = TcpStream::connect(node.settings.peers).await.ok()?;
-        let url = format!("ws://{}/link", node.settings.peers);
-        let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
-        let mut fake = Self { socket };
-        let hello = Hello {
-            version: VERSION,
-            node: NAME.into(),
-            boot: BOOT,
-            nonce: [7; 16],
-        };
-        fake.send(&Frame::Hello(hello.clone()), &[]).await;
-        let (Frame::Welcome(welcome), _) = fake.receive().await? else {
-            return None;
-        };
-        let secret = Secret::new(secret).expect("a long secret");
-        let nonces = [&hello.nonce, &welcome.nonce];
-        let code = secret.prove(Side::Dialler, nonces, [NAME, &welcome.node]);
-        fake.send(&Frame::Proof { code }, &[]).await;
-        Some(fake)
-    }
-
-    async fn send(&mut self, frame: &Frame, chunk: &[u8]) {
-        let message = Message::Binary(encode(frame, chunk));
-        // Tests of refused links send into closed ones.
-        let _ = self.socket.send(message).await;
-    }
-
-    async fn receive(&mut self) -> Option<(Frame, Bytes)> {
-        let next = timeout(Duration::from_secs(5), self.socket.next()).await;
-        match next.ok()?? {
-            Ok(Message::Binary(bytes)) => decode(&bytes).ok(),
-            _ => None,
-        }
-    }
+/// A second connection of the fake is another one of the same process.
+async fn dial(node: &Node, secret: &str) -> Option<Dialler> {
+    Dialler::dial(node.settings.peers, NAME, BOOT, secret).await
 }
 
 fn call(id: u64, length: u64) -> Call {
@@ -75,6 +35,7 @@
         rank: Rank::FIRST,
         timeout_ms: 5_000,
         tokens: 2,
+        repeatable: false,
         depth: 0,
         service: "hop-0".into(),
         method: "POST".to_owned(),
@@ -84,8 +45,6 @@
     }
 }
 
-const SECRET: &str = "a secret for loopback only";
-
 /// Runs a test's future against the first daemon of a fleet.
 fn with_daemon<T, F>(fleet: &Fleet, test: impl FnOnce(Arc<Node>) -> F + Send + 'static) -> T
 where
@@ -100,7 +59,7 @@
 fn secret_needed() {
     let fleet = chain(1);
     let answered = with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, "another secret of a fleet").await?;
+        let mut fake = dial(&node, "another secret of a fleet").await?;
         fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
         fake.receive().await
     });
@@ -113,12 +72,12 @@
     let fleet = chain(1);
     fleet.targets[0].change(|behaviour| behaviour.slowness = 50.0);
     let body = with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, SECRET).await.expect("a link");
         fake.send(&Frame::Call(Box::new(call(1, 5))), b"hello")
             .await;
         tokio::time::sleep(Duration::from_millis(30)).await;
         drop(fake);
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a second link");
+        let mut fake = dial(&node, SECRET).await.expect("a second link");
         let resume = Frame::Resume {
             id: 1,
             timeout_ms: 5_000,
@@ -138,12 +97,12 @@
 fn answer_lost() {
     let fleet = chain(1);
     let again = with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, SECRET).await.expect("a link");
         fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
         // The answer arrives and is lost before it is acknowledged.
         fake.receive().await.expect("an answer");
         drop(fake);
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a second link");
+        let mut fake = dial(&node, SECRET).await.expect("a second link");
         let resume = Frame::Resume {
             id: 1,
             timeout_ms: 5_000,
@@ -159,7 +118,7 @@
 fn call_lost() {
     let fleet = chain(1);
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, SECRET).await.expect("a link");
         let resume = Frame::Resume {
             id: 9,
             timeout_ms: 5_000,
@@ -185,11 +144,11 @@
 fn body_cut_short() {
     let fleet = chain(1);
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, SECRET).await.expect("a link");
         fake.send(&Frame::Call(Box::new(call(3, 100))), b"a part")
             .await;
         drop(fake);
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a second link");
+        let mut fake = dial(&node, SECRET).await.expect("a second link");
         let resume = Frame::Resume {
             id: 3,
             timeout_ms: 5_000,
@@ -207,7 +166,7 @@
     let fleet = chain(1);
     fleet.targets[0].change(|behaviour| behaviour.hung = true);
     with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, SECRET).await.expect("a link");
         fake.send(&Frame::Call(Box::new(call(4, 0))), &[]).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
         fake.send(&Frame::Cancel { id: 4 }, &[]).await;
@@ -222,7 +181,7 @@
 fn garbage_closes_link() {
     let fleet = chain(1);
     let heard = with_daemon(&fleet, |node| async move {
-        let mut fake = Fake::dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, SECRET).await.expect("a link");
         let message = Message::Binary(Bytes::from_static(b"\xff\xff\xff"));
         fake.socket.send(message).await.expect("an open link");
         fake.receive().await
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -30,6 +30,22 @@
     pub retries: u64,
 }
 
+impl Tally {
+    /// One line: what was offered, answered and not.
+    pub fn summary(&self) -> String {
+        let codes = self.refused.iter();
+        let codes = codes.map(|(code, count)| format!("CS{code}: {count}"));
+        format!(
+            "offered {}, answered {}, unknown {}, failed {}, refused {}",
+            self.offered,
+            self.answered,
+            self.unknown,
+            self.failed,
+            codes.collect::<Vec<_>>().join(", ")
+        )
+    }
+}
+
 /// What came of the load.
 #[derive(Clone, Debug)]
 pub struct Report {
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -21,6 +21,12 @@
 /// Wait that is never long.
 const MIN_LONG_WAIT: Duration = Duration::from_millis(20);
 
+/// Shortest time without an end of a call after which a target counts as
+/// stalled.
+const MIN_STALL: Duration = Duration::from_millis(250);
+/// The same in smoothed service times.
+const STALL_TIMES: u32 = 8;
+
 /// Names one call at one gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -86,6 +92,8 @@
     Deadline,
     /// The queue holds only calls of equal or higher standing.
     Full,
+    /// The target has stopped answering.
+    Stalled,
     /// The gate is closed to new calls.
     Closed,
 }
@@ -134,6 +142,11 @@
     running: IndexMap<Ticket, Moment>,
     opened: Moment,
     closed: bool,
+    /// When a call ended last, or the first of those that run started.
+    progress: Moment,
+    /// The target has stopped answering; one call at a time finds out
+    /// whether it has come back.
+    stalled: bool,
 }
 
 impl Gate {
@@ -146,6 +159,8 @@
             running: IndexMap::new(),
             opened: now,
             closed: false,
+            progress: now,
+            stalled: false,
         }
     }
 
@@ -164,14 +179,18 @@
         if self.closed {
             return Verdict::Shed(Shed::Closed);
         }
+        self.check_stalled(now, changes);
         let service_time = self.limit.service_time();
         if now + service_time > offer.deadline {
             return Verdict::Shed(Shed::Deadline);
         }
         if self.queue.len() == 0 && self.has_room(now) {
-            self.running.insert(offer.ticket, now);
+            self.start(offer.ticket, now);
             return Verdict::Run;
         }
+        if self.stalled {
+            return Verdict::Shed(Shed::Stalled);
+        }
         let ahead = self.queue.ahead_of(offer.priority);
         let wait = self.wait_behind(ahead, now);
         let latest_start = self.latest_start(&offer, now);
@@ -181,9 +200,9 @@
         self.enqueue(offer, latest_start, now, changes)
     }
 
-    /// Notes that a running call ended. `own_time` is its time on the target
-    /// without the calls it made in turn; `None` says that the call tells
-    /// nothing about the target's speed.
+    /// Notes that the target answered a running call. `own_time` is its time
+    /// on the target without the calls it made in turn; `None` says that the
+    /// call tells nothing about the target's speed.
     pub fn finish(
         &mut self,
         ticket: Ticket,
@@ -191,6 +210,8 @@
         now: Moment,
         changes: &mut Vec<Change>,
     ) {
+        self.progress = now;
+        self.stalled = false;
         if let Some(started) = self.running.swap_remove(&ticket) {
             let total = now.since(started);
             self.limit
@@ -211,6 +232,7 @@
 
     /// Sheds what can no longer meet its deadline and starts what may start.
     pub fn tick(&mut self, now: Moment, changes: &mut Vec<Change>) {
+        self.check_stalled(now, changes);
         self.start_waiting(now, changes);
     }
 
@@ -224,6 +246,11 @@
         }
     }
 
+    /// Whether the target has stopped answering.
+    pub const fn is_stalled(&self) -> bool {
+        self.stalled
+    }
+
     /// Whether a wait is long for this target: one that only a queue that
     /// stands brings about.
     pub fn is_long(&self, wait: Duration) -> bool {
@@ -240,6 +267,9 @@
     /// Calls that may run at once: the adaptive limit, less what a cold
     /// start withholds.
     pub fn allowed(&self, now: Moment) -> u32 {
+        if self.stalled {
+            return 1;
+        }
         let limit = self.limit.current();
         let age = now.since(self.opened);
         if age >= self.config.cold_start {
@@ -249,6 +279,26 @@
         ((f64::from(limit) * warm).floor() as u32).clamp(1, limit)
     }
 
+    fn start(&mut self, ticket: Ticket, now: Moment) {
+        if self.running.is_empty() {
+            self.progress = now;
+        }
+        self.running.insert(ticket, now);
+    }
+
+    /// Notices that calls run and none has ended for many service times.
+    /// What waits is shed, so that it can be run elsewhere in time.
+    fn check_stalled(&mut self, now: Moment, changes: &mut Vec<Change>) {
+        let patience = MIN_STALL.max(self.limit.service_time() * STALL_TIMES);
+        if self.stalled || self.running.is_empty() || now.since(self.progress) < patience {
+            return;
+        }
+        self.stalled = true;
+        while let Some(ticket) = self.queue.pop() {
+            changes.push(Change::Shed(ticket, Shed::Stalled));
+        }
+    }
+
     fn has_room(&self, now: Moment) -> bool {
         (self.running.len() as u32) < self.allowed(now)
     }
@@ -316,7 +366,7 @@
             let Some(ticket) = self.queue.pop() else {
                 return;
             };
-            self.running.insert(ticket, now);
+            self.start(ticket, now);
             changes.push(Change::Run(ticket));
         }
     }
--- a/crates/policy/tests/all/gate_order.rs
+++ b/crates/policy/tests/all/gate_order.rs
@@ -49,6 +49,7 @@
                 match shed {
                     Shed::Full => self.waiting.values().all(|other| *other <= priority),
                     Shed::Deadline => now <= self.latest[ticket] || !self.latest.is_empty(),
+                    Shed::Stalled => true,
                     Shed::Closed => false,
                 }
             }
@@ -171,3 +172,46 @@
     assert_eq!(gate.allowed(Moment::from_millis(5_000)), 5);
     assert_eq!(gate.allowed(Moment::from_millis(10_000)), 10);
 }
+
+#[test]
+fn stalled_sheds_and_probes() {
+    let mut gate = Gate::new(Config::new(4), Moment::ZERO);
+    let start = Moment::from_millis(1);
+    let call = |ticket| Offer {
+        ticket: Ticket(ticket),
+        account: AccountKey(0),
+        priority: Priority::Normal,
+        depth: 0,
+        deadline: start + Duration::from_secs(5),
+    };
+    let mut changes = Vec::new();
+    for ticket in 0..6 {
+        gate.offer(call(ticket), start, &mut changes);
+    }
+    let later = start + Duration::from_millis(400);
+    gate.tick(later, &mut changes);
+    for waiting in [4, 5] {
+        assert!(changes.contains(&Change::Shed(Ticket(waiting), Shed::Stalled)));
+    }
+    assert_eq!(
+        gate.offer(call(6), later, &mut changes),
+        Verdict::Shed(Shed::Stalled)
+    );
+    for ticket in 0..4 {
+        gate.cancel(Ticket(ticket), later, &mut changes);
+    }
+    // One call finds out; the next is refused until that one has ended.
+    assert_eq!(gate.offer(call(7), later, &mut changes), Verdict::Run);
+    assert_eq!(
+        gate.offer(call(8), later, &mut changes),
+        Verdict::Shed(Shed::Stalled)
+    );
+    gate.finish(
+        Ticket(7),
+        Some(Duration::from_millis(9)),
+        later,
+        &mut changes,
+    );
+    assert_eq!(gate.offer(call(9), later, &mut changes), Verdict::Run);
+    assert_eq!(gate.offer(call(10), later, &mut changes), Verdict::Run);
+}
--- a/crates/standin/benches/overload.rs
+++ b/crates/standin/benches/overload.rs
@@ -88,10 +88,20 @@
     best
 }
 
+/// Bytes of calls and answers that daemons sent between regions so far.
+fn slow_link_bytes(fleet: &Fleet) -> f64 {
+    let sent = |daemon: &cardamomshed_standin::fleet::Running| {
+        let bytes = &daemon.node.metrics.bytes;
+        bytes.with_label_values(&["slow_link_calls"]).get() as f64
+    };
+    fleet.daemons.iter().map(sent).sum()
+}
+
 fn surge(experiment: &mut Experiment, shape: &Shape) {
     let seed = experiment.seed;
     let name = shape.name.clone();
     let mut figures = Vec::new();
+    let mut slow_link = 0.0;
     for ours in [false, true] {
         let fleet = Fleet::start(shape.clone(), kind(ours));
         let capacity = measured_capacity(&fleet, seed);
@@ -109,6 +119,7 @@
                 capacity * 0.7
             };
             let before = fleet.executions();
+            let sent_before = slow_link_bytes(&fleet);
             let stages = vec![stage(WARM + STEADY, 1.0)];
             let report = run.load(run.even(offered), stages);
             let executed = fleet.executions() - before;
@@ -116,6 +127,9 @@
             let whole = report.total().answered * fleet.shape.services.len() as u64;
             let wasted = 1.0 - whole.min(executed) as f64 / executed.max(1) as f64;
             let base = if factor > 1.0 { capacity } else { offered };
+            if ours && factor <= 1.0 {
+                slow_link = slow_link_bytes(&fleet) - sent_before;
+            }
             figures.push((ours, factor, goodput / base, wasted, report));
         }
         figures.push((
@@ -143,7 +157,21 @@
             bound,
         );
     }
+    experiment.add(
+        &format!("{name}: bytes of calls over the slow link, 1x"),
+        "B",
+        None,
+        slow_link,
+        Bound::AtMost(0.0),
+    );
     let (naive, own) = (find(false, 10.0), find(true, 10.0));
+    experiment.add(
+        &format!("{name}: executions per answered root and hop, 10x"),
+        "count",
+        Some(1.0 / (1.0 - naive.3).max(1e-3)),
+        1.0 / (1.0 - own.3).max(1e-3),
+        Bound::AtMost(1.1),
+    );
     experiment.add(
         &format!("{name}: executions whose root failed, 10x"),
         "share",
@@ -347,7 +375,9 @@
         });
         let offered = fleet.shape.capacity() * 0.5;
         let report = run.load(run.even(offered), vec![stage(WARM + STEADY, 1.0)]);
-        shares.push(report.goodput(WARM, WARM + STEADY) / offered);
+        println!("{}", report.total().summary());
+        print_timeline(&report, "share", WARM + STEADY);
+        shares.push(report.share(WARM, WARM + STEADY));
     }
     experiment.add(
         &format!("{}: goodput with one target {what}", shape.name),
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -1,97 +1,31 @@
 //! The slopes under docs/CAPACITY.md: what each role costs per member,
 //! entry, account, link, change and call, by at least four sizes each.
 
+#[path = "slopes/decision.rs"]
+mod decision;
+#[path = "slopes/fit.rs"]
+mod fit;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
 use cardamomshed_note::{Account, Config, Digest, Grant, Lookup, Names, Note, PerSecond, Section};
-use cardamomshed_policy::admission::{Admission, Level, Method, Rank, Request, Steering};
-use cardamomshed_policy::gate::{self, Gate, Offer, Ticket};
 use cardamomshed_policy::member::{self, Fleet as Members, Profile, Record, State};
 use cardamomshed_policy::quota::{Bound, Lease, Lender, Wallet};
-use cardamomshed_policy::route::{Balancer, Outcome, Tier};
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_standin::experiment::{Bound as Target, Experiment};
 use cardamomshed_standin::fleet::{Fleet, Kind, name};
+use cardamomshed_standin::peer::{Dialler, SECRET};
 use cardamomshed_standin::shape::Shape;
-use cardamomshed_wire::{Call, Frame, Secret, decode, encode, seal};
+use cardamomshed_standin::thread;
+use cardamomshed_wire::{Secret, seal};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-/// Points of one slope: size and figure.
-type Points = Vec<(f64, f64)>;
-
-/// Adds a line through the points: its slope, its figure at zero and the
-/// largest residual over the largest figure.
-fn add_line(experiment: &mut Experiment, what: &str, unit: &str, per: &str, points: &Points) {
-    let count = points.len() as f64;
-    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
-    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
-    let over = points
-        .iter()
-        .map(|(x, y)| (x - mean_x) * (y - mean_y))
-        .sum::<f64>();
-    let under = points
-        .iter()
-        .map(|(x, _)| (x - mean_x).powi(2))
-        .sum::<f64>();
-    let slope = over / under;
-    let base = mean_y - slope * mean_x;
-    let residual = points.iter().map(|(x, y)| (y - base - slope * x).abs());
-    let most = points
-        .iter()
-        .map(|(_, y)| y.abs())
-        .fold(f64::MIN_POSITIVE, f64::max);
-    let residual = residual.fold(0.0, f64::max) / most;
-    experiment.add(
-        &format!("{what}: per {per}"),
-        unit,
-        None,
-        slope,
-        Target::None,
-    );
-    experiment.add(&format!("{what}: at zero"), unit, None, base, Target::None);
-    experiment.add(
-        &format!("{what}: residual"),
-        "share",
-        None,
-        residual,
-        Target::None,
-    );
-}
-
-fn resident() -> f64 {
-    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm
-        .split_whitespace()
-        .nth(1)
-        .and_then(|field| field.parse::<f64>().ok());
-    pages.unwrap_or(0.0) * 4096.0
-}
-
-fn cpu_time() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields = stat.rsplit(')').next().unwrap_or_default();
-    let ticks = fields.split_whitespace().skip(11).take(2);
-    ticks
-        .filter_map(|field| field.parse::<f64>().ok())
-        .sum::<f64>()
-        / 100.0
-}
-
-/// Mean time of one call of `work` in microseconds.
-fn time_of(count: u32, mut work: impl FnMut(u32)) -> f64 {
-    for place in 0..count / 10 {
-        work(place);
-    }
-    let start = Instant::now();
-    for place in 0..count {
-        work(place);
-    }
-    start.elapsed().as_secs_f64() * 1e6 / f64::from(count)
-}
+use decision::{decisions, frames};
+use fit::{Points, add_line, cpu_time, resident, time_of};
 
 fn record(place: usize) -> Record {
     let [high, low] = [(place >> 8) as u8, place as u8];
@@ -258,117 +192,6 @@
     );
 }
 
-fn decisions(experiment: &mut Experiment) {
-    let mut route = Points::new();
-    for size in [16u32, 64, 250, 1_000] {
-        let mut balancer = Balancer::default();
-        let mut random = StdRng::seed_from_u64(experiment.seed);
-        for _ in 0..size {
-            balancer.insert(Tier::Domain, 50, Moment::ZERO);
-        }
-        let now = Moment::from_millis(5);
-        let micros = time_of(200_000, |_| {
-            if let Some(choice) = balancer.choose(&[], true, &mut random, now) {
-                balancer.started(choice.target, now);
-                balancer.finished(choice.target, Outcome::Answered, None, now);
-            }
-        });
-        route.push((f64::from(size), micros));
-        if size == 1_000 {
-            experiment.add(
-                "routing decision, 1000 targets",
-                "us",
-                None,
-                micros,
-                Target::AtMost(2.0),
-            );
-        }
-    }
-    add_line(experiment, "routing decision", "us", "target", &route);
-    let (mut admit, mut offer) = (Points::new(), Points::new());
-    for size in [8, 100, 1_000, 10_000] {
-        let mut admission = Admission::new(Method::Levels);
-        let micros = time_of(200_000, |place| {
-            let request = Request {
-                route: RouteKey(0),
-                account: AccountKey(place % size),
-                priority: Priority::Normal,
-                draw: f64::from(place % 97) / 97.0,
-            };
-            admission.admit(&request, Moment::from_micros(u64::from(place)));
-        });
-        admit.push((f64::from(size), micros));
-        let gate = gate_turn(size);
-        offer.push((f64::from(size), gate));
-        if size == 10_000 {
-            experiment.add(
-                "admission at the ingress, 10000 accounts",
-                "us",
-                None,
-                micros,
-                Target::AtMost(2.0),
-            );
-            experiment.add(
-                "admission beside the target, 10000 accounts",
-                "us",
-                None,
-                gate,
-                Target::AtMost(2.0),
-            );
-        }
-    }
-    add_line(
-        experiment,
-        "admission at the ingress",
-        "us",
-        "account",
-        &admit,
-    );
-    add_line(
-        experiment,
-        "admission beside the target",
-        "us",
-        "account",
-        &offer,
-    );
-}
-
-/// Time of one offer with the finish that makes room for it.
-fn gate_turn(accounts: u32) -> f64 {
-    let config = gate::Config::new(50).max_wait(Duration::from_hours(1));
-    let mut gate = Gate::new(config, Moment::ZERO);
-    let mut steering = Steering::default();
-    let mut running = std::collections::VecDeque::new();
-    let mut changes = Vec::new();
-    time_of(100_000, |place| {
-        let now = Moment::from_micros(u64::from(place) * 20);
-        changes.clear();
-        let offer = Offer {
-            ticket: Ticket(u64::from(place)),
-            account: AccountKey(place % accounts),
-            priority: Priority::Normal,
-            depth: 0,
-            deadline: Moment::from_millis(100_000_000),
-        };
-        steering.arrived(Rank(300.0));
-        steering.tick(now);
-        if gate.offer(offer, now, &mut changes) == gate::Verdict::Run {
-            running.push_back(offer.ticket);
-        }
-        // As many end as arrive, once as many wait as there are accounts.
-        if gate.load(now).waiting > accounts.min(2_000)
-            && let Some(ticket) = running.pop_front()
-        {
-            gate.finish(ticket, Some(Duration::from_millis(1)), now, &mut changes);
-        }
-        for change in &changes {
-            if let gate::Change::Run(ticket) = change {
-                running.push_back(*ticket);
-            }
-        }
-    })
-}
-
 fn quota(experiment: &mut Experiment) {
     let (mut memory, mut lend) = (Points::new(), Points::new());
     let bound = Bound {
@@ -410,50 +233,34 @@
     );
 }
 
-fn frames(experiment: &mut Experiment) {
-    let mut points = Points::new();
-    for size in [256, 1_024, 4_096, 32_768] {
-        let body = vec![b'x'; size];
-        let call = Call {
-            id: 1_000_000,
-            request: cardamomshed_wire::Request::random(),
-            account: "account".into(),
-            priority: Priority::Normal,
-            rank: Rank(300.0),
-            timeout_ms: 1_000,
-            tokens: 2,
-            depth: 3,
-            service: "service-0001".into(),
-            method: "POST".to_owned(),
-            path: "/service-0001/things?page=2".to_owned(),
-            headers: vec![("content-type".to_owned(), "application/json".to_owned())],
-            length: size as u64,
-        };
-        let frame = Frame::Call(Box::new(call));
-        let micros = time_of(20_000, |_| {
-            decode(&encode(&frame, &body)).expect("a frame");
-        });
-        points.push((size as f64, micros));
-    }
+/// Links that one daemon accepts, with their dialling ends.
+fn links(experiment: &mut Experiment) {
+    let fleet = Fleet::start(
+        Shape::chain(1, 1, 8, Duration::from_millis(1)),
+        Kind::Ours(Options::default()),
+    );
+    let to = fleet.daemons[0].node.settings.peers;
+    let points = thread::run(move || async move {
+        let mut points = Points::new();
+        let mut kept = Vec::new();
+        let before = resident();
+        for size in [250usize, 500, 1_000, 2_000] {
+            while kept.len() < size {
+                let boot = kept.len() as u64 + 1;
+                let link = Dialler::dial(to, &format!("fake-{boot}"), boot, SECRET).await;
+                kept.push(link.expect("a link"));
+            }
+            points.push((size as f64, resident() - before));
+        }
+        points
+    });
     add_line(
         experiment,
-        "call frame, encode and decode",
-        "us",
-        "byte",
+        "peer link, memory of both ends",
+        "B",
+        "link",
         &points,
     );
-    let mut admission = Admission::new(Method::Levels);
-    let micros = time_of(100_000, |place| {
-        let level = Some(Level(f32::from(place as u16 % 512)));
-        admission.observe(RouteKey(0), level, false, Moment::from_millis(5));
-    });
-    experiment.add(
-        "answer taken in at the ingress",
-        "us",
-        None,
-        micros,
-        Target::None,
-    );
 }
 
 /// Whole daemons in this process, idle: what control costs them.
@@ -527,6 +334,9 @@
     if experiment.wants("frames") {
         frames(&mut experiment);
     }
+    if experiment.wants("links") {
+        links(&mut experiment);
+    }
     if experiment.wants("daemons") {
         daemons(&mut experiment);
     }
--- /dev/null
+++ b/crates/standin/examples/capacity.rs
@@ -0,0 +1,19 @@
+//! Writes the tables of `docs/CAPACITY.md` from `docs/experiments/slopes.json`.
+
+use std::path::Path;
+
+use cardamomshed_standin::capacity::{BEGIN, END, Slopes};
+
+fn main() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let json = std::fs::read_to_string(docs.join("experiments/slopes.json"))
+        .expect("the committed results");
+    let tables = Slopes::parse(&json)
+        .expect("results in the experiment form")
+        .tables();
+    let path = docs.join("CAPACITY.md");
+    let page = std::fs::read_to_string(&path).expect("the page");
+    let (before, rest) = page.split_once(BEGIN).expect("the begin of the tables");
+    let (_, after) = rest.split_once(END).expect("the end of the tables");
+    std::fs::write(&path, format!("{before}{tables}{after}")).expect("the page is written");
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -17,6 +17,7 @@
 use cardamomshed_policy::quota::SLOTS_PER_DOMAIN;
 
 use crate::naive::Naive;
+use crate::peer::SECRET;
 use crate::platform::{Capacity, Platform};
 use crate::shape::Shape;
 use crate::target::{Behaviour, Config, Target};
@@ -114,7 +115,7 @@
         node: name(&place.node),
         domain: name(&place.domain),
         region: name(&place.region),
-        fleet_secret: "a secret for loopback only".into(),
+        fleet_secret: SECRET.into(),
         callers: free,
         target: free,
         peers: free,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,10 +5,12 @@
 //! under test run unchanged. Each stand-in has a thread of its own and ends
 //! when its handle is dropped.
 
+pub mod capacity;
 pub mod client;
 pub mod experiment;
 pub mod fleet;
 pub mod naive;
+pub mod peer;
 pub mod platform;
 pub mod shape;
 pub mod target;
--- /dev/null
+++ b/crates/standin/tests/all/platform_rows.rs
@@ -0,0 +1,117 @@
+//! The platform's stand-in keeps its promises, through the real client.
+
+use std::time::Duration;
+
+use cardamomshed_code::Code;
+use cardamomshed_platform::{Client, Expect, Operation};
+use cardamomshed_standin::platform::{Capacity, Faults, Platform};
+use cardamomshed_standin::thread;
+use serde_json::json;
+
+fn with<T, F>(platform: &Platform, test: impl FnOnce(Client) -> F + Send + 'static) -> T
+where
+    T: Send + 'static,
+    F: Future<Output = T>,
+{
+    let base = platform.base();
+    thread::run(move || test(Client::new(&base, Duration::from_secs(5))))
+}
+
+fn write(key: &str, expect: Expect) -> Operation {
+    Operation {
+        table: "t".to_owned(),
+        key: key.to_owned(),
+        expect,
+        value: Some(json!(1)),
+    }
+}
+
+#[test]
+fn writes_conditional() {
+    let platform = Platform::start(Capacity::default());
+    with(&platform, |client| async move {
+        let first = client
+            .put("t", "k", Expect::Absent, &json!(1))
+            .await
+            .expect("written");
+        let again = client.put("t", "k", Expect::Absent, &json!(2)).await;
+        assert_eq!(again.expect_err("it exists").code, Code::PlatformConflict);
+        let second = client
+            .put("t", "k", Expect::Version(first), &json!(2))
+            .await;
+        let second = second.expect("written");
+        assert!(second > first);
+        let stale = client
+            .put("t", "k", Expect::Version(first), &json!(3))
+            .await;
+        assert_eq!(
+            stale.expect_err("it has changed").code,
+            Code::PlatformConflict
+        );
+        let row = client.get("t", "k").await.expect("read").expect("a row");
+        assert_eq!((row.version, row.value), (second, json!(2)));
+    });
+}
+
+#[test]
+fn transactions_whole() {
+    let platform = Platform::start(Capacity::default());
+    with(&platform, |client| async move {
+        client
+            .put("t", "b", Expect::Absent, &json!(0))
+            .await
+            .expect("written");
+        let failed = client
+            .transact(&[write("a", Expect::Absent), write("b", Expect::Absent)])
+            .await;
+        assert_eq!(failed.expect_err("b exists").code, Code::PlatformConflict);
+        assert_eq!(client.get("t", "a").await, Ok(None));
+        let versions = client
+            .transact(&[write("a", Expect::Absent), write("c", Expect::Absent)])
+            .await
+            .expect("written");
+        assert_eq!(versions.len(), 2);
+        let listed = client.list("t", "a", 10).await.expect("listed");
+        let keys = listed
+            .iter()
+            .map(|row| row.key.as_str())
+            .collect::<Vec<_>>();
+        assert_eq!(keys, ["b", "c"]);
+    });
+}
+
+#[test]
+fn lost_answer_takes_effect() {
+    let platform = Platform::start(Capacity::default());
+    platform.set_faults(Faults {
+        lose_answers: 1.0,
+        ..Faults::default()
+    });
+    let written = with(&platform, |client| async move {
+        client.put("t", "k", Expect::Absent, &json!(1)).await
+    });
+    assert_eq!(written.expect_err("lost").code, Code::PlatformUnavailable);
+    assert_eq!(platform.peek("t", "k"), Some(json!(1)));
+    platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let read = with(
+        &platform,
+        |client| async move { client.get("t", "k").await },
+    );
+    assert_eq!(read.expect_err("down").code, Code::PlatformUnavailable);
+}
+
+#[test]
+fn objects_kept() {
+    let platform = Platform::start(Capacity::default());
+    with(&platform, |client| async move {
+        assert_eq!(client.object("o").await, Ok(None));
+        client
+            .put_object("o", b"contents".to_vec())
+            .await
+            .expect("written");
+        assert_eq!(client.object("o").await, Ok(Some(b"contents".to_vec())));
+    });
+}
