Tell a stalled target from a slow one

Change: a stall is half the slots taken, two calls at least, and no end of a call for a second and eight service times.

--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -11,7 +11,7 @@
 use cardamomshed_policy::gate::{self, Change, Gate, Offer, Shed, Ticket, Verdict};
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -64,8 +64,6 @@
     clock: Clock,
     target: Mutex<Option<Target>>,
     next_ticket: std::sync::atomic::AtomicU64,
-    /// Whether the target has stopped answering.
-    stalled: watch::Sender<bool>,
 }
 
 /// A place on the target; given back when it is dropped.
@@ -106,7 +104,6 @@
             clock,
             target: Mutex::new(None),
             next_ticket: std::sync::atomic::AtomicU64::new(1),
-            stalled: watch::Sender::new(false),
         }
     }
 
@@ -225,7 +222,6 @@
         target.steering.tick(now);
         let verdict = target.gate.offer(offer, now, &mut changes);
         target.tell(&changes);
-        self.tell_stall(&target.gate);
         let receiver = match verdict {
             Verdict::Run => {
                 target.steering.started(false);
@@ -260,29 +256,9 @@
             target.gate.tick(now, &mut changes);
             target.steering.tick(now);
             target.tell(&changes);
-            self.tell_stall(&target.gate);
         }
     }
 
-    /// Waits until the target stops answering.
-    pub async fn stall(&self) {
-        let mut stalled = self.stalled.subscribe();
-        // A call that starts while the target is stalled finds out whether it
-        // has come back; only a later stall ends it.
-        stalled.mark_unchanged();
-        // The sender lives as long as `self`, so waiting cannot fail.
-        let _ = stalled.changed().await;
-        while !*stalled.borrow_and_update() {
-            let _ = stalled.changed().await;
-        }
-    }
-
-    fn tell_stall(&self, gate: &Gate) {
-        let stalled = gate.is_stalled();
-        self.stalled
-            .send_if_modified(|told| std::mem::replace(told, stalled) != stalled);
-    }
-
     /// Whether any call runs or waits.
     pub fn is_idle(&self) -> bool {
         lock(&self.target)
@@ -316,7 +292,6 @@
                 }
             }
             target.tell(&changes);
-            self.tell_stall(&target.gate);
         }
     }
 }
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -128,7 +128,6 @@
         rank: context.rank,
         timeout_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
         tokens: attempt.lent,
-        repeatable: route.repeatable,
         depth: context.depth,
         service: route.service.to_text(),
         method: parts.method.clone(),
@@ -233,10 +232,9 @@
             | Code::LinkFailed
             | Code::TargetFailed,
         ) => true,
-        (
-            Ran::Unknown,
-            Code::TargetFailed | Code::TargetStalled | Code::FateUnknown | Code::LinkFailed,
-        ) => route.repeatable,
+        (Ran::Unknown, Code::TargetFailed | Code::FateUnknown | Code::LinkFailed) => {
+            route.repeatable
+        }
         _ => false,
     };
     elsewhere
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -156,11 +156,8 @@
     let started = node.clock.now();
     let sent = send(node, pool, call, body, &entry, &live).await;
     let total = node.clock.now().since(started);
-    let answered = !matches!(
-        &sent,
-        Err(refused) if matches!(refused.code, Code::TargetSilent | Code::TargetStalled)
-    );
-    if answered {
+    let silent = matches!(&sent, Err(refused) if refused.code == Code::TargetSilent);
+    if !silent {
         entry.finish(total.saturating_sub(live.context.waited()));
     }
     let tokens = live.context.tokens();
@@ -255,13 +252,8 @@
 ) -> Result<Answer, Refused> {
     let left = node.clock.left(live.context.deadline);
     let exchange = exchange(node, pool, call, body, entry, live);
-    tokio::select! {
-        result = exchange => return result,
-        () = node.beside.stall(), if call.repeatable => {
-            // It can still be answered in time elsewhere.
-            return Err(Refused::unknown(Code::TargetStalled, "given up to run elsewhere", 0));
-        }
-        () = tokio::time::sleep(left) => {}
+    if let Ok(result) = tokio::time::timeout(left, exchange).await {
+        return result;
     }
     // New connections may work where those in use went silent.
     pool.renew();
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -23,7 +23,7 @@
 
 /// Shortest time without an end of a call after which a target counts as
 /// stalled.
-const MIN_STALL: Duration = Duration::from_millis(250);
+const MIN_STALL: Duration = Duration::from_secs(1);
 /// The same in smoothed service times.
 const STALL_TIMES: u32 = 8;
 
@@ -246,11 +246,6 @@
         }
     }
 
-    /// Whether the target has stopped answering.
-    pub const fn is_stalled(&self) -> bool {
-        self.stalled
-    }
-
     /// Whether a wait is long for this target: one that only a queue that
     /// stands brings about.
     pub fn is_long(&self, wait: Duration) -> bool {
@@ -286,11 +281,14 @@
         self.running.insert(ticket, now);
     }
 
-    /// Notices that calls run and none has ended for many service times.
+    /// Notices that half the slots or more are taken and no call has ended for
+    /// many service times.
     /// What waits is shed, so that it can be run elsewhere in time.
     fn check_stalled(&mut self, now: Moment, changes: &mut Vec<Change>) {
         let patience = MIN_STALL.max(self.limit.service_time() * STALL_TIMES);
-        if self.stalled || self.running.is_empty() || now.since(self.progress) < patience {
+        // A few long calls beside nothing else are no stall.
+        let busy = self.running.len() >= 2 && self.running.len() as u32 * 2 >= self.limit.current();
+        if self.stalled || !busy || now.since(self.progress) < patience {
             return;
         }
         self.stalled = true;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -140,9 +140,6 @@
     /// Attempt tokens lent with the call.
     #[serde(rename = "k")]
     pub tokens: u8,
-    /// Whether the call may run more than once.
-    #[serde(rename = "r")]
-    pub repeatable: bool,
     /// Hops from the caller, the first call having depth zero.
     #[serde(rename = "d")]
     pub depth: u8,
