Exchange only the members that differ; small buffers on peer links

The exchange of members waited until nothing was left to tell, which takes longer the more there is. Ruled out: loss (none on loopback), seeds (every daemon knew 60 or more). Daemons whose digests differ four times in a row now exchange, at most every 3 s, and only the groups of names that differ (64 groups: about 20 KB for one change at 9,900 members instead of 1.3 MB). A packet carries 7 records, as many as fit 1,200 bytes. New test mass_start_found, red before.

--- a/crates/daemon/src/actor/gossip.rs
+++ b/crates/daemon/src/actor/gossip.rs
@@ -130,10 +130,11 @@
             address: chosen.profile.peer,
         }
     };
-    node.links.send(node, &peer, Frame::AskMembers);
+    let digests = Vec::new();
+    node.links.send(node, &peer, Frame::AskMembers { digests });
 }
 
-/// Asks a member that knows others for every member that it knows.
+/// Asks a member that knows others for those that differ.
 fn ask_member(node: &Arc<Node>, name: &Arc<str>) {
     let address = lock(&node.fleet)
         .get(name)
@@ -143,7 +144,8 @@
             node: Arc::clone(name),
             address,
         };
-        node.links.send(node, &peer, Frame::AskMembers);
+        let digests = lock(&node.fleet).group_digests();
+        node.links.send(node, &peer, Frame::AskMembers { digests });
     }
 }
 
--- a/crates/daemon/src/link/handshake.rs
+++ b/crates/daemon/src/link/handshake.rs
@@ -16,6 +16,10 @@
 /// Largest message that is accepted, in bytes.
 const MAX_MESSAGE: usize = 8 * 1024 * 1024;
 
+/// Buffer of each direction of a connection, in bytes. A daemon may hold a
+/// thousand links, most of them quiet, so it is small.
+const BUFFER: usize = 8 * 1024;
+
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
 /// The other end of an open connection.
@@ -27,6 +31,8 @@
 
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(BUFFER)
         .max_message_size(Some(MAX_MESSAGE))
         .max_frame_size(Some(MAX_MESSAGE))
 }
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -165,12 +165,8 @@
                 }
             });
         }
-        Frame::AskMembers => {
-            let records = {
-                let fleet = lock(&node.fleet);
-                let others = fleet.members().cloned();
-                others.chain([fleet.own().clone()]).collect::<Vec<_>>()
-            };
+        Frame::AskMembers { digests } => {
+            let records = lock(&node.fleet).differing(&digests);
             for part in records.chunks(MEMBERS_PER_FRAME) {
                 send(out, Frame::Members(part.to_vec()));
             }
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -42,3 +42,12 @@
         self as usize
     }
 }
+
+/// FNV-1a, which is the same in every version and on every machine.
+pub(crate) fn hash(bytes: impl Iterator<Item = u8>) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -52,14 +52,18 @@
             indirect: 3,
             suspicion: Duration::from_secs(4),
             remember: Duration::from_hours(1),
-            records: 5,
+            records: 7,
             fanout: 4,
         }
     }
 }
 
-/// Differing digests in a row after which a full exchange is due.
+/// Differing digests in a row after which an exchange is due.
 const OUT_OF_STEP: u32 = 4;
+/// Shortest time between two exchanges.
+const EXCHANGE_PAUSE: Duration = Duration::from_secs(3);
+/// Groups of members, by name, whose digests an exchange compares.
+const GROUPS: usize = 64;
 
 /// A packet to be sent.
 #[derive(Clone, Debug)]
@@ -90,8 +94,8 @@
     pub newer_note: Option<Arc<str>>,
     /// When a member with the same release note knew it to be the newest.
     pub confirmed: Option<Moment>,
-    /// A member that knows other members than this one, though nothing is
-    /// still to be told; all its members should be asked for.
+    /// A member that knows other members than this one for some time; it
+    /// should be asked for those that differ.
     pub out_of_step: Option<Arc<str>>,
 }
 
@@ -125,6 +129,8 @@
     digest: u64,
     /// Packets in a row whose digest differed.
     differing: u32,
+    /// When a difference last led to an exchange.
+    exchanged: Moment,
 }
 
 impl Fleet {
@@ -153,6 +159,7 @@
             spread: Spread::default(),
             digest: 0,
             differing: 0,
+            exchanged: Moment::ZERO,
         }
     }
 
@@ -213,6 +220,29 @@
         output
     }
 
+    /// Digests of the members that take part, by group of names.
+    pub fn group_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0; GROUPS];
+        for record in self.members().chain([&self.own]) {
+            if record.state.takes_part() {
+                digests[group_of(record)] ^= record.digest();
+            }
+        }
+        digests
+    }
+
+    /// Records of the groups whose digests differ from those of another
+    /// member; all records where it tells none.
+    pub fn differing(&self, digests: &[u64]) -> Vec<Record> {
+        let own = self.group_digests();
+        let differs = |record: &&Record| {
+            let group = group_of(record);
+            digests.get(group) != Some(&own[group])
+        };
+        let records = self.members().chain([&self.own]).filter(differs);
+        records.cloned().collect()
+    }
+
     /// Lets time pass: probes, suspicions and what is forgotten.
     pub fn tick(&mut self, random: &mut impl Rng, now: Moment) -> Output {
         let mut output = Output::default();
@@ -230,7 +260,7 @@
     /// Takes in a packet that arrived from `from`.
     pub fn receive(&mut self, packet: Packet, from: std::net::SocketAddr, now: Moment) -> Output {
         let mut output = Output::default();
-        self.compare(&packet, &mut output);
+        self.compare(&packet, now, &mut output);
         for record in packet.records {
             self.merge(record, now, &mut output);
         }
@@ -267,14 +297,16 @@
     }
 
     /// Notices that the sender knows other members.
-    fn compare(&mut self, packet: &Packet, output: &mut Output) {
-        if packet.digest == self.full_digest() || !self.spread.is_empty() {
+    fn compare(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
+        if packet.digest == self.full_digest() {
             self.differing = 0;
             return;
         }
         self.differing += 1;
-        if self.differing >= OUT_OF_STEP {
+        let rested = now.since(self.exchanged) >= EXCHANGE_PAUSE;
+        if self.differing >= OUT_OF_STEP && rested {
             self.differing = 0;
+            self.exchanged = now;
             output.out_of_step = Some(Arc::clone(&packet.sender));
         }
     }
@@ -424,3 +456,7 @@
         }
     }
 }
+
+fn group_of(record: &Record) -> usize {
+    record.name_hash() as usize % GROUPS
+}
--- a/crates/policy/src/member/record.rs
+++ b/crates/policy/src/member/record.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::key::hash;
+
 /// State of a member; of two records with one incarnation the later state
 /// in this order wins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -83,14 +85,14 @@
 }
 
 impl Record {
-    /// Hash of name and incarnation (FNV-1a), which is the same everywhere.
+    /// Hash of name and incarnation.
     pub fn digest(&self) -> u64 {
-        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-        const PRIME: u64 = 0x0000_0100_0000_01b3;
-        let bytes = self.name.bytes().chain(self.incarnation.to_be_bytes());
-        bytes.fold(OFFSET, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-        })
+        hash(self.name.bytes().chain(self.incarnation.to_be_bytes()))
+    }
+
+    /// Hash of the name.
+    pub(super) fn name_hash(&self) -> u64 {
+        hash(self.name.bytes())
     }
 
     /// Whether this record is newer than `other`, which has the same name.
--- a/crates/policy/src/member/spread.rs
+++ b/crates/policy/src/member/spread.rs
@@ -15,11 +15,6 @@
 }
 
 impl Spread {
-    /// Whether nothing is still to be told.
-    pub(super) fn is_empty(&self) -> bool {
-        self.told.is_empty()
-    }
-
     /// Adds a change, or starts it over.
     pub(super) fn add(&mut self, name: Arc<str>) {
         self.told.insert(name, 0);
--- a/crates/policy/src/quota/holders.rs
+++ b/crates/policy/src/quota/holders.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use super::{Bound, MILLION};
+use crate::key::hash;
 
 /// Lender slots of each failure domain.
 pub const SLOTS_PER_DOMAIN: u16 = 2;
@@ -42,17 +43,12 @@
     (slots, bound.share(MILLION / count as u32))
 }
 
-/// Weight of a slot for an account: FNV-1a, which is the same in every
-/// version and on every machine.
+/// Weight of a slot for an account, the same everywhere.
 fn weight(account: &str, slot: &Slot) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
     let bytes = account
         .bytes()
         .chain([0])
         .chain(slot.domain.bytes())
         .chain(slot.number.to_be_bytes());
-    bytes.fold(OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
+    hash(bytes)
 }
--- a/crates/policy/tests/all/member_spread.rs
+++ b/crates/policy/tests/all/member_spread.rs
@@ -49,7 +49,21 @@
 }
 
 impl Network {
+    /// Members that have joined as daemons do.
     fn new(count: usize) -> Self {
+        let mut network = Self::started(count);
+        // A daemon that joins asks another for all members a few times.
+        for _ in 0..3 {
+            network.run(Duration::from_secs(2));
+            for place in 1..count {
+                network.exchange(place, &name(0));
+            }
+        }
+        network
+    }
+
+    /// Members that have just started.
+    fn started(count: usize) -> Self {
         let config = Config::default();
         let make = |place| Fleet::new(config, name(place), 1, profile(place));
         let mut network = Self {
@@ -67,13 +81,6 @@
             let output = network.fleets[place].learn(vec![first.clone()], network.now);
             network.carry(place, output);
         }
-        // A daemon that joins asks another for all members a few times.
-        for _ in 0..3 {
-            network.run(Duration::from_secs(2));
-            for place in 1..count {
-                network.exchange(place, &name(0));
-            }
-        }
         network
     }
 
@@ -98,15 +105,14 @@
         }
     }
 
-    /// A full exchange, as daemons make it over a peer link.
+    /// An exchange, as daemons make it over a peer link.
     fn exchange(&mut self, place: usize, other: &str) {
         let asked = self
             .fleets
             .iter()
             .find(|fleet| &*fleet.own().name == other)
             .expect("a member");
-        let records = asked.members().cloned().chain([asked.own().clone()]);
-        let records = records.collect();
+        let records = asked.differing(&self.fleets[place].group_digests());
         self.fleets[place].learn(records, self.now);
     }
 
@@ -143,6 +149,15 @@
     }
 }
 
+#[test]
+fn mass_start_found() {
+    let mut network = Network::started(64);
+    network.run(Duration::from_secs(15));
+    for fleet in &network.fleets {
+        assert_eq!(fleet.live(), 64, "{} misses members", fleet.own().name);
+    }
+}
+
 #[test]
 fn failure_spreads() {
     let mut network = Network::new(24);
--- a/crates/standin/src/peer.rs
+++ b/crates/standin/src/peer.rs
@@ -8,11 +8,14 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 /// Secret of every fleet of stand-ins.
 pub const SECRET: &str = "a secret for loopback only";
+/// Buffer of each direction of a connection, in bytes, as daemons have it.
+const BUFFER: usize = 8 * 1024;
 /// Time that a frame is waited for.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -33,7 +36,11 @@
     pub async fn dial(to: SocketAddr, name: &str, boot: u64, secret: &str) -> Option<Self> {
         let stream = TcpStream::connect(to).await.ok()?;
         let url = format!("ws://{to}/link");
-        let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
+        let config = WebSocketConfig::default()
+            .read_buffer_size(BUFFER)
+            .write_buffer_size(BUFFER);
+        let dialled = client_async_with_config(url, stream, Some(config)).await;
+        let (socket, _) = dialled.ok()?;
         let mut dialler = Self { socket };
         let hello = Hello {
             version: VERSION,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -67,8 +67,11 @@
     },
     /// The call ends without an answer.
     Refusal(Box<Refusal>),
-    /// Asks for every member that the other end knows.
-    AskMembers,
+    /// Asks for the members of the groups whose digests differ.
+    AskMembers {
+        /// Digests of the sender's groups; empty to ask for all members.
+        digests: Vec<u64>,
+    },
     /// Members that the sender knows.
     Members(Vec<Record>),
     /// Asks for the release notes behind a revision.
