--- a/crates/daemon/src/actor/gossip.rs
+++ b/crates/daemon/src/actor/gossip.rs
@@ -31,6 +31,7 @@
     let now = node.clock.now();
     for change in &output.changes {
         node.services.update(&change.record, now);
+        node.directory.update(&change.record);
         log_change(node, change);
         if change.record.state == State::Alive && change.before == Some(State::Failed) {
             node.rejoin.notify_one();
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -7,10 +7,8 @@
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_note::Account;
 use cardamomshed_platform::{Client, Expect, Row};
-use cardamomshed_policy::member::{Record, State};
-use cardamomshed_policy::quota::{
-    Bound, Lease, Lender, SLOTS_PER_DOMAIN, Slot, Spend, holders, validity,
-};
+use cardamomshed_policy::member::State;
+use cardamomshed_policy::quota::{Bound, Lease, Lender, Spend, holders, validity};
 use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_wire::{Frame, Grant};
 use serde::{Deserialize, Serialize};
@@ -25,7 +23,7 @@
 /// Table of the leases.
 const TABLE: &str = "lenders";
 /// Rows that are read at once.
-const MAX_ROWS: usize = 1_024;
+const MAX_ROWS: usize = 4_096;
 /// Renewals in the length of one lease.
 const RENEWALS: u32 = 8;
 /// Time between two looks at free slots.
@@ -168,37 +166,24 @@
     }
 }
 
-/// The lender whose turn it is for an ask: the own failure domain first.
+/// The lender whose turn it is for an ask: the own failure domain first, then
+/// the region.
 fn lender_for(node: &Node, ask: &Grant) -> Option<Peer> {
-    let bound = bound_of(node, &ask.account)?;
-    let (slots, _) = holders(&ask.account, bound, &domains(node));
-    let fleet = lock(&node.fleet);
-    let own = fleet.own().clone();
-    let holds = |record: &&Record| {
-        record.state.takes_part()
-            && record.profile.lends.iter().any(|number| {
-                let held =
-                    |slot: &Slot| slot.number == *number && slot.domain == record.profile.domain;
-                slots.iter().any(held)
-            })
-    };
-    let mut lenders = fleet
-        .members()
-        .chain([&own])
-        .filter(holds)
-        .collect::<Vec<_>>();
-    let distance = |record: &Record| {
-        let tier = u8::from(record.profile.domain != own.profile.domain)
-            + u8::from(record.profile.region != own.profile.region);
-        // Within a failure domain the load is spread by the time of the ask.
-        let spread = (record.incarnation ^ (ask.asked_us >> 10)).wrapping_mul(0x9e37_79b9);
-        (tier, spread & 0xff, Arc::clone(&record.name))
-    };
-    lenders.sort_by_cached_key(|record| distance(record));
-    lenders.get(usize::from(ask.turn)).map(|record| Peer {
-        node: Arc::clone(&record.name),
-        address: record.profile.peer,
-    })
+    let lookup = node.lookup();
+    let bound = lookup.config.accounts.get(&ask.account).map(bound)?;
+    let per_domain = lookup.config.limits.lender_slots;
+    let (mut slots, _) = holders(&ask.account, bound, &domains(node), per_domain);
+    // Within a failure domain the load is spread by the time of the ask.
+    let turn = (ask.asked_us >> 10) as usize % slots.len().max(1);
+    slots.rotate_left(turn);
+    let mut lenders = node.directory.lenders(&slots);
+    let settings = &node.settings;
+    lenders.sort_by_key(|lender| {
+        u8::from(*lender.domain != *settings.domain) + u8::from(*lender.region != *settings.region)
+    });
+    lenders.dedup_by(|next, kept| next.peer.node == kept.peer.node);
+    let place = usize::from(ask.turn);
+    lenders.get(place).map(|lender| lender.peer.clone())
 }
 
 fn domains(node: &Node) -> Vec<Arc<str>> {
@@ -256,7 +241,7 @@
 ) -> Result<(), Failure> {
     let rows = client.list(TABLE, "", MAX_ROWS).await?;
     let length = node.settings.timing.lease.get();
-    for number in 0..SLOTS_PER_DOMAIN {
+    for number in 0..node.lookup().config.limits.lender_slots {
         let key = format!("{}-{number}", node.settings.domain);
         let row = rows.iter().find(|row| row.key == key);
         let holder = row.and_then(|row| serde_json::from_value::<Holder>(row.value.clone()).ok());
@@ -357,6 +342,7 @@
 fn set_shares(node: &Node) {
     let lookup = node.lookup();
     let domains = domains(node);
+    let per_domain = lookup.config.limits.lender_slots;
     let now = node.clock.now();
     let mut lenders = lock(&node.lenders);
     if lenders.is_empty() {
@@ -364,7 +350,7 @@
     }
     let mut kept = HashSet::new();
     for (name, account) in &lookup.config.accounts {
-        let (slots, share) = holders(name, bound(account), &domains);
+        let (slots, share) = holders(name, bound(account), &domains, per_domain);
         let own = slots
             .iter()
             .filter(|slot| *slot.domain == *node.settings.domain);
--- a/crates/daemon/src/http/announce.rs
+++ b/crates/daemon/src/http/announce.rs
@@ -79,6 +79,7 @@
         profile.lends = lock(&node.lenders).keys().copied().collect();
         let output = fleet.set_profile(profile, &mut rand::rng());
         node.services.update(fleet.own(), node.clock.now());
+        node.directory.update(fleet.own());
         output
     };
     gossip::post(node, output);
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -160,6 +160,8 @@
     Ok((access, parts, context, held))
 }
 
+/// Finds out who calls, then serves the request; a failure says that nobody
+/// is known to have called.
 async fn serve_root(
     node: &Arc<Node>,
     id: Request,
@@ -169,11 +171,27 @@
     head::check(request)?;
     let lookup = node.lookup();
     let root = identify(node, &lookup, request)?;
+    let served = serve_identified(node, id, &lookup, &root, request, payload).await;
+    let reply = served.unwrap_or_else(|failure| {
+        Reply::Refused(Refused::not_run(failure.code, failure.detail, 0))
+    });
+    Ok((root, reply))
+}
+
+async fn serve_identified(
+    node: &Arc<Node>,
+    id: Request,
+    lookup: &Lookup,
+    root: &Root,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Reply, Failure> {
+    let route = &root.access.route;
     if node.is_leaving() {
         return Err(Failure::new(Code::Leaving, ""));
     }
-    let rank = admit(node, &root).await?;
-    let collected = collect(node, &lookup, request, root.headers.clone(), payload).await;
+    let rank = admit(node, root).await?;
+    let collected = collect(node, lookup, request, root.headers.clone(), payload).await;
     let (parts, _held) = collected?;
     node.decide(
         Event::RequestAccepted,
@@ -181,22 +199,23 @@
         format_args!(
             "account={} route={} priority={:?} left_ms={}",
             root.account,
-            root.access.route.name,
-            root.access.route.priority,
+            route.name,
+            route.priority,
             node.clock.left(root.deadline).as_millis()
         ),
     );
-    let above = context::Root {
+    let chain = context::Root {
         request: id,
         account: Arc::clone(&root.account),
-        priority: root.access.route.priority,
+        priority: route.priority,
         rank,
     };
-    let context = Context::new(above, root.deadline, 0, root.access.route.retries);
-    let reply = claimed_dispatch(node, request, &root, &context, &parts).await;
+    let context = Context::new(chain, root.deadline, 0, route.retries);
+    let reply = claimed_dispatch(node, request, root, &context, &parts).await;
     let shed = matches!(&reply, Reply::Refused(refused) if refused.is_shed());
-    lock(&node.admission).observe(root.access.key, context.level(), shed, node.clock.now());
-    Ok((root, reply))
+    let now = node.clock.now();
+    lock(&node.admission).observe(root.access.key, context.level(), shed, now);
+    Ok(reply)
 }
 
 /// Dispatches a request, at most once where it carries an idempotency key
--- a/crates/daemon/src/http/problem.rs
+++ b/crates/daemon/src/http/problem.rs
@@ -49,8 +49,9 @@
         let seconds = length.as_secs_f64().ceil().max(1.0) as u64;
         response.insert_header((header::RETRY_AFTER, seconds.to_string()));
     }
-    if code == Code::BodyTooLarge {
-        // The rest of the body would be taken for the next request.
+    // The rest of a large body would be taken for the next request, and a
+    // caller of a daemon that leaves should connect to another.
+    if matches!(code, Code::BodyTooLarge | Code::Leaving) {
         response.force_close();
     }
     response
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod context;
 pub mod daemon;
+pub mod directory;
 pub mod dispatch;
 pub mod history;
 pub mod http;
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -82,6 +82,9 @@
         }
     }
     node.links.forget(&link);
+    // The next call opens a new link and finds out; without this a target
+    // whose link was given up would never be called again.
+    node.services.set_linked(&link.peer.node, true);
     commands.close();
     link.fail(true, "link closed");
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,6 +21,7 @@
 use crate::claim::Ask;
 use crate::clock::Clock;
 use crate::context::Contexts;
+use crate::directory::Directory;
 use crate::history::History;
 use crate::link::Links;
 use crate::metrics::Metrics;
@@ -65,6 +66,8 @@
     pub contexts: Contexts,
     /// Services and their targets.
     pub services: Services,
+    /// Who holds which lender slot.
+    pub directory: Directory,
     /// Peer links.
     pub links: Links,
     /// Members of the fleet.
@@ -164,6 +167,7 @@
             beside: Beside::new(clock),
             contexts: Contexts::default(),
             services: Services::new(settings.domain.to_text(), settings.region.to_text()),
+            directory: Directory::default(),
             links,
             fleet: Mutex::new(fleet),
             admission: Mutex::new(Admission::new(options.shedding)),
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -154,7 +154,14 @@
     let context = Context::new(root, deadline, call.depth + 1, call.tokens);
     let live = node.contexts.open(context);
     let started = node.clock.now();
-    let sent = send(node, pool, call, body, &entry, &live).await;
+    let execution = Execution {
+        node,
+        pool,
+        call,
+        entry: &entry,
+        live: &live,
+    };
+    let sent = execution.send(body).await;
     let total = node.clock.now().since(started);
     let silent = matches!(&sent, Err(refused) if refused.code == Code::TargetSilent);
     if !silent {
@@ -241,72 +248,70 @@
     reply
 }
 
-/// Sends the request to the target and reads its whole answer.
-async fn send(
-    node: &Arc<Node>,
-    pool: &Pool,
-    call: &Call,
-    body: Bytes,
-    entry: &Entry<'_>,
-    live: &Live<'_>,
-) -> Result<Answer, Refused> {
-    let left = node.clock.left(live.context.deadline);
-    let exchange = exchange(node, pool, call, body, entry, live);
-    if let Ok(result) = tokio::time::timeout(left, exchange).await {
-        return result;
-    }
-    // New connections may work where those in use went silent.
-    pool.renew();
-    let detail = format!("no answer within {} ms", left.as_millis());
-    Err(Refused::unknown(Code::TargetSilent, detail, 0))
+/// One call on its way to the target.
+struct Execution<'a> {
+    node: &'a Node,
+    pool: &'a Pool,
+    call: &'a Call,
+    entry: &'a Entry<'a>,
+    live: &'a Live<'a>,
 }
 
-async fn exchange(
-    node: &Arc<Node>,
-    pool: &Pool,
-    call: &Call,
-    body: Bytes,
-    entry: &Entry<'_>,
-    live: &Live<'_>,
-) -> Result<Answer, Refused> {
-    let invalid = |detail: String| Refused::not_run(Code::BadRequest, detail, 0);
-    let method =
-        Method::from_bytes(call.method.as_bytes()).map_err(|error| invalid(error.to_string()))?;
-    let url = format!("http://{}{}", entry.address, call.path);
-    let client = pool.client.borrow().clone();
-    let mut request = client.request(method, url);
-    for (name, value) in &call.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|e| invalid(e.to_string()))?;
-        let value = HeaderValue::from_str(value).map_err(|e| invalid(e.to_string()))?;
-        request.headers_mut().append(name, value);
+impl Execution<'_> {
+    /// Sends the request to the target and reads its whole answer in time.
+    async fn send(&self, body: Bytes) -> Result<Answer, Refused> {
+        let left = self.node.clock.left(self.live.context.deadline);
+        if let Ok(result) = tokio::time::timeout(left, self.exchange(body)).await {
+            return result;
+        }
+        // New connections may work where those in use went silent.
+        self.pool.renew();
+        let detail = format!("no answer within {} ms", left.as_millis());
+        Err(Refused::unknown(Code::TargetSilent, detail, 0))
     }
-    let left = node.clock.left(live.context.deadline).as_millis();
-    let request = request
-        .insert_header((CONTEXT_HEADER, live.token.to_string()))
-        .insert_header((REQUEST_HEADER, call.request.to_string()))
-        .insert_header((ACCOUNT_HEADER, &*call.account))
-        .insert_header((TIMEOUT_HEADER, left.to_string()));
-    let mut response = request
-        .send_body(body)
-        .await
-        .map_err(|error| send_failure(&error))?;
-    let limit = node.lookup().config.limits.body.get();
-    let headers = crate::http::head::end_to_end(response.headers());
-    let broken = |detail: String| Refused::unknown(Code::TargetFailed, detail, 0);
-    let body = response.body().limit(limit).await.map_err(|error| {
-        if matches!(error, awc::error::PayloadError::Overflow) {
-            return Refused::unknown(Code::AnswerTooLarge, "", 0);
+
+    async fn exchange(&self, body: Bytes) -> Result<Answer, Refused> {
+        let (node, call, live) = (self.node, self.call, self.live);
+        let invalid = |detail: String| Refused::not_run(Code::BadRequest, detail, 0);
+        let method = Method::from_bytes(call.method.as_bytes())
+            .map_err(|error| invalid(error.to_string()))?;
+        let url = format!("http://{}{}", self.entry.address, call.path);
+        let client = self.pool.client.borrow().clone();
+        let mut request = client.request(method, url);
+        for (name, value) in &call.headers {
+            let name =
+                HeaderName::from_bytes(name.as_bytes()).map_err(|e| invalid(e.to_string()))?;
+            let value = HeaderValue::from_str(value).map_err(|e| invalid(e.to_string()))?;
+            request.headers_mut().append(name, value);
         }
-        broken(error.to_string())
-    })?;
-    Ok(Answer {
-        status: response.status().as_u16(),
-        headers,
-        body,
-        load: cardamomshed_wire::Load::default(),
-        level: OPEN,
-        tokens: 0,
-    })
+        let left = node.clock.left(live.context.deadline).as_millis();
+        let request = request
+            .insert_header((CONTEXT_HEADER, live.token.to_string()))
+            .insert_header((REQUEST_HEADER, call.request.to_string()))
+            .insert_header((ACCOUNT_HEADER, &*call.account))
+            .insert_header((TIMEOUT_HEADER, left.to_string()));
+        let mut response = request
+            .send_body(body)
+            .await
+            .map_err(|error| send_failure(&error))?;
+        let limit = node.lookup().config.limits.body.get();
+        let headers = crate::http::head::end_to_end(response.headers());
+        let broken = |detail: String| Refused::unknown(Code::TargetFailed, detail, 0);
+        let body = response.body().limit(limit).await.map_err(|error| {
+            if matches!(error, awc::error::PayloadError::Overflow) {
+                return Refused::unknown(Code::AnswerTooLarge, "", 0);
+            }
+            broken(error.to_string())
+        })?;
+        Ok(Answer {
+            status: response.status().as_u16(),
+            headers,
+            body,
+            load: cardamomshed_wire::Load::default(),
+            level: OPEN,
+            tokens: 0,
+        })
+    }
 }
 
 fn send_failure(error: &SendRequestError) -> Refused {
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -36,6 +36,8 @@
     pub limits: Limits,
 }
 
+/// Most lender slots of each failure domain.
+const MAX_LENDER_SLOTS: u16 = 512;
 /// Smallest burst, in requests.
 const MIN_BURST: f64 = 2.0;
 /// Smallest burst, in seconds of the rate.
@@ -276,9 +278,12 @@
 }
 
 fn check_limits(limits: &Limits) -> Result<(), Misfit> {
+    let wrong = |detail| Err(misfit("limits", "", 0, Code::FigureRange, detail));
     if limits.depth == 0 || limits.depth > MAX_DEPTH {
-        let detail = "depth: 1 to 32";
-        return Err(misfit("limits", "", 0, Code::FigureRange, detail));
+        return wrong("depth: 1 to 32");
+    }
+    if limits.lender_slots == 0 || limits.lender_slots > MAX_LENDER_SLOTS {
+        return wrong("lender_slots: 1 to 512");
     }
     Ok(())
 }
--- a/crates/note/src/release.rs
+++ b/crates/note/src/release.rs
@@ -143,6 +143,9 @@
     pub depth: u8,
     /// Largest request or answer body.
     pub body: Size,
+    /// Lender slots of each failure domain, among whose holders the quota is
+    /// divided; about one for 16 daemons.
+    pub lender_slots: u16,
     /// What happens to keys that can no longer be confirmed.
     pub unconfirmed_keys: Unconfirmed,
     /// Time without confirmation after which that happens.
@@ -154,6 +157,7 @@
         Self {
             depth: 16,
             body: Size::from_bytes(4 * 1024 * 1024),
+            lender_slots: 2,
             unconfirmed_keys: Unconfirmed::Serve,
             unconfirmed_after: Length::from_millis(60_000),
         }
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -12,7 +12,7 @@
 mod wallet;
 
 pub use bucket::Bucket;
-pub use holders::{SLOTS_PER_DOMAIN, Slot, holders};
+pub use holders::{Slot, holders};
 pub use lender::{Lease, Lender};
 pub use wallet::{Spend, Wallet};
 
--- a/crates/policy/src/quota/holders.rs
+++ b/crates/policy/src/quota/holders.rs
@@ -11,8 +11,8 @@
 use super::{Bound, MILLION};
 use crate::key::hash;
 
-/// Lender slots of each failure domain.
-pub const SLOTS_PER_DOMAIN: u16 = 2;
+/// Most slots that one account's shares lie in.
+const MAX_HOLDERS: usize = 64;
 /// Smallest burst of one share.
 const MIN_BURST: f64 = 8.0;
 
@@ -25,16 +25,22 @@
     pub number: u16,
 }
 
-/// Slots that hold a share of the account, and the size of each share.
-pub fn holders(account: &str, bound: Bound, domains: &[Arc<str>]) -> (Vec<Slot>, Bound) {
+/// Slots that hold a share of the account, and the size of each share. Each
+/// failure domain has `per_domain` slots.
+pub fn holders(
+    account: &str,
+    bound: Bound,
+    domains: &[Arc<str>],
+    per_domain: u16,
+) -> (Vec<Slot>, Bound) {
     let slots = domains.iter().flat_map(|domain| {
-        (0..SLOTS_PER_DOMAIN).map(|number| Slot {
+        (0..per_domain).map(|number| Slot {
             domain: Arc::clone(domain),
             number,
         })
     });
     let mut slots = slots.collect::<Vec<_>>();
-    let most = slots.len().max(1);
+    let most = slots.len().clamp(1, MAX_HOLDERS);
     let count = ((bound.burst / MIN_BURST) as usize).clamp(1, most);
     if count < slots.len() {
         slots.sort_by_cached_key(|slot| weight(account, slot));
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -14,7 +14,6 @@
 use cardamomshed_platform::{Client, Expect};
 use cardamomshed_policy::Priority;
 use cardamomshed_policy::member::Record;
-use cardamomshed_policy::quota::SLOTS_PER_DOMAIN;
 
 use crate::naive::Naive;
 use crate::peer::SECRET;
@@ -290,6 +289,40 @@
         }
     }
 
+    /// A note of this name that changes nothing yet.
+    pub fn blank_note(&self, note: &str) -> Note {
+        Note {
+            note: name(note),
+            routes: Section::default(),
+            accounts: Section::default(),
+            keys: Section::default(),
+            limits: None,
+            ..self.first_note()
+        }
+    }
+
+    /// A note that adds a small account of this name.
+    ///
+    /// # Panics
+    ///
+    /// When the name is not valid.
+    pub fn account_note(&self, account: &str) -> Note {
+        let mut note = self.blank_note(&format!("add-{account}"));
+        note.accounts.add.push(Account {
+            name: name(account),
+            rate: PerSecond::try_from("5/s".to_owned()).expect("a valid rate"),
+            burst: 10,
+        });
+        note
+    }
+
+    /// A note that withdraws a key.
+    pub fn withdrawal_note(&self, key: &str) -> Note {
+        let mut note = self.blank_note(&format!("withdraw-{key}"));
+        note.keys.withdraw.push(name(key));
+        note
+    }
+
     /// Writes the next release note to the platform.
     ///
     /// # Panics
@@ -368,7 +401,7 @@
     /// lenders to ask for quota.
     fn is_ready(&self, node: &Node) -> bool {
         let (targets, revision, lenders) = readiness(node);
-        let slots = usize::from(SLOTS_PER_DOMAIN);
+        let slots = usize::from(node.lookup().config.limits.lender_slots);
         targets == self.daemons.len()
             && revision == self.platform.rows("notes") as u64
             && lenders == self.shape.domains.len() * slots
