--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -37,6 +37,9 @@
 const DRAWS: usize = 6;
 /// Load of a target, in limits, above which a farther tier is considered.
 const SPILL_ABOVE: f64 = 1.5;
+/// The same for the slow link, which is paid by volume: not for a burst, only
+/// for a queue that the nearer targets cannot serve soon.
+const REMOTE_ABOVE: f64 = 4.0;
 /// Load of a farther target, in limits, below which it is taken instead.
 const SPILL_BELOW: f64 = 0.8;
 /// Age at which a reported load says nothing any more.
@@ -180,7 +183,12 @@
             let Some(found) = self.choose_in(tier, exclude, random, now) else {
                 continue;
             };
-            let taken = best.is_none_or(|near| near.load > SPILL_ABOVE && found.load < SPILL_BELOW);
+            let above = match tier {
+                Tier::Remote => REMOTE_ABOVE,
+                Tier::Domain | Tier::Region => SPILL_ABOVE,
+            };
+            let spills = |near: Choice| near.load > above && found.load < SPILL_BELOW;
+            let taken = best.is_none_or(spills);
             if taken {
                 best = Some(found);
             }
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -58,6 +58,20 @@
     assert_eq!(reach(&mut balancer, region, 100, now), 100);
 }
 
+#[test]
+fn burst_stays_near() {
+    let now = Moment::from_millis(1);
+    let (mut balancer, keys) = local(2);
+    let far = balancer.insert(Tier::Remote, 10, now);
+    for (running, waiting, remote) in [(10, 20, 0), (10, 50, 100)] {
+        for key in &keys {
+            balancer.started(*key, now);
+            balancer.finished(*key, Outcome::Answered, Some(load(running, waiting)), now);
+        }
+        assert_eq!(reach(&mut balancer, far, 100, now), remote);
+    }
+}
+
 #[test]
 fn busy_avoided() {
     let now = Moment::from_millis(1);
--- a/crates/standin/benches/overload.rs
+++ b/crates/standin/benches/overload.rs
@@ -117,8 +117,7 @@
         let capacity = measured_capacity(&fleet, seed);
         for factor in [1.0, 2.0, 5.0, 10.0] {
             let run = Run::calm(&fleet, seed);
-            // Half as much as the capacity at "1x", which is the offered load
-            // that a deployment is built for.
+            // "1x" is 70 % of the capacity: what a deployment is built for.
             let offered = if factor > 1.0 {
                 capacity * factor
             } else {
