Remove what nothing calls, and work from hot paths

The gate kept an index of arrivals for a figure that nobody read: two set updates for each waiting call. The lender counted demand that nobody took. The wallet was swept five times a second; the quota actor does it every two. Gone too: unused look-ups in history, names and wallet, and a wrapper of announce::publish. Behaviour is as before; all tests pass unchanged.

--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -207,6 +207,7 @@
     loop {
         set_shares(&node);
         let now = node.clock.now();
+        lock(&node.wallet).forget_idle(now);
         let due = now.since(renewed) >= length / RENEWALS;
         let holding = !lock(&node.lenders).is_empty();
         if !node.is_leaving() && (follower::is_poller(&node) || holding && due) {
@@ -326,7 +327,7 @@
             format_args!("slot={key} term={}", next.term),
         );
         set_shares(node);
-        publish(node);
+        announce::publish(node);
     }
     Ok(())
 }
@@ -376,15 +377,10 @@
     };
     if !lapsed.is_empty() {
         node.note_event(Event::ShareLapsed, format_args!("slots={lapsed:?}"));
-        publish(node);
+        announce::publish(node);
     }
 }
 
-/// Tells the fleet which slots this daemon holds.
-fn publish(node: &Arc<Node>) {
-    announce::publish(node);
-}
-
 /// Gives every slot back, so that another daemon need not wait out the lease.
 pub async fn give_back(node: &Arc<Node>) {
     let numbers = {
@@ -396,7 +392,7 @@
     if numbers.is_empty() {
         return;
     }
-    publish(node);
+    announce::publish(node);
     let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
     for number in numbers {
         let key = format!("{}-{number}", node.settings.domain);
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -153,7 +153,6 @@
         let now = node.clock.now();
         node.links.sessions.sweep(now);
         node.beside.tick();
-        crate::sync::lock(&node.wallet).forget_idle(now);
         if let Some(service) = node.beside.lapse(node.settings.timing.announce.get()) {
             node.note_event(Event::TargetLapsed, format_args!("service={service}"));
             crate::http::announce::publish(&node);
--- a/crates/daemon/src/history.rs
+++ b/crates/daemon/src/history.rs
@@ -41,11 +41,4 @@
         let behind = notes.iter().filter(|(revision, _)| *revision > after);
         Some(behind.cloned().collect())
     }
-
-    /// The newest notes, at most `count`, the newest last.
-    pub fn newest(&self, count: usize) -> Vec<(u64, Arc<Note>)> {
-        let notes = lock(&self.notes);
-        let skipped = notes.len().saturating_sub(count);
-        notes.iter().skip(skipped).cloned().collect()
-    }
 }
--- a/crates/note/src/lookup.rs
+++ b/crates/note/src/lookup.rs
@@ -28,12 +28,6 @@
     pub fn route(&self, name: &Arc<str>) -> RouteKey {
         RouteKey(intern(&self.routes, name))
     }
-
-    /// Name of a client account's key.
-    pub fn account_name(&self, key: AccountKey) -> Option<Arc<str>> {
-        let names = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
-        names.get_index(key.0 as usize).map(Arc::clone)
-    }
 }
 
 fn intern(names: &Mutex<IndexSet<Arc<str>>>, name: &Arc<str>) -> u32 {
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -252,13 +252,6 @@
         wait > MIN_LONG_WAIT.max(self.limit.service_time())
     }
 
-    /// Longest time that a call now in the queue has waited.
-    pub fn oldest_wait(&self, now: Moment) -> Duration {
-        self.queue
-            .oldest()
-            .map_or(Duration::ZERO, |since| now.since(since))
-    }
-
     /// Calls that may run at once: the adaptive limit, less what a cold
     /// start withholds.
     pub fn allowed(&self, now: Moment) -> u32 {
@@ -303,12 +296,8 @@
 
     fn latest_start(&self, offer: &Offer, now: Moment) -> Moment {
         let by_wait = now + self.config.max_wait;
-        let by_deadline = offer.deadline.as_micros()
-            - self
-                .limit
-                .service_time()
-                .as_micros()
-                .min(u128::from(offer.deadline.as_micros())) as u64;
+        let service_time = self.limit.service_time().as_micros() as u64;
+        let by_deadline = offer.deadline.as_micros().saturating_sub(service_time);
         by_wait.min(Moment::from_micros(by_deadline))
     }
 
@@ -344,7 +333,7 @@
         now: Moment,
         changes: &mut Vec<Change>,
     ) -> Verdict {
-        self.queue.push(offer, latest_start, now);
+        self.queue.push(offer, latest_start);
         self.start_waiting(now, changes);
         match changes
             .iter()
--- a/crates/policy/src/gate/queue.rs
+++ b/crates/policy/src/gate/queue.rs
@@ -22,7 +22,6 @@
     account: AccountKey,
     priority: Priority,
     latest_start: Moment,
-    arrived: Moment,
 }
 
 /// The waiting calls of one account in one priority.
@@ -53,7 +52,6 @@
     classes: [Class; Priority::ALL.len()],
     entries: HashMap<Ticket, Entry>,
     by_latest_start: BTreeSet<(Moment, Ticket)>,
-    by_arrival: BTreeSet<(Moment, Ticket)>,
     arrivals: u64,
 }
 
@@ -63,11 +61,6 @@
         self.entries.len()
     }
 
-    /// Arrival of the call that has waited longest.
-    pub(super) fn oldest(&self) -> Option<Moment> {
-        self.by_arrival.first().map(|(arrived, _)| *arrived)
-    }
-
     /// Calls of this priority or a higher one.
     pub(super) fn ahead_of(&self, priority: Priority) -> usize {
         self.classes[..=priority.index()]
@@ -77,12 +70,11 @@
     }
 
     /// Adds a call that is shed unless it starts by `latest_start`.
-    pub(super) fn push(&mut self, offer: Offer, latest_start: Moment, now: Moment) {
+    pub(super) fn push(&mut self, offer: Offer, latest_start: Moment) {
         self.arrivals += 1;
         let place = (u8::MAX - offer.depth, self.arrivals);
         self.classes[offer.priority.index()].push(offer.account, place, offer.ticket);
         self.by_latest_start.insert((latest_start, offer.ticket));
-        self.by_arrival.insert((now, offer.ticket));
         self.entries.insert(
             offer.ticket,
             Entry {
@@ -90,7 +82,6 @@
                 account: offer.account,
                 priority: offer.priority,
                 latest_start,
-                arrived: now,
             },
         );
     }
@@ -109,7 +100,6 @@
             return false;
         };
         self.by_latest_start.remove(&(entry.latest_start, ticket));
-        self.by_arrival.remove(&(entry.arrived, ticket));
         self.classes[entry.priority.index()].remove(entry.account, entry.place);
         true
     }
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -58,19 +58,6 @@
     /// holder counts on the earlier division any more.
     raise: Option<(Bound, Moment)>,
     bucket: Bucket,
-    /// Tokens asked for and not given since the last report.
-    unmet: u32,
-    /// Tokens given since the last report.
-    given: u32,
-}
-
-/// Demand at a lender since the last report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Demand {
-    /// Tokens given.
-    pub given: u32,
-    /// Tokens asked for and not given.
-    pub unmet: u32,
 }
 
 impl Lender {
@@ -98,8 +85,6 @@
             share,
             raise: None,
             bucket: Bucket::new(bound, 0.0, now),
-            unmet: 0,
-            given: 0,
         });
         if share.rate > entry.share.rate || share.burst > entry.share.burst {
             entry.raise.get_or_insert((share, now + RAISE_AFTER)).0 = share;
@@ -125,24 +110,7 @@
         if let Some((share, _)) = entry.raise.take_if(|(_, due)| *due <= now) {
             entry.set_share(share, now);
         }
-        let given = entry.bucket.take(wanted, now);
-        entry.given += given;
-        entry.unmet += wanted - given;
-        given
-    }
-
-    /// Demand for an account since the last call of this function.
-    pub fn take_demand(&mut self, account: AccountKey) -> Demand {
-        let Some(entry) = self.accounts.get_mut(&account) else {
-            return Demand::default();
-        };
-        let demand = Demand {
-            given: entry.given,
-            unmet: entry.unmet,
-        };
-        entry.given = 0;
-        entry.unmet = 0;
-        demand
+        entry.bucket.take(wanted, now)
     }
 }
 
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -124,16 +124,6 @@
         self.accounts
             .retain(|_, entry| now.since(entry.period_start) < IDLE);
     }
-
-    /// Accounts known.
-    pub fn len(&self) -> usize {
-        self.accounts.len()
-    }
-
-    /// Whether no account is known.
-    pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
 }
 
 impl Account {
