A raise of a share waits its own time, and ends when taken back

Found by reading the change again: a lender kept a pending raise when a later note took it back, and put it in force after all; and a second raise came into force with the first one's time. Both could add up to more than the account's bound.

New test withdrawn_raise_ends, red before.

--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -86,11 +86,18 @@
             raise: None,
             bucket: Bucket::new(bound, 0.0, now),
         });
-        if share.rate > entry.share.rate || share.burst > entry.share.burst {
-            entry.raise.get_or_insert((share, now + RAISE_AFTER)).0 = share;
-        } else if share != entry.share {
+        let kept = Bound {
+            rate: share.rate.min(entry.share.rate),
+            burst: share.burst.min(entry.share.burst),
+        };
+        if kept != entry.share {
+            entry.set_share(kept, now);
+        }
+        // Each raise waits its own time; one that is taken back ends.
+        if share == kept {
             entry.raise = None;
-            entry.set_share(share, now);
+        } else if entry.raise.is_none_or(|(pending, _)| pending != share) {
+            entry.raise = Some((share, now + RAISE_AFTER));
         }
     }
 
--- a/crates/policy/tests/all/quota_bound.rs
+++ b/crates/policy/tests/all/quota_bound.rs
@@ -143,6 +143,29 @@
     assert!(now + Lease::wait_out(LEASE) > woken);
 }
 
+#[test]
+fn withdrawn_raise_ends() {
+    let mut lender = Lender::default();
+    let now = Moment::from_millis(1);
+    lender.set_lease(Lease::granted(now, Duration::from_mins(10)));
+    let bound = |figure| Bound {
+        rate: figure,
+        burst: figure,
+    };
+    lender.set_share(ACCOUNT, bound(10.0), now);
+    // A raise that is taken back before it is in force must not come later.
+    lender.set_share(ACCOUNT, bound(1_000.0), now);
+    lender.set_share(ACCOUNT, bound(10.0), now + Duration::from_secs(1));
+    assert!(lender.lend(ACCOUNT, 1_000, now + Duration::from_secs(8)) <= 10);
+    assert!(lender.lend(ACCOUNT, 1_000, now + Duration::from_secs(9)) <= 10);
+    // A second raise waits its own time.
+    let start = now + Duration::from_secs(20);
+    lender.set_share(ACCOUNT, bound(20.0), start);
+    lender.set_share(ACCOUNT, bound(1_000.0), start + Duration::from_secs(5));
+    assert!(lender.lend(ACCOUNT, 1_000, start + Duration::from_secs(7)) <= 20);
+    assert!(lender.lend(ACCOUNT, 1_000, start + Duration::from_secs(8)) <= 20);
+}
+
 #[test]
 fn raised_share_waits() {
     let mut lender = Lender::default();
