--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -32,6 +32,7 @@
     ActorRestarted = 103, "a supervised actor was restarted";
     CertificateLoaded = 104, "certificate loaded";
     CertificateRejected = 105, "new certificate rejected; the earlier one stays in use";
+    ListenerFailed = 106, "a connection could not be accepted";
     RequestAccepted = 200, "request accepted at the ingress";
     RequestRefused = 201, "request refused at the ingress";
     RequestAnswered = 202, "request answered";
@@ -55,12 +56,15 @@
     TargetLapsed = 312, "target stopped announcing itself";
     TargetEjected = 313, "target ejected after failures";
     TargetRestored = 314, "ejected target admitted again";
+    HeartbeatRejected = 315, "registration call rejected; it names no target here";
     MemberJoined = 320, "member joined";
     MemberSuspected = 321, "member suspected";
     MemberFailed = 322, "member failed";
     MemberLeft = 323, "member left";
     NoteInForce = 400, "release note in force";
     NoteRejected = 401, "release note from the platform could not be applied";
+    ConfigInForce = 402, "configuration in force";
+    ConfigRejected = 403, "configuration from the platform could not be read";
     PlatformLost = 410, "platform unreachable";
     PlatformFound = 411, "platform reachable again";
     ShareLeased = 420, "quota share leased";
--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -2,6 +2,7 @@
 
 pub mod follower;
 pub mod gossip;
+mod operator;
 pub mod quota;
 pub mod root;
 mod seeds;
--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -34,6 +34,8 @@
 enum Row {
     Note(Arc<Note>),
     Config(Arc<Config>),
+    /// Configuration as the platform's operators wrote it.
+    Operator(Arc<str>),
 }
 
 /// Key of the row of a release note.
@@ -62,6 +64,9 @@
 
 /// Follows the release notes until the task is dropped.
 pub(super) async fn run(node: Arc<Node>) {
+    if node.settings.sidecar.is_some() {
+        return super::operator::run(node).await;
+    }
     let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
     let poll = node.settings.timing.poll.get();
     let mut lost = false;
@@ -147,7 +152,7 @@
 }
 
 /// Asks the member that has a newer note for it.
-fn ask_peer(node: &Arc<Node>) {
+pub(super) fn ask_peer(node: &Arc<Node>) {
     let Some(name) = lock(&node.newer_note).take() else {
         return;
     };
@@ -172,6 +177,9 @@
     if config.revision <= after {
         return Vec::new();
     }
+    if let Some(text) = lock(&node.operator_config).clone() {
+        return vec![(config.revision, encode(&Row::Operator(text)))];
+    }
     node.history.since(after).map_or_else(
         || vec![(config.revision, encode(&Row::Config(Arc::clone(&config))))],
         |notes| {
@@ -188,6 +196,14 @@
     match serde_json::from_slice::<Row>(row) {
         Ok(Row::Note(note)) => apply_row(node, &row_key(revision), &note),
         Ok(Row::Config(config)) => node.install(Arc::unwrap_or_clone(config)),
+        Ok(Row::Operator(text)) => {
+            if let Err(failure) = super::operator::receive(node, &text) {
+                node.note_event(
+                    Event::ConfigRejected,
+                    format_args!("from a peer: {failure}"),
+                );
+            }
+        }
         Err(error) => {
             node.note_event(Event::NoteRejected, format_args!("from a peer: {error}"));
         }
--- a/crates/daemon/src/actor/gossip.rs
+++ b/crates/daemon/src/actor/gossip.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// Tells the own failure domain that the configuration was confirmed.
+pub(super) fn tell_domain(node: &Node) {
+    let output = {
+        let mut fleet = lock(&node.fleet);
+        fleet.confirm(node.confirmed());
+        fleet.tell_domain(node.clock.now())
+    };
+    post(node, output);
+}
+
 fn log_change(node: &Node, change: &Change) {
     let event = match (change.before, change.record.state) {
         (None | Some(State::Failed | State::Left), State::Alive) => Event::MemberJoined,
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -14,6 +14,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout_at};
 
+mod ranked;
+
 use super::follower;
 use crate::http::announce;
 use crate::node::Node;
@@ -204,13 +206,16 @@
     let length = node.settings.timing.lease.get();
     let mut seen = HashMap::new();
     let mut renewed = node.clock.now();
+    let mut held_by_rank = ranked::Holding::default();
     loop {
         set_shares(&node);
         let now = node.clock.now();
         lock(&node.wallet).forget_idle(now);
         let due = now.since(renewed) >= length / RENEWALS;
         let holding = !lock(&node.lenders).is_empty();
-        if !node.is_leaving() && (follower::is_poller(&node) || holding && due) {
+        if node.settings.sidecar.is_some() {
+            held_by_rank.update(&node);
+        } else if !node.is_leaving() && (follower::is_poller(&node) || holding && due) {
             if due {
                 renewed = now;
             }
@@ -218,7 +223,11 @@
             let _ = look(&node, &client, &mut seen, due).await;
         }
         drop_lapsed(&node);
-        let pause = LOOK_EVERY.min(length / RENEWALS);
+        let pause = if node.settings.sidecar.is_some() {
+            ranked::LOOK_EVERY
+        } else {
+            LOOK_EVERY.min(length / RENEWALS)
+        };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = node.quota_wake.notified() => {}
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -36,6 +36,9 @@
     /// Whether it is about to stop.
     #[serde(default)]
     pub leaving: bool,
+    /// Identity of the incarnation, where the target has one.
+    #[serde(default)]
+    pub instance: Option<Arc<str>>,
 }
 
 /// What an announcement changed.
@@ -73,6 +76,8 @@
     ticket: Ticket,
     /// Where the target accepts HTTP.
     pub address: SocketAddr,
+    /// Identity of the target's incarnation.
+    pub instance: Option<Arc<str>>,
     /// Connections that the target accepts at once.
     pub connections: u32,
     /// Time that the call waited.
@@ -85,6 +90,8 @@
 pub struct Visitor<'a> {
     /// Service that it is for.
     pub service: &'a str,
+    /// Route of the call.
+    pub route: cardamomshed_policy::RouteKey,
     /// Everything the gate weighs, but the ticket.
     pub account: cardamomshed_policy::AccountKey,
     /// Priority of the root request.
@@ -113,7 +120,9 @@
         let mut target = lock(&self.target);
         let known = target.as_mut().filter(|known| {
             let old = &known.announcement;
-            old.service == announcement.service && old.address == announcement.address
+            old.service == announcement.service
+                && old.address == announcement.address
+                && old.instance == announcement.instance
         });
         if let Some(known) = known {
             known.announced = now;
@@ -130,8 +139,18 @@
         }
         let config = gate::Config::new(announcement.slots.min(announcement.connections))
             .cold_start(Duration::from_millis(announcement.cold_start_ms));
+        // The calls that an instance of the platform makes carry no mark of
+        // the call that made them.
+        let config = match announcement.instance {
+            Some(_) => config.fixed(),
+            None => config,
+        };
+        let mut gate = Gate::new(config, now);
+        if announcement.leaving {
+            gate.close();
+        }
         *target = Some(Target {
-            gate: Gate::new(config, now),
+            gate,
             steering: Steering::default(),
             announced: now,
             waiting: HashMap::new(),
@@ -212,6 +231,7 @@
         let ticket = Ticket(self.next_ticket.fetch_add(1, order));
         let offer = Offer {
             ticket,
+            route: visitor.route,
             account: visitor.account,
             priority: visitor.priority,
             depth: visitor.depth,
@@ -241,6 +261,7 @@
             beside: self,
             ticket,
             address: target.announcement.address,
+            instance: target.announcement.instance.clone(),
             connections: target.announcement.connections,
             waited: Duration::ZERO,
             own_time: None,
--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -118,8 +118,8 @@
         .any(|settled| settled.version == 0);
     if !unversioned && !repeats(&operations) {
         match client.transact(&operations).await {
-            Ok(versions) => {
-                for (waiting, version) in queue.claims.drain(..claims).zip(versions) {
+            Ok(version) => {
+                for waiting in queue.claims.drain(..claims) {
                     // A caller that is gone leaves its claim to be found open.
                     let _ = waiting.reply.send(Claimed::Mine(version));
                 }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use cardamomshed_policy::Moment;
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
 /// Moments since the start of the process, on the runtime's monotonic clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    /// Time for which the VM had been suspended at the origin.
+    suspended: Duration,
 }
 
 impl Clock {
@@ -16,6 +19,7 @@
     pub fn start() -> Self {
         Self {
             origin: Instant::now(),
+            suspended: suspended_since_boot(),
         }
     }
 
@@ -33,4 +37,24 @@
     pub fn left(&self, moment: Moment) -> Duration {
         moment.since(self.now())
     }
+
+    /// Time for which the VM was suspended since the origin; the monotonic
+    /// clock does not count it.
+    pub fn suspended(&self) -> Duration {
+        suspended_since_boot().saturating_sub(self.suspended)
+    }
+}
+
+/// Differences of the two clocks below this come from reading one after the
+/// other.
+const RESOLUTION: Duration = Duration::from_millis(5);
+
+fn suspended_since_boot() -> Duration {
+    let elapsed = |clock| Duration::try_from(clock_gettime(clock)).unwrap_or_default();
+    let monotonic = elapsed(ClockId::Monotonic);
+    let difference = elapsed(ClockId::Boottime).saturating_sub(monotonic);
+    if difference < RESOLUTION {
+        return Duration::ZERO;
+    }
+    difference
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use actix::{Actor, Addr};
-use actix_web::dev::ServerHandle;
 use anyhow::{Context as _, Result};
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_note::Settings;
@@ -16,7 +15,7 @@
 use crate::actor::root::{Parts, Root};
 use crate::actor::{Stop, gossip, quota};
 use crate::http::announce;
-use crate::http::server::{self, Listeners};
+use crate::http::server::{self, Listeners, Running as Listening};
 use crate::link::Links;
 use crate::node::{Channels, Node, Options};
 use crate::sync::lock;
@@ -26,6 +25,10 @@
 /// Time for which the announcement of leaving is given to arrive.
 const ANNOUNCE: Duration = Duration::from_millis(100);
 
+/// Time after which a daemon that says it is not ready gets no new requests:
+/// two of the platform's questions, one a second, and the way to it.
+const UNREADY: Duration = Duration::from_millis(2_400);
+
 /// State of a daemon that accepts requests.
 #[derive(Debug)]
 pub struct Running;
@@ -38,7 +41,7 @@
 #[derive(Debug)]
 pub struct Daemon<S> {
     node: Arc<Node>,
-    servers: Vec<ServerHandle>,
+    servers: Vec<Listening>,
     root: Addr<Root>,
     state: PhantomData<S>,
 }
@@ -64,6 +67,10 @@
             callers: server::bind(settings.callers)?,
             target: server::bind(settings.target)?,
             admin: server::bind(settings.admin)?,
+            ready: match &settings.sidecar {
+                Some(sidecar) => Some(server::bind(sidecar.ready)?),
+                None => None,
+            },
         };
         let peers = server::bind(settings.peers)?;
         let failed = |error: std::io::Error| Failure::new(Code::ListenFailed, error.to_string());
@@ -111,10 +118,6 @@
             socket: UdpSocket::from_std(self.gossip).context("gossip socket")?,
         };
         let servers = server::start(&node, self.listeners)?;
-        let handles = servers.iter().map(actix_web::dev::Server::handle).collect();
-        for server in servers {
-            actix_rt::spawn(server);
-        }
         let root = Root::new(Arc::clone(&node), parts).start();
         node.note_event(
             Event::DaemonStarted,
@@ -128,7 +131,7 @@
         );
         Ok(Daemon {
             node,
-            servers: handles,
+            servers,
             root,
             state: PhantomData,
         })
@@ -148,9 +151,16 @@
         let node = &self.node;
         node.note_event(Event::DaemonLeaving, format_args!(""));
         node.set_leaving();
-        node.beside.close();
-        announce::publish(node);
-        quota::give_back(node).await;
+        if node.settings.sidecar.is_some() {
+            // Others hear of it before calls on the way are refused.
+            announce::publish(node);
+            tokio::time::sleep(ANNOUNCE).await;
+            node.beside.close();
+        } else {
+            node.beside.close();
+            announce::publish(node);
+            quota::give_back(node).await;
+        }
         Daemon {
             node: self.node,
             servers: self.servers,
@@ -167,6 +177,10 @@
         let node = &self.node;
         let until = tokio::time::Instant::now() + node.settings.timing.drain.get();
         let mut idle = false;
+        if node.settings.sidecar.is_some() {
+            // Clients on this VM send on until the platform has asked twice.
+            tokio::time::sleep(UNREADY).await;
+        }
         while !idle && tokio::time::Instant::now() < until {
             tokio::time::sleep(LOOK_EVERY).await;
             idle = node.metrics.open.get() == 0
@@ -177,7 +191,7 @@
         gossip::post(node, output);
         tokio::time::sleep(ANNOUNCE).await;
         for server in &self.servers {
-            server.stop(true).await;
+            server.stop().await;
         }
         node.note_event(Event::DaemonStopped, format_args!("all_ended={idle}"));
         self.root.do_send(Stop);
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -130,6 +130,8 @@
         tokens: attempt.lent,
         depth: context.depth,
         service: route.service.to_text(),
+        route: route.name.to_text(),
+        repeatable: route.repeatable,
         method: parts.method.clone(),
         path: parts.path.clone(),
         headers: parts.headers.clone(),
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -2,7 +2,9 @@
 
 pub mod admin;
 pub mod announce;
+pub mod control;
 pub mod head;
 pub mod ingress;
+pub mod outbound;
 pub mod problem;
 pub mod server;
--- a/crates/daemon/src/http/announce.rs
+++ b/crates/daemon/src/http/announce.rs
@@ -46,7 +46,8 @@
     Ok(announcement)
 }
 
-fn take_in(node: &Arc<Node>, announcement: Announcement) {
+/// Puts an announcement in force.
+pub fn take_in(node: &Arc<Node>, announcement: Announcement) {
     let detail = format!(
         "service={} address={} slots={} connections={}",
         announcement.service, announcement.address, announcement.slots, announcement.connections
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -4,6 +4,7 @@
 use actix_web::http::Method;
 use actix_web::http::header::{self, HeaderMap};
 use cardamomshed_code::{Code, Failure};
+use cardamomshed_platform::header as platform;
 
 /// Largest request head in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -103,6 +104,28 @@
         .collect()
 }
 
+/// Fields of a platform request that travel on, with `Host` and without
+/// those that this system sets itself.
+pub fn platform_fields(headers: &HeaderMap) -> Vec<(String, String)> {
+    let mut fields = end_to_end(headers);
+    fields.retain(|(name, _)| !platform::SET_BY_SYSTEM.contains(&name.as_str()));
+    let kept = [header::HOST.as_str(), "idempotency-key"];
+    for name in kept {
+        if let Some(value) = text(headers, name) {
+            fields.push((name.to_owned(), value.to_owned()));
+        }
+    }
+    fields
+}
+
+/// End-to-end fields of a target's answer.
+pub fn answer_fields(mut fields: Vec<(String, String)>) -> Vec<(String, String)> {
+    fields.retain(|(name, _)| {
+        !DROPPED.contains(&name.as_str()) && !name.starts_with(OWN_PREFIX) && name != platform::LOAD
+    });
+    fields
+}
+
 /// The key that a caller presents.
 ///
 /// # Errors
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
+use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_note::{Access, Digest, Lookup, Unconfirmed};
 use cardamomshed_policy::admission::{self, Rank};
-use cardamomshed_policy::{AccountKey, Moment};
+use cardamomshed_policy::{AccountKey, Moment, Priority};
 use cardamomshed_wire::Request;
 use futures_util::StreamExt;
 
@@ -37,6 +38,11 @@
     Code::ClaimUnavailable,
 ];
 
+/// Part of the time within which a withdrawn key must have stopped working
+/// for which a confirmation of the configuration holds; the rest covers the
+/// way of a request and the clocks.
+const LEASE_SHARE: f64 = 0.85;
+
 /// A root request whose caller is known.
 struct Root {
     access: Access,
@@ -48,10 +54,10 @@
 
 /// Counts a root request that is open, also when its caller goes away and the
 /// handler is dropped.
-struct Open<'a>(&'a Node);
+pub(super) struct Open<'a>(&'a Node);
 
 impl<'a> Open<'a> {
-    fn new(node: &'a Node) -> Self {
+    pub(super) fn new(node: &'a Node) -> Self {
         node.metrics.open.inc();
         Self(node)
     }
@@ -266,14 +272,24 @@
 }
 
 /// Refuses keys that can no longer be confirmed, where the notes say so.
-fn check_confirmed(node: &Node, lookup: &Lookup) -> Result<(), Failure> {
-    let limits = &lookup.config.limits;
+pub(super) fn check_confirmed(node: &Node, lookup: &Lookup) -> Result<(), Failure> {
+    let (refuse, after) = match &node.settings.sidecar {
+        Some(sidecar) => (
+            sidecar.strict_keys,
+            sidecar.withdraw_within.get().mul_f64(LEASE_SHARE),
+        ),
+        None => {
+            let limits = &lookup.config.limits;
+            let refuse = limits.unconfirmed_keys == Unconfirmed::Refuse;
+            (refuse, limits.unconfirmed_after.get())
+        }
+    };
     if lookup.config.revision == 0 {
         let detail = "no release note has reached this daemon yet";
         return Err(Failure::new(Code::KeyUnconfirmed, detail));
     }
-    let age = node.clock.now().since(node.confirmed());
-    if limits.unconfirmed_keys == Unconfirmed::Refuse && age > limits.unconfirmed_after.get() {
+    let age = node.unconfirmed_for();
+    if refuse && age > after {
         let detail = format!("not confirmed for {} s", age.as_secs());
         return Err(Failure::new(Code::KeyUnconfirmed, detail));
     }
@@ -283,25 +299,33 @@
 /// Sheds before any hop spends work, then takes quota, so that a request
 /// that is shed costs its account nothing.
 async fn admit(node: &Arc<Node>, root: &Root) -> Result<Rank, Failure> {
-    let request = admission::Request {
-        route: root.access.key,
-        account: root.key,
-        priority: root.access.route.priority,
-        draw: rand::random(),
-    };
-    let admitted = lock(&node.admission).admit(&request, node.clock.now());
-    let Some(rank) = admitted else {
-        let detail = root.access.route.name.to_string();
-        return Err(Failure::new(Code::AdmissionShed, detail));
-    };
+    let priority = root.access.route.priority;
+    let rank = admit_rank(node, &root.access, root.key, priority)?;
     if !quota::take(node, &root.account, root.key).await {
         return Err(Failure::new(Code::QuotaExceeded, root.account.to_string()));
     }
     Ok(rank)
 }
 
+/// Gives the rank of an admitted request.
+pub(super) fn admit_rank(
+    node: &Node,
+    access: &Access,
+    account: AccountKey,
+    priority: Priority,
+) -> Result<Rank, Failure> {
+    let request = admission::Request {
+        route: access.key,
+        account,
+        priority,
+        draw: rand::random(),
+    };
+    let admitted = lock(&node.admission).admit(&request, node.clock.now());
+    admitted.ok_or_else(|| Failure::new(Code::AdmissionShed, access.route.name.to_string()))
+}
+
 /// Reads the whole body within its bounds.
-async fn collect(
+pub(super) async fn collect(
     node: &Arc<Node>,
     lookup: &Lookup,
     request: &HttpRequest,
@@ -354,7 +378,7 @@
     node.clock.now() + asked.min(longest)
 }
 
-fn path_of(request: &HttpRequest) -> String {
+pub(super) fn path_of(request: &HttpRequest) -> String {
     let uri = request.uri();
     uri.path_and_query()
         .map_or_else(|| uri.path().to_owned(), ToString::to_string)
@@ -400,7 +424,7 @@
     problem::response(id, refused, retry_after)
 }
 
-fn count(node: &Node, account: &str, outcome: &str) {
+pub(super) fn count(node: &Node, account: &str, outcome: &str) {
     node.metrics
         .requests
         .with_label_values(&[account, outcome])
@@ -409,17 +433,23 @@
 
 fn respond(id: Request, reply: &Reply) -> HttpResponse {
     match reply {
-        Reply::Answer(answer) => whole(id, answer),
+        Reply::Answer(answer) => {
+            let mut response = whole(answer);
+            if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+                let name = HeaderName::from_static(REQUEST_HEADER);
+                response.headers_mut().insert(name, value);
+            }
+            response
+        }
         Reply::Refused(refused) => problem::response(id, refused, None),
     }
 }
 
-fn whole(id: Request, answer: &Answer) -> HttpResponse {
+pub(super) fn whole(answer: &Answer) -> HttpResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
     for (name, value) in &answer.headers {
         response.append_header((name.as_str(), value.as_str()));
     }
-    response.insert_header((REQUEST_HEADER, id.to_string()));
     response.body(answer.body.clone())
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 pub mod directory;
 pub mod dispatch;
+pub mod exchange;
 pub mod history;
 pub mod http;
 pub mod link;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,7 +1,7 @@
-//! Structured logs on standard error.
+//! Structured logs on standard output.
 //!
 //! Lines are written by a thread of their own behind a bounded channel. When
-//! the reader of standard error is slow, lines are dropped and counted; a
+//! the reader of standard output is slow, lines are dropped and counted; a
 //! request never waits for its log line.
 
 use std::io;
@@ -20,13 +20,13 @@
     match form {
         LogForm::Off => Logger::root(slog::Discard, values),
         LogForm::Json => {
-            let drain = slog_json::Json::new(io::stderr())
+            let drain = slog_json::Json::new(io::stdout())
                 .add_default_keys()
                 .build();
             Logger::root(in_background(drain.fuse()), values)
         }
         LogForm::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(io::stdout());
             let drain = slog_term::FullFormat::new(decorator).build();
             Logger::root(in_background(drain.fuse()), values)
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,18 +1,20 @@
 //! What the parts of one daemon share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_note::{Config, Lookup, Names, Note, Settings};
-use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::{self, Admission};
 use cardamomshed_policy::member::{self, Fleet, Profile};
 use cardamomshed_policy::quota::{Lender, Wallet};
+use cardamomshed_policy::registration::Registration;
+use cardamomshed_policy::rotation::Rotation;
 use cardamomshed_policy::route::ByteBudget;
+use cardamomshed_policy::{Moment, RouteKey};
 use cardamomshed_wire::{Request, Secret};
 use slog::{Logger, info};
 use tokio::sync::{Notify, mpsc};
@@ -62,6 +64,13 @@
     pub history: History,
     /// Target beside this daemon.
     pub beside: Beside,
+    /// Incarnation of that target.
+    pub registration: Mutex<Registration>,
+    /// Turns of the services that share a route.
+    pub rotations: Mutex<HashMap<RouteKey, Rotation>>,
+    /// Newest configuration as the platform's operators wrote it, with keys
+    /// replaced by digests, for peers that are behind.
+    pub operator_config: Mutex<Option<Arc<str>>>,
     /// Call contexts that are valid.
     pub contexts: Contexts,
     /// Services and their targets.
@@ -165,6 +174,9 @@
             names: Names::default(),
             history: History::default(),
             beside: Beside::new(clock),
+            registration: Mutex::default(),
+            rotations: Mutex::default(),
+            operator_config: Mutex::default(),
             contexts: Contexts::default(),
             services: Services::new(settings.domain.to_text(), settings.region.to_text()),
             directory: Directory::default(),
@@ -230,26 +242,48 @@
         self.metrics
             .revision
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
-        self.confirm();
+        if self.settings.sidecar.is_none() {
+            self.confirm();
+        }
         self.quota_wake.notify_one();
         let output = lock(&self.fleet).set_head(revision, &mut rand::rng());
         crate::actor::gossip::post(self, output);
     }
 
+    /// The current moment of the clock that leases are measured on, which
+    /// counts the time for which this VM was suspended.
+    pub fn lease_now(&self) -> Moment {
+        self.clock.now() + self.clock.suspended()
+    }
+
     /// Notes that the configuration in force is the newest.
     pub fn confirm(&self) {
-        self.confirm_at(self.clock.now());
+        self.confirm_lease(self.lease_now());
     }
 
-    /// Notes that it was the newest at this moment.
+    /// Notes that it was the newest at this moment of the decisions' clock.
     pub fn confirm_at(&self, moment: Moment) {
+        self.confirm_lease(moment + self.clock.suspended());
+    }
+
+    /// Notes that it was the newest at this moment of the leases' clock.
+    pub fn confirm_lease(&self, moment: Moment) {
         self.confirmed_us
             .fetch_max(moment.as_micros(), Ordering::Relaxed);
     }
 
-    /// When the configuration in force was last known to be the newest.
+    /// When the configuration in force was last known to be the newest, on
+    /// the decisions' clock.
     pub fn confirmed(&self) -> Moment {
-        Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed))
+        let confirmed = Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed));
+        confirmed.before(self.clock.suspended())
+    }
+
+    /// Time since the configuration in force was last known to be the newest,
+    /// also where this VM was suspended meanwhile.
+    pub fn unconfirmed_for(&self) -> Duration {
+        let confirmed = Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed));
+        self.lease_now().since(confirmed)
     }
 
     /// Stops accepting requests.
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -4,16 +4,14 @@
 //! from other daemons, so that one HTTP client holds all connections to the
 //! target.
 
-use std::cell::RefCell;
+use std::fmt::Write as _;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
-use awc::http::Method;
-use awc::http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
-use cardamomshed_code::{Code, Event, Ran};
+use cardamomshed_code::{Code, Event};
+use cardamomshed_platform::{answer, header};
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::{Level, OPEN};
 use cardamomshed_wire::Call;
@@ -21,6 +19,7 @@
 
 use crate::beside::{Entry, Visitor};
 use crate::context::{Context, Live, Root};
+use crate::exchange::{Broken, Incoming, Outgoing, Pool};
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
 
@@ -33,9 +32,6 @@
 /// Header that carries the time left, in milliseconds, in both directions.
 pub const TIMEOUT_HEADER: &str = "x-shed-timeout-ms";
 
-/// Time for which an unused connection to the target is kept.
-const KEEP_ALIVE: Duration = Duration::from_secs(15);
-
 /// A call for the target. Dropping the receiver of `reply` cancels it.
 #[derive(Debug)]
 pub struct Job {
@@ -49,49 +45,15 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
-/// HTTP clients of the target; replaced when its connections went silent.
-#[derive(Clone)]
-struct Pool {
-    client: Rc<RefCell<awc::Client>>,
-    connect: Duration,
-}
-
-impl Pool {
-    fn new(connect: Duration) -> Self {
-        Self {
-            client: Rc::new(RefCell::new(Self::client(connect))),
-            connect,
-        }
-    }
-
-    fn client(connect: Duration) -> awc::Client {
-        let connector = awc::Connector::new()
-            .timeout(connect)
-            .conn_keep_alive(KEEP_ALIVE)
-            .limit(0);
-        awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish()
-    }
-
-    /// Stops using the connections opened so far.
-    fn renew(&self) {
-        self.client.replace(Self::client(self.connect));
-    }
-}
-
 /// Runs calls until every sender of jobs is gone.
 pub async fn run(node: Arc<Node>, jobs: &mut mpsc::UnboundedReceiver<Job>) {
-    let pool = Pool::new(node.settings.timing.connect.get());
+    let pool = Rc::new(Pool::default());
     while let Some(job) = jobs.recv().await {
-        actix_rt::spawn(serve(Arc::clone(&node), pool.clone(), job));
+        actix_rt::spawn(serve(Arc::clone(&node), Rc::clone(&pool), job));
     }
 }
 
-async fn serve(node: Arc<Node>, pool: Pool, mut job: Job) {
+async fn serve(node: Arc<Node>, pool: Rc<Pool>, mut job: Job) {
     let request = job.call.request;
     let finished = {
         let work = execute(&node, &pool, &job.call, job.body, job.deadline);
@@ -122,6 +84,7 @@
 ) -> Reply {
     let visitor = Visitor {
         service: &call.service,
+        route: node.names.route(&call.route),
         account: node.names.account(&call.account),
         priority: call.priority,
         depth: call.depth,
@@ -265,63 +228,114 @@
             return result;
         }
         // New connections may work where those in use went silent.
-        self.pool.renew();
+        self.pool.clear();
         let detail = format!("no answer within {} ms", left.as_millis());
         Err(Refused::unknown(Code::TargetSilent, detail, 0))
     }
 
     async fn exchange(&self, body: Bytes) -> Result<Answer, Refused> {
-        let (node, call, live) = (self.node, self.call, self.live);
-        let invalid = |detail: String| Refused::not_run(Code::BadRequest, detail, 0);
-        let method = Method::from_bytes(call.method.as_bytes())
-            .map_err(|error| invalid(error.to_string()))?;
-        let url = format!("http://{}{}", self.entry.address, call.path);
-        let client = self.pool.client.borrow().clone();
-        let mut request = client.request(method, url);
-        for (name, value) in &call.headers {
-            let name =
-                HeaderName::from_bytes(name.as_bytes()).map_err(|e| invalid(e.to_string()))?;
-            let value = HeaderValue::from_str(value).map_err(|e| invalid(e.to_string()))?;
-            request.headers_mut().append(name, value);
-        }
-        let left = node.clock.left(live.context.deadline).as_millis();
-        let request = request
-            .insert_header((CONTEXT_HEADER, live.token.to_string()))
-            .insert_header((REQUEST_HEADER, call.request.to_string()))
-            .insert_header((ACCOUNT_HEADER, &*call.account))
-            .insert_header((TIMEOUT_HEADER, left.to_string()));
-        let mut response = request
-            .send_body(body)
-            .await
-            .map_err(|error| send_failure(&error))?;
+        let (node, call) = (self.node, self.call);
+        let head = self.head(body.len())?;
+        let platform = node.settings.sidecar.is_some();
+        let request = Outgoing {
+            head: &head,
+            body: &body,
+            bodyless: call.method == "HEAD",
+            repeatable: call.repeatable,
+            identity: attempt(call).filter(|_| platform),
+        };
+        let connect = node.settings.timing.connect.get();
         let limit = node.lookup().config.limits.body.get();
-        let headers = crate::http::head::end_to_end(response.headers());
-        let broken = |detail: String| Refused::unknown(Code::TargetFailed, detail, 0);
-        let body = response.body().limit(limit).await.map_err(|error| {
-            if matches!(error, awc::error::PayloadError::Overflow) {
-                return Refused::unknown(Code::AnswerTooLarge, "", 0);
-            }
-            broken(error.to_string())
-        })?;
+        let incoming = self
+            .pool
+            .exchange(self.entry.address, connect, &request, limit)
+            .await
+            .map_err(broken)?;
+        if platform {
+            check_answer(&incoming)?;
+        }
         Ok(Answer {
-            status: response.status().as_u16(),
-            headers,
-            body,
+            status: incoming.status,
+            headers: crate::http::head::answer_fields(incoming.headers),
+            body: incoming.body,
             load: cardamomshed_wire::Load::default(),
             level: OPEN,
             tokens: 0,
         })
     }
+
+    /// Method, path and header lines, up to the empty line.
+    fn head(&self, length: usize) -> Result<String, Refused> {
+        let (node, call, live) = (self.node, self.call, self.live);
+        let left = node.clock.left(live.context.deadline).as_millis();
+        let mut head = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
+        let mut line = |name: &str, value: &str| {
+            let fits = !value.contains(['\r', '\n']) && !name.contains(['\r', '\n', ':', ' ']);
+            if fits {
+                let _ = write!(head, "{name}: {value}\r\n");
+            }
+            fits
+        };
+        let mut fits = true;
+        for (name, value) in &call.headers {
+            fits &= line(name, value);
+        }
+        if node.settings.sidecar.is_some() {
+            fits &= line(header::DEADLINE, &left.to_string());
+            if let Some(instance) = &self.entry.instance {
+                fits &= line(header::EXPECTED_INSTANCE, instance);
+            }
+            if !call.account.is_empty() {
+                fits &= line(header::ACCOUNT, &call.account);
+            }
+        } else {
+            fits &= line("host", &self.entry.address.to_string());
+            fits &= line(CONTEXT_HEADER, &live.token.to_string());
+            fits &= line(REQUEST_HEADER, &call.request.to_string());
+            fits &= line(ACCOUNT_HEADER, &call.account);
+            fits &= line(TIMEOUT_HEADER, &left.to_string());
+        }
+        if length > 0 || !matches!(call.method.as_str(), "GET" | "HEAD" | "DELETE") {
+            fits &= line("content-length", &length.to_string());
+        }
+        if !fits || call.path.contains([' ', '\r', '\n']) {
+            return Err(Refused::not_run(Code::BadRequest, "an invalid field", 0));
+        }
+        head.push_str("\r\n");
+        Ok(head)
+    }
 }
 
-fn send_failure(error: &SendRequestError) -> Refused {
-    let ran = match error {
-        // Nothing was sent on a connection that was never made.
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Ran::No,
-        _ => Ran::Unknown,
-    };
-    Refused {
-        ran,
-        ..Refused::unknown(Code::TargetFailed, error.to_string(), 0)
+/// Field that names the request in the target's answer.
+fn attempt(call: &Call) -> Option<(&str, &str)> {
+    let mut fields = call.headers.iter();
+    let found = fields.find(|(name, _)| name == header::ATTEMPT);
+    found.map(|(name, value)| (name.as_str(), value.as_str()))
+}
+
+/// Tells answers of the target from refusals and from what is no answer.
+fn check_answer(incoming: &Incoming) -> Result<(), Refused> {
+    match answer::kind(incoming.status, &incoming.headers) {
+        answer::Kind::NotRun => {
+            let code = match incoming.status {
+                421 => Code::NoTarget,
+                _ => Code::QueueFull,
+            };
+            let detail = format!("the target answered {}", incoming.status);
+            Err(Refused::not_run(code, detail, 0))
+        }
+        answer::Kind::Unsigned if (200..300).contains(&incoming.status) => {
+            let detail = "a success without a signature";
+            Err(Refused::unknown(Code::TargetFailed, detail, 0))
+        }
+        answer::Kind::Signed | answer::Kind::Unsigned => Ok(()),
+    }
+}
+
+fn broken(broken: Broken) -> Refused {
+    match broken {
+        Broken::NotSent(detail) => Refused::not_run(Code::TargetFailed, detail, 0),
+        Broken::Sent(detail) => Refused::unknown(Code::TargetFailed, detail, 0),
+        Broken::TooLarge => Refused::unknown(Code::AnswerTooLarge, "", 0),
     }
 }
--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -28,6 +28,8 @@
 
 fn call(id: u64, length: u64) -> Call {
     Call {
+        route: "route".into(),
+        repeatable: false,
         id,
         request: Request::random(),
         account: "account-0".into(),
--- a/crates/daemon/tests/all/link_silence.rs
+++ b/crates/daemon/tests/all/link_silence.rs
@@ -99,6 +99,8 @@
 /// A call over the daemon's link to the fake.
 async fn call(node: &Arc<Node>, peer: &Peer, body: &'static str) -> Reply {
     let call = Call {
+        route: "route".into(),
+        repeatable: false,
         id: node.links.next_call(),
         request: Request::random(),
         account: "account-0".into(),
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -21,7 +21,7 @@
 const MAX_DEPTH: u8 = 32;
 
 /// The configuration in force at one revision.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Config {
     /// Number of release notes merged; it never falls.
@@ -32,10 +32,35 @@
     pub accounts: IndexMap<Arc<str>, Account>,
     /// Granted keys by name. Each refers to an account in `accounts`.
     pub keys: IndexMap<Arc<str>, Grant>,
+    /// Whether requests need a key, but on open routes.
+    #[serde(default = "yes")]
+    pub keyed: bool,
+    /// Connections that each target of a service accepts; a service that is
+    /// left out has no limit but its slots.
+    #[serde(default)]
+    pub connections: IndexMap<Arc<str>, u32>,
     /// Limits that hold everywhere.
     pub limits: Limits,
 }
 
+const fn yes() -> bool {
+    true
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            routes: IndexMap::new(),
+            accounts: IndexMap::new(),
+            keys: IndexMap::new(),
+            keyed: true,
+            connections: IndexMap::new(),
+            limits: Limits::default(),
+        }
+    }
+}
+
 /// Most lender slots of each failure domain.
 const MAX_LENDER_SLOTS: u16 = 512;
 /// Smallest burst, in requests.
--- a/crates/note/src/figure.rs
+++ b/crates/note/src/figure.rs
@@ -36,6 +36,11 @@
         Self(Duration::from_millis(millis))
     }
 
+    /// A length of time.
+    pub const fn new(length: Duration) -> Self {
+        Self(length)
+    }
+
     /// The length.
     pub const fn get(self) -> Duration {
         self.0
@@ -43,6 +48,11 @@
 }
 
 impl PerSecond {
+    /// A rate, a second.
+    pub const fn new(rate: f64) -> Self {
+        Self(rate)
+    }
+
     /// The rate, a second.
     pub const fn get(self) -> f64 {
         self.0
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -20,6 +20,6 @@
 pub use figure::{Length, PerSecond, Size};
 pub use lookup::{Access, Lookup, Names};
 pub use name::Name;
-pub use release::{Account, Grant, Limits, Note, Route, Section, Unconfirmed};
-pub use settings::{LogForm, Settings, Timing, Tls};
+pub use release::{Account, Grant, Limits, Note, Route, Section, Share, Unconfirmed};
+pub use settings::{LogForm, Settings, Sidecar, Timing, Tls};
 pub use yaml::{MAX_FILE, parse, read};
--- a/crates/note/src/lookup.rs
+++ b/crates/note/src/lookup.rs
@@ -45,6 +45,27 @@
     pub key: RouteKey,
     /// The route.
     pub route: Arc<Route>,
+    /// The route to each of the services that share it, with their weights;
+    /// empty where one service has it whole.
+    pub shares: Vec<(f64, Arc<Route>)>,
+}
+
+impl Access {
+    fn new(route: &Route, names: &Names) -> Self {
+        let shares = route.shares.iter().map(|share| {
+            let service = share.service.clone();
+            let route = Route {
+                service,
+                ..route.clone()
+            };
+            (share.weight, Arc::new(route))
+        });
+        Self {
+            key: names.route(&route.name.to_text()),
+            shares: shares.collect(),
+            route: Arc::new(route.clone()),
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -59,20 +80,26 @@
 pub struct Lookup {
     /// The configuration itself.
     pub config: Arc<Config>,
+    /// Routes without a host, by path without a slash at its end.
     routes: HashMap<Arc<str>, Access>,
+    /// Routes of each host, by path as it is declared.
+    hosts: HashMap<Arc<str>, HashMap<Arc<str>, Access>>,
     holders: HashMap<Digest, Holder>,
 }
 
 impl Lookup {
     /// Prepares a configuration.
     pub fn new(config: Config, names: &Names) -> Self {
-        let routes = config.routes.values().map(|route| {
-            let access = Access {
-                key: names.route(&route.name.to_text()),
-                route: Arc::new(route.clone()),
+        let mut routes = HashMap::new();
+        let mut hosts = HashMap::<_, HashMap<_, _>>::new();
+        for route in config.routes.values() {
+            let access = Access::new(route, names);
+            let among = match &route.host {
+                None => &mut routes,
+                Some(host) => hosts.entry(Arc::clone(host)).or_default(),
             };
-            (Arc::clone(&route.path), access)
-        });
+            among.insert(Arc::clone(&route.path), access);
+        }
         let holders = config.keys.values().map(|grant| {
             let holder = Holder {
                 digest: grant.digest,
@@ -82,7 +109,8 @@
             (grant.digest, holder)
         });
         Self {
-            routes: routes.collect(),
+            routes,
+            hosts,
             holders: holders.collect(),
             config: Arc::new(config),
         }
@@ -110,6 +138,15 @@
         }
     }
 
+    /// Route of this host with the longest path, ending with a slash, with
+    /// which `path` begins.
+    pub fn host_route(&self, host: &str, path: &str) -> Option<&Access> {
+        let routes = self.hosts.get(host)?;
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        let ends = path.rmatch_indices('/').map(|(place, _)| place + 1);
+        ends.into_iter().find_map(|end| routes.get(&path[..end]))
+    }
+
     /// Client account whose key has this digest.
     pub fn holder(&self, digest: &Digest) -> Option<(&Arc<str>, AccountKey)> {
         let holder = self.holders.get(digest)?;
--- a/crates/note/src/name.rs
+++ b/crates/note/src/name.rs
@@ -17,6 +17,11 @@
 pub struct Name(Arc<str>);
 
 impl Name {
+    /// A name that another system gave, whatever characters it has.
+    pub fn foreign(text: &Arc<str>) -> Self {
+        Self(Arc::clone(text))
+    }
+
     /// Shares the text.
     pub fn to_text(&self) -> Arc<str> {
         Arc::clone(&self.0)
--- a/crates/note/src/release.rs
+++ b/crates/note/src/release.rs
@@ -73,10 +73,17 @@
 pub struct Route {
     /// Unique name.
     pub name: Name,
+    /// Host of the requests, in lower case; left out, any host.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<Arc<str>>,
     /// Path prefix, whole segments only; the longest that matches wins.
     pub path: Arc<str>,
     /// Service that serves it.
     pub service: Name,
+    /// Services that serve it in proportion to their weights, instead of
+    /// `service`; empty for one service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<Share>,
     /// How important its requests are.
     pub priority: Priority,
     /// Whether a request may run more than once.
@@ -84,6 +91,9 @@
     pub repeatable: bool,
     /// Longest time from accepting a request to its answer.
     pub timeout: Length,
+    /// Time within which an answer is worth most to the caller.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective: Option<Length>,
     /// Attempts beyond the first, over the whole call chain.
     #[serde(default)]
     pub retries: u8,
@@ -93,6 +103,20 @@
     /// Whether only targets may call it, not callers.
     #[serde(default)]
     pub internal: bool,
+    /// Whether requests need no key.
+    #[serde(default)]
+    pub open: bool,
+}
+
+/// A service's part of a route.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// The service.
+    pub service: Name,
+    /// Part of the requests, beside the weights of the other services.
+    pub weight: f64,
 }
 
 /// A client account.
@@ -106,6 +130,12 @@
     pub rate: PerSecond,
     /// Requests that may come at once over the whole fleet.
     pub burst: u32,
+    /// Whether rate and burst are without effect.
+    #[serde(default)]
+    pub unlimited: bool,
+    /// Goes before the priority of the routes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<Priority>,
 }
 
 /// A key granted to a client account.
@@ -141,6 +171,12 @@
 pub struct Limits {
     /// Longest call chain.
     pub depth: u8,
+    /// Largest request head.
+    pub head: Size,
+    /// Time that a caller has to send a request head.
+    pub head_timeout: Length,
+    /// Time for which a caller's unused connection is kept.
+    pub idle: Length,
     /// Largest request or answer body.
     pub body: Size,
     /// Lender slots of each failure domain, among whose holders the quota is
@@ -156,6 +192,9 @@
     fn default() -> Self {
         Self {
             depth: 16,
+            head: Size::from_bytes(16 * 1024),
+            head_timeout: Length::from_millis(5_000),
+            idle: Length::from_millis(75_000),
             body: Size::from_bytes(4 * 1024 * 1024),
             lender_slots: 2,
             unconfirmed_keys: Unconfirmed::Serve,
--- a/crates/note/src/settings.rs
+++ b/crates/note/src/settings.rs
@@ -34,6 +34,11 @@
     pub platform: Arc<str>,
     /// Every failure domain of the deployment; quota is divided among them.
     pub domains: Vec<Name>,
+    /// The target beside this daemon, where the platform's registration
+    /// calls and requests are served; left out, targets announce themselves
+    /// over this project's own interface.
+    #[serde(default)]
+    pub sidecar: Option<Sidecar>,
     /// TLS towards callers; left out, callers are served in plain.
     #[serde(default)]
     pub tls: Option<Tls>,
@@ -51,6 +56,33 @@
     pub log: LogForm,
 }
 
+/// The target beside this daemon, as the platform tells it, and the bounds
+/// that the platform sets.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sidecar {
+    /// Service that the target serves.
+    pub service: Arc<str>,
+    /// Where the target accepts requests.
+    pub address: SocketAddr,
+    /// Where the platform asks whether this daemon takes requests.
+    pub ready: SocketAddr,
+    /// Whether requests with a key that cannot be confirmed are refused.
+    pub strict_keys: bool,
+    /// Time from the withdrawal of a key to the last request that it opens.
+    pub withdraw_within: Length,
+    /// Time that a process has from SIGTERM to its end.
+    pub grace: Length,
+    /// Retries of a service as a share of the requests for it, over the
+    /// fleet.
+    pub retry_ratio: f64,
+    /// Retries over the fleet beyond that share in one window.
+    pub retry_slack: f64,
+    /// Window of the retry budget.
+    pub retry_window: Length,
+}
+
 /// TLS towards callers. Both files are read again when they change.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -62,7 +94,7 @@
     pub private_key: PathBuf,
 }
 
-/// Form of the log on standard error.
+/// Form of the log on standard output.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -159,7 +191,7 @@
                 format!("1:1: domain: `{}` is not listed in domains", self.domain),
             ));
         }
-        if !self.target.ip().is_loopback() {
+        if self.sidecar.is_none() && !self.target.ip().is_loopback() {
             return range("target: must be a loopback address");
         }
         if self.peers.ip().is_unspecified() || self.admin.ip().is_unspecified() {
--- a/crates/note/tests/all/note_merge.rs
+++ b/crates/note/tests/all/note_merge.rs
@@ -16,6 +16,8 @@
 
 fn change(place: usize, (account, what, burst): Step) -> Note {
     let entry = Account {
+        unlimited: false,
+        priority: None,
         name: name(account % 6),
         rate: PerSecond::try_from("1/s".to_owned()).expect("a valid rate"),
         burst: u32::from(burst) + 2,
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -15,7 +15,7 @@
 pub use limit::Limit;
 use queue::Queue;
 
-use crate::key::{AccountKey, Priority};
+use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
 
 /// Wait that is never long.
@@ -42,6 +42,8 @@
     pub max_wait: Duration,
     /// Estimate of the service time before any call has finished.
     pub first_estimate: Duration,
+    /// Whether the limit falls below the slots when the target slows down.
+    pub adaptive: bool,
 }
 
 impl Config {
@@ -52,9 +54,18 @@
             cold_start: Duration::ZERO,
             max_wait: Duration::from_millis(500),
             first_estimate: Duration::from_millis(10),
+            adaptive: true,
         }
     }
 
+    /// Keeps the limit at the slots, for a target whose own time cannot be
+    /// told from the time of the calls that it makes.
+    #[must_use]
+    pub const fn fixed(mut self) -> Self {
+        self.adaptive = false;
+        self
+    }
+
     /// Sets the time over which a cold target is given its slots.
     #[must_use]
     pub const fn cold_start(mut self, length: Duration) -> Self {
@@ -77,6 +88,8 @@
     pub ticket: Ticket,
     /// Whose call it is.
     pub account: AccountKey,
+    /// Route of the call; calls of one route take about the same time.
+    pub route: RouteKey,
     /// How important it is.
     pub priority: Priority,
     /// Hops between the caller and this call; deeper calls have cost more.
@@ -131,15 +144,22 @@
     pub service_time: Duration,
 }
 
+/// A call that runs.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    started: Moment,
+    route: RouteKey,
+}
+
 /// Admission beside one target.
 #[derive(Debug)]
 pub struct Gate {
     config: Config,
     limit: Limit,
     queue: Queue,
-    /// Start of each running call. `running.len()` never exceeds the limit
-    /// in force when the last of them started.
-    running: IndexMap<Ticket, Moment>,
+    /// Each running call. `running.len()` never exceeds the limit in force
+    /// when the last of them started.
+    running: IndexMap<Ticket, Running>,
     opened: Moment,
     closed: bool,
     /// When a call ended last, or the first of those that run started.
@@ -154,7 +174,7 @@
     pub fn new(config: Config, now: Moment) -> Self {
         Self {
             config,
-            limit: Limit::new(config.slots, config.first_estimate),
+            limit: Limit::new(config.slots, config.first_estimate, config.adaptive),
             queue: Queue::default(),
             running: IndexMap::new(),
             opened: now,
@@ -180,12 +200,11 @@
             return Verdict::Shed(Shed::Closed);
         }
         self.check_stalled(now, changes);
-        let service_time = self.limit.service_time();
-        if now + service_time > offer.deadline {
+        if now + self.limit.service_time_of(offer.route) > offer.deadline {
             return Verdict::Shed(Shed::Deadline);
         }
         if self.queue.len() == 0 && self.has_room(now) {
-            self.start(offer.ticket, now);
+            self.start(offer.ticket, offer.route, now);
             return Verdict::Run;
         }
         if self.stalled {
@@ -212,10 +231,11 @@
     ) {
         self.progress = now;
         self.stalled = false;
-        if let Some(started) = self.running.swap_remove(&ticket) {
-            let total = now.since(started);
+        if let Some(call) = self.running.swap_remove(&ticket) {
+            let total = now.since(call.started);
+            let running = self.running.len() as u32 + 1;
             self.limit
-                .observe(total, own_time, self.running.len() as u32 + 1, now);
+                .observe(call.route, total, own_time, running, now);
         }
         self.start_waiting(now, changes);
     }
@@ -267,11 +287,15 @@
         ((f64::from(limit) * warm).floor() as u32).clamp(1, limit)
     }
 
-    fn start(&mut self, ticket: Ticket, now: Moment) {
+    fn start(&mut self, ticket: Ticket, route: RouteKey, now: Moment) {
         if self.running.is_empty() {
             self.progress = now;
         }
-        self.running.insert(ticket, now);
+        let call = Running {
+            started: now,
+            route,
+        };
+        self.running.insert(ticket, call);
     }
 
     /// Notices that half the slots or more are taken and no call has ended for
@@ -285,7 +309,7 @@
             return;
         }
         self.stalled = true;
-        while let Some(ticket) = self.queue.pop() {
+        while let Some((ticket, _)) = self.queue.pop() {
             changes.push(Change::Shed(ticket, Shed::Stalled));
         }
     }
@@ -296,7 +320,7 @@
 
     fn latest_start(&self, offer: &Offer, now: Moment) -> Moment {
         let by_wait = now + self.config.max_wait;
-        let service_time = self.limit.service_time().as_micros() as u64;
+        let service_time = self.limit.service_time_of(offer.route).as_micros() as u64;
         let by_deadline = offer.deadline.as_micros().saturating_sub(service_time);
         by_wait.min(Moment::from_micros(by_deadline))
     }
@@ -319,7 +343,7 @@
     }
 
     fn shed_cause(&self, offer: &Offer, wait: Duration, now: Moment) -> Shed {
-        if now + wait + self.limit.service_time() > offer.deadline {
+        if now + wait + self.limit.service_time_of(offer.route) > offer.deadline {
             Shed::Deadline
         } else {
             Shed::Full
@@ -350,10 +374,10 @@
     fn start_waiting(&mut self, now: Moment, changes: &mut Vec<Change>) {
         self.queue.expire(now, changes);
         while self.has_room(now) {
-            let Some(ticket) = self.queue.pop() else {
+            let Some((ticket, route)) = self.queue.pop() else {
                 return;
             };
-            self.start(ticket, now);
+            self.start(ticket, route, now);
             changes.push(Change::Run(ticket));
         }
     }
--- a/crates/policy/src/gate/limit.rs
+++ b/crates/policy/src/gate/limit.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
+use crate::key::RouteKey;
 use crate::moment::Moment;
 
 /// Weight of one observation in the smoothed service time.
@@ -26,6 +29,12 @@
 #[derive(Clone, Debug)]
 pub struct Limit {
     slots: u32,
+    /// Whether the limit falls below the slots.
+    adaptive: bool,
+    /// Estimate for a route none of whose calls has finished, in seconds.
+    first_estimate: f64,
+    /// Smoothed time from start to end of a call by route, in seconds.
+    by_route: IndexMap<RouteKey, f64>,
     /// Within `[floor, slots]`.
     current: f64,
     /// Smoothed time from start to end of a call, in seconds.
@@ -40,10 +49,13 @@
 
 impl Limit {
     /// A limit that starts at all the slots.
-    pub fn new(slots: u32, first_estimate: Duration) -> Self {
+    pub fn new(slots: u32, first_estimate: Duration, adaptive: bool) -> Self {
         let slots = slots.max(1);
         Self {
             slots,
+            adaptive,
+            first_estimate: first_estimate.as_secs_f64(),
+            by_route: IndexMap::new(),
             current: f64::from(slots),
             total_time: first_estimate.as_secs_f64(),
             base_time: 0.0,
@@ -65,9 +77,16 @@
         Duration::from_secs_f64(self.total_time)
     }
 
+    /// Smoothed time from start to end of a call of this route.
+    pub fn service_time_of(&self, route: RouteKey) -> Duration {
+        let known = self.by_route.get(&route).copied();
+        Duration::from_secs_f64(known.unwrap_or(self.first_estimate))
+    }
+
     /// Takes in a finished call that ran beside `running - 1` others.
     pub fn observe(
         &mut self,
+        route: RouteKey,
         total: Duration,
         own_time: Option<Duration>,
         running: u32,
@@ -76,7 +95,13 @@
         let Some(own_time) = own_time else {
             return;
         };
-        self.total_time += SMOOTHING * (total.as_secs_f64() - self.total_time);
+        let seconds = total.as_secs_f64();
+        self.total_time += SMOOTHING * (seconds - self.total_time);
+        let estimate = self.by_route.entry(route).or_insert(seconds);
+        *estimate += SMOOTHING * (seconds - *estimate);
+        if !self.adaptive {
+            return;
+        }
         self.window_sum += own_time.as_secs_f64();
         self.window_count += 1;
         self.window_peak = self.window_peak.max(running);
--- a/crates/policy/src/gate/queue.rs
+++ b/crates/policy/src/gate/queue.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::{Change, Offer, Shed, Ticket};
-use crate::key::{AccountKey, Priority};
+use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
 
 /// Place of a call in its lane: deeper calls first, since they have cost
@@ -21,6 +21,7 @@
     place: Place,
     account: AccountKey,
     priority: Priority,
+    route: RouteKey,
     latest_start: Moment,
 }
 
@@ -81,17 +82,19 @@
                 place,
                 account: offer.account,
                 priority: offer.priority,
+                route: offer.route,
                 latest_start,
             },
         );
     }
 
     /// Takes the call whose turn it is.
-    pub(super) fn pop(&mut self) -> Option<Ticket> {
+    pub(super) fn pop(&mut self) -> Option<(Ticket, RouteKey)> {
         let class = self.classes.iter_mut().find(|class| class.waiting > 0)?;
         let ticket = class.serve()?;
+        let route = self.entries.get(&ticket)?.route;
         self.remove(ticket);
-        Some(ticket)
+        Some((ticket, route))
     }
 
     /// Takes out a call wherever it stands.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod member;
 pub mod moment;
 pub mod quota;
+pub mod registration;
 pub mod retry;
+pub mod rotation;
 pub mod route;
 
 pub use key::{AccountKey, Priority, RouteKey, ServiceKey, TargetKey};
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -211,6 +211,30 @@
         self.confirmed = self.confirmed.max(confirmed);
     }
 
+    /// Tells every member of the own failure domain what is in force here
+    /// and when it was known to be the newest.
+    pub fn tell_domain(&mut self, now: Moment) -> Output {
+        self.now = self.now.max(now);
+        let near = |member: &&Member| {
+            member.record.state.takes_part()
+                && member.record.profile.domain == self.own.profile.domain
+        };
+        let addresses = self.members.values().filter(near);
+        let addresses = addresses.map(|member| member.record.profile.gossip);
+        let packet = Packet {
+            records: Vec::new(),
+            ..self.status(Payload::Push)
+        };
+        let sends = addresses.map(|to| Send {
+            to,
+            packet: packet.clone(),
+        });
+        Output {
+            sends: sends.collect(),
+            ..Output::default()
+        }
+    }
+
     /// Takes in records from the platform's rows or from a full exchange.
     pub fn learn(&mut self, records: Vec<Record>, now: Moment) -> Output {
         let mut output = Output::default();
@@ -446,13 +470,21 @@
                 records.push(record.clone());
             }
         }
+        Packet {
+            records,
+            ..self.status(payload)
+        }
+    }
+
+    /// A packet without records.
+    fn status(&self, payload: Payload) -> Packet {
         Packet {
             sender: Arc::clone(&self.own.name),
             head: self.head,
             confirmed_ms: self.now.since(self.confirmed).as_millis() as u32,
             digest: self.full_digest(),
             payload,
-            records,
+            records: Vec::new(),
         }
     }
 }
--- a/crates/policy/src/moment.rs
+++ b/crates/policy/src/moment.rs
@@ -29,6 +29,13 @@
         self.0
     }
 
+    /// The moment this much earlier, at most the origin.
+    #[must_use]
+    pub fn before(self, length: std::time::Duration) -> Self {
+        let micros = u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Time from `earlier` to this moment, zero if `earlier` is later.
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -63,22 +63,35 @@
 /// Retry budget of one ingress towards one service.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
-    /// Retries at hand, within 0..=`CAPACITY`.
+    /// Retries at hand, within 0..=`capacity`.
     tokens: f64,
+    /// Largest budget saved up, in retries.
+    capacity: f64,
+    /// Share of successes that may be retried.
+    ratio: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
         Self {
             tokens: CAPACITY * 0.5,
+            capacity: CAPACITY,
+            ratio: RATIO,
         }
     }
 }
 
 impl Budget {
+    /// Changes the bounds; saved retries above the new capacity are lost.
+    pub const fn set_bounds(&mut self, ratio: f64, capacity: f64) {
+        self.ratio = ratio;
+        self.capacity = capacity;
+        self.tokens = self.tokens.min(capacity);
+    }
+
     /// Counts a success.
     pub const fn earn(&mut self) {
-        self.tokens = (self.tokens + RATIO).min(CAPACITY);
+        self.tokens = (self.tokens + self.ratio).min(self.capacity);
     }
 
     /// Spends a retry if the budget has one.
--- a/crates/policy/tests/all/gate_fairness.rs
+++ b/crates/policy/tests/all/gate_fairness.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Gate, Offer, Ticket, Verdict};
-use cardamomshed_policy::{AccountKey, Moment, Priority};
+use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
 
 /// Runs a gate of four slots with 10 ms calls for two seconds. `loads` gives
 /// each account's arrivals in a millisecond; the result, its finished calls.
@@ -32,6 +32,7 @@
                 next += 1;
                 owners.insert(next, account);
                 let offer = Offer {
+                    route: RouteKey(0),
                     ticket: Ticket(next),
                     account: AccountKey(account as u32),
                     priority: Priority::Normal,
--- a/crates/policy/tests/all/gate_order.rs
+++ b/crates/policy/tests/all/gate_order.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Gate, Offer, Shed, Ticket, Verdict};
-use cardamomshed_policy::{AccountKey, Moment, Priority};
+use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
 
 use crate::check;
 
@@ -14,6 +14,7 @@
 
 fn offer(ticket: u64, step: Step, now: Moment) -> Offer {
     Offer {
+        route: RouteKey(0),
         ticket: Ticket(ticket),
         account: AccountKey(u32::from(step.1 % 5)),
         priority: Priority::ALL[usize::from(step.2) % 4],
@@ -120,6 +121,7 @@
     let now = Moment::from_millis(1);
     let mut changes = Vec::new();
     let call = |ticket, priority| Offer {
+        route: RouteKey(0),
         ticket: Ticket(ticket),
         account: AccountKey(0),
         priority,
@@ -142,6 +144,7 @@
     let start = Moment::from_millis(1);
     let mut changes = Vec::new();
     let call = |ticket| Offer {
+        route: RouteKey(0),
         ticket: Ticket(ticket),
         account: AccountKey(0),
         priority: Priority::Normal,
@@ -179,6 +182,7 @@
     let mut gate = Gate::new(config, Moment::ZERO);
     let start = Moment::from_millis(1);
     let call = |ticket| Offer {
+        route: RouteKey(0),
         ticket: Ticket(ticket),
         account: AccountKey(0),
         priority: Priority::Normal,
@@ -222,6 +226,7 @@
     let mut gate = Gate::new(Config::new(8), Moment::ZERO);
     let start = Moment::from_millis(1);
     let call = |ticket| Offer {
+        route: RouteKey(0),
         ticket: Ticket(ticket),
         account: AccountKey(0),
         priority: Priority::Low,
--- a/crates/standin/benches/slopes/decision.rs
+++ b/crates/standin/benches/slopes/decision.rs
@@ -99,6 +99,7 @@
         let now = Moment::from_micros(u64::from(place) * 20);
         changes.clear();
         let offer = Offer {
+            route: RouteKey(0),
             ticket: Ticket(u64::from(place)),
             account: AccountKey(place % accounts),
             priority: Priority::Normal,
@@ -129,6 +130,8 @@
     for size in [256, 1_024, 4_096, 32_768] {
         let body = vec![b'x'; size];
         let call = Call {
+            route: "route".into(),
+            repeatable: false,
             id: 1_000_000,
             request: cardamomshed_wire::Request::random(),
             account: "account".into(),
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -130,6 +130,7 @@
             ..Timing::default()
         },
         log: LogForm::Off,
+        sidecar: None,
     }
 }
 
@@ -230,6 +231,10 @@
     /// When a name or figure of the shape is not valid.
     pub fn first_note(&self) -> Note {
         let route = |path: String, route: &str, service: &str, once: bool, internal: bool| Route {
+            host: None,
+            shares: Vec::new(),
+            objective: None,
+            open: false,
             name: name(route),
             path: path.into(),
             service: name(service),
@@ -259,6 +264,8 @@
         let once = format!("{first}-{ONCE}");
         routes.push(route(format!("/{first}/{ONCE}"), &once, first, true, false));
         let accounts = self.shape.accounts.iter().map(|account| Account {
+            unlimited: false,
+            priority: None,
             name: name(&account.name),
             rate: PerSecond::try_from(format!("{}/s", account.rate)).expect("a valid rate"),
             burst: account.burst,
@@ -309,6 +316,8 @@
     pub fn account_note(&self, account: &str) -> Note {
         let mut note = self.blank_note(&format!("add-{account}"));
         note.accounts.add.push(Account {
+            unlimited: false,
+            priority: None,
             name: name(account),
             rate: PerSecond::try_from("5/s".to_owned()).expect("a valid rate"),
             burst: 10,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{App, HttpResponse, HttpServer, web};
+use cardamomshed_platform::store::{self, RowsAnswer, Transaction};
 use cardamomshed_platform::{Expect, Operation};
 use serde::Deserialize;
 use serde_json::Value;
@@ -173,12 +174,28 @@
     /// Contents of a row.
     pub fn peek(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.state.lock();
-        state.tables.get(table, key).map(|row| row.value)
+        state.tables.get(table, key)
+    }
+
+    /// Writes a row as another system would.
+    pub fn write(&self, table: &str, key: &str, value: &Value) {
+        let operation = Operation::write(table, key, Expect::Any, value.clone());
+        let written = self
+            .state
+            .lock()
+            .tables
+            .transact(&Transaction::new(&[operation]));
+        debug_assert!(written.is_ok(), "a write without a condition");
+    }
+
+    /// Drops the history, so that every feed must start anew.
+    pub fn forget_history(&self) {
+        self.state.lock().tables.forget_history();
     }
 
     /// Rows of a table.
     pub fn rows(&self, table: &str) -> usize {
-        self.state.lock().tables.list(table, "", usize::MAX).len()
+        self.state.lock().tables.rows(table)
     }
 }
 
@@ -188,12 +205,14 @@
             .app_data(web::Data::new(state.clone()))
             .app_data(web::PayloadConfig::new(MAX_BODY))
             .app_data(web::JsonConfig::default().limit(MAX_BODY))
-            .route("/v1/tables/{table}/rows", web::get().to(list))
-            .route("/v1/tables/{table}/rows/{key}", web::get().to(get))
-            .route("/v1/tables/{table}/rows/{key}", web::put().to(put))
-            .route("/v1/transactions", web::post().to(transact))
-            .route("/v1/objects/{name}", web::get().to(object))
-            .route("/v1/objects/{name}", web::put().to(put_object))
+            .route(store::RANGE_PATH, web::get().to(range))
+            .route(store::FEED_PATH, web::get().to(feed))
+            .route(store::TRANSACT_PATH, web::post().to(transact))
+            .route(&object_path(store::GET_OBJECT_PATH), web::get().to(object))
+            .route(
+                &object_path(store::PUT_OBJECT_PATH),
+                web::put().to(put_object),
+            )
     })
     .workers(1)
     .disable_signals()
@@ -202,73 +221,85 @@
     .run()
 }
 
+fn object_path(base: &str) -> String {
+    format!("{base}/{{name}}")
+}
+
+/// A range of keys of one table.
 #[derive(Debug)]
 #[derive(Deserialize)]
-struct Page {
+struct Range {
+    table: String,
+    /// First key of the range.
     #[serde(default)]
-    after: String,
+    from: String,
+    /// First key behind the range.
+    #[serde(default)]
+    target: Option<String>,
+    #[serde(default = "page")]
     limit: usize,
 }
 
+const fn page() -> usize {
+    store::PAGE
+}
+
+/// A wait for changes of one table.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Wait {
+    table: String,
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
 type Handle = web::Data<Shared>;
 
-async fn list(state: Handle, table: web::Path<String>, page: web::Query<Page>) -> HttpResponse {
+async fn range(state: Handle, range: web::Query<Range>) -> HttpResponse {
     if let Err(outage) = state.admit(false).await {
         return outage;
     }
-    HttpResponse::Ok().json(state.lock().tables.list(&table, &page.after, page.limit))
+    let tables = &state.lock().tables;
+    HttpResponse::Ok().json(tables.range(
+        &range.table,
+        &range.from,
+        range.target.as_deref(),
+        range.limit.min(store::PAGE),
+    ))
 }
 
-async fn get(state: Handle, path: web::Path<(String, String)>) -> HttpResponse {
+async fn feed(state: Handle, wait: web::Query<Wait>) -> HttpResponse {
+    /// Time between two looks at the table.
+    const LOOK_EVERY: Duration = Duration::from_millis(5);
     if let Err(outage) = state.admit(false).await {
         return outage;
     }
-    match state.lock().tables.get(&path.0, &path.1) {
-        Some(row) => HttpResponse::Ok().json(row),
-        None => HttpResponse::NotFound().finish(),
-    }
-}
-
-async fn put(
-    state: Handle,
-    path: web::Path<(String, String)>,
-    request: HttpRequest,
-    value: web::Json<Value>,
-) -> HttpResponse {
-    if let Err(outage) = state.admit(true).await {
-        return outage;
+    let until = Instant::now() + Duration::from_millis(wait.wait_ms);
+    loop {
+        let changed = state.lock().tables.since(&wait.table, wait.after);
+        match changed {
+            None => return HttpResponse::Gone().finish(),
+            Some(answer) if !answer.rows.is_empty() || Instant::now() >= until => {
+                return HttpResponse::Ok().json(answer);
+            }
+            Some(_) => sleep(LOOK_EVERY).await,
+        }
     }
-    let headers = request.headers();
-    let version = headers
-        .get("if-match")
-        .and_then(|value| value.to_str().ok()?.parse().ok());
-    let expect = match version {
-        Some(version) => Expect::Version(version),
-        None if headers.contains_key("if-none-match") => Expect::Absent,
-        None => Expect::Any,
-    };
-    let (table, key) = path.into_inner();
-    let operation = Operation {
-        table,
-        key,
-        expect,
-        value: Some(value.into_inner()),
-    };
-    let written = state.lock().tables.transact(&[operation]);
-    state.answer_write(match written {
-        Some(versions) => HttpResponse::Ok().json(versions[0]),
-        None => HttpResponse::PreconditionFailed().finish(),
-    })
 }
 
-async fn transact(state: Handle, operations: web::Json<Vec<Operation>>) -> HttpResponse {
+async fn transact(state: Handle, transaction: web::Json<Transaction>) -> HttpResponse {
     if let Err(outage) = state.admit(true).await {
         return outage;
     }
-    let written = state.lock().tables.transact(&operations);
+    let written = state.lock().tables.transact(&transaction);
     state.answer_write(match written {
-        Some(versions) => HttpResponse::Ok().json(versions),
-        None => HttpResponse::PreconditionFailed().finish(),
+        Ok(version) => HttpResponse::Ok().json(RowsAnswer {
+            ver: version,
+            ..RowsAnswer::default()
+        }),
+        Err(current) => HttpResponse::PreconditionFailed().json(current),
     })
 }
 
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -4,72 +4,155 @@
 use std::ops::Bound;
 
 use bytes::Bytes;
-use cardamomshed_platform::{Expect, Operation, Row};
+use cardamomshed_platform::store::{self, Condition, RowsAnswer, Transaction, WireRow};
 use serde_json::Value;
 
+/// A row's version and its contents as the store carries them.
+#[derive(Clone, Debug)]
+struct Stored {
+    version: u64,
+    value: String,
+}
+
 /// Tables and objects.
 #[derive(Debug, Default)]
 pub(super) struct Tables {
-    by_name: HashMap<String, BTreeMap<String, (u64, Value)>>,
+    by_name: HashMap<String, BTreeMap<String, Stored>>,
     objects: HashMap<String, Bytes>,
-    /// Version of the last write; versions are never used twice.
+    /// Changes in order.
+    history: Vec<WireRow>,
+    /// Version up to which the history is forgotten.
+    forgotten: u64,
+    /// Version of the last transaction; versions are never used twice.
     version: u64,
 }
 
 impl Tables {
-    pub(super) fn get(&self, table: &str, key: &str) -> Option<Row> {
-        let (version, value) = self.by_name.get(table)?.get(key)?;
-        Some(Row {
-            key: key.to_owned(),
-            version: *version,
-            value: value.clone(),
-        })
+    pub(super) fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let stored = self.by_name.get(table)?.get(key)?;
+        Some(store::decode(&stored.value))
     }
 
-    pub(super) fn list(&self, table: &str, after: &str, limit: usize) -> Vec<Row> {
-        let Some(rows) = self.by_name.get(table) else {
-            return Vec::new();
-        };
-        let behind = (Bound::Excluded(after.to_owned()), Bound::Unbounded);
-        let rows = rows.range::<String, _>(behind).take(limit);
-        rows.map(|(key, (version, value))| Row {
-            key: key.clone(),
-            version: *version,
-            value: value.clone(),
-        })
-        .collect()
+    pub(super) fn rows(&self, table: &str) -> usize {
+        self.by_name.get(table).map_or(0, BTreeMap::len)
+    }
+
+    /// Up to `limit` rows from `from` on, before `target`.
+    pub(super) fn range(
+        &self,
+        table: &str,
+        from: &str,
+        target: Option<&str>,
+        limit: usize,
+    ) -> RowsAnswer {
+        let bounds = (
+            Bound::Included(from.to_owned()),
+            target.map_or(Bound::Unbounded, |target| {
+                Bound::Excluded(target.to_owned())
+            }),
+        );
+        let rows = self.by_name.get(table);
+        let mut rows = rows
+            .into_iter()
+            .flat_map(|rows| rows.range::<String, _>(bounds.clone()))
+            .map(|(key, stored)| WireRow {
+                table: table.to_owned(),
+                key: key.clone(),
+                value: stored.value.clone(),
+                ver: stored.version,
+                ..WireRow::default()
+            });
+        let page = rows.by_ref().take(limit).collect();
+        RowsAnswer {
+            rows: page,
+            more: rows.next().is_some(),
+            ver: self.version,
+        }
     }
 
-    /// Makes all the writes or none; gives the versions.
-    pub(super) fn transact(&mut self, operations: &[Operation]) -> Option<Vec<u64>> {
-        let met = |write: &Operation| {
-            let row = self
-                .by_name
-                .get(&write.table)
-                .and_then(|rows| rows.get(&write.key));
-            match write.expect {
-                Expect::Any => true,
-                Expect::Absent => row.is_none(),
-                Expect::Version(version) => row.is_some_and(|(found, _)| *found == version),
-            }
-        };
-        if !operations.iter().all(met) {
+    /// Changes of a table behind a version; `None` where they are forgotten.
+    pub(super) fn since(&self, table: &str, after: u64) -> Option<RowsAnswer> {
+        if after < self.forgotten {
             return None;
         }
-        let versions = operations.iter().map(|write| {
-            self.version += 1;
+        let behind = |row: &&WireRow| row.table == table && row.ver > after;
+        Some(RowsAnswer {
+            rows: self.history.iter().filter(behind).cloned().collect(),
+            more: false,
+            ver: self.version,
+        })
+    }
+
+    pub(super) fn forget_history(&mut self) {
+        self.history.clear();
+        self.forgotten = self.version;
+    }
+
+    /// Makes all the writes or none; gives the version, or the rows of the
+    /// precondition as they are.
+    pub(super) fn transact(&mut self, transaction: &Transaction) -> Result<u64, RowsAnswer> {
+        if !transaction
+            .precondition
+            .iter()
+            .all(|condition| self.holds(condition))
+        {
+            return Err(self.current(&transaction.precondition));
+        }
+        self.version += 1;
+        let version = self.version;
+        for write in &transaction.writes {
+            let value = write.value.clone().unwrap_or_default();
+            let stored = Stored {
+                version,
+                value: value.clone(),
+            };
+            let rows = self.by_name.entry(write.table.clone()).or_default();
+            rows.insert(write.key.clone(), stored);
+            self.note_change(&write.table, &write.key, value, false);
+        }
+        for write in &transaction.remove {
             let rows = self.by_name.entry(write.table.clone()).or_default();
-            match &write.value {
-                Some(value) => {
-                    rows.insert(write.key.clone(), (self.version, value.clone()));
-                }
-                None => {
-                    rows.remove(&write.key);
-                }
-            }
-            self.version
+            rows.remove(&write.key);
+            self.note_change(&write.table, &write.key, String::new(), true);
+        }
+        Ok(version)
+    }
+
+    fn note_change(&mut self, table: &str, key: &str, value: String, removed: bool) {
+        self.history.push(WireRow {
+            table: table.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            value,
+            ver: self.version,
+            removed,
         });
-        Some(versions.collect())
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        let stored = self
+            .by_name
+            .get(&condition.table)
+            .and_then(|rows| rows.get(&condition.key));
+        stored.map_or(0, |stored| stored.version) == condition.ver
+    }
+
+    fn current(&self, conditions: &[Condition]) -> RowsAnswer {
+        let rows = conditions.iter().filter_map(|condition| {
+            let stored = self.by_name.get(&condition.table)?.get(&condition.key)?;
+            Some(WireRow {
+                table: condition.table.clone(),
+                key: condition.key.clone(),
+                value: stored.value.clone(),
+                ver: stored.version,
+                ..WireRow::default()
+            })
+        });
+        RowsAnswer {
+            rows: rows.collect(),
+            more: false,
+            ver: self.version,
+        }
     }
 
     pub(super) fn object(&self, name: &str) -> Option<Bytes> {
--- a/crates/standin/tests/all/platform_rows.rs
+++ b/crates/standin/tests/all/platform_rows.rs
@@ -66,11 +66,14 @@
             .await;
         assert_eq!(failed.expect_err("b exists").code, Code::PlatformConflict);
         assert_eq!(client.get("t", "a").await, Ok(None));
-        let versions = client
+        let version = client
             .transact(&[write("a", Expect::Absent), write("c", Expect::Absent)])
             .await
             .expect("written");
-        assert_eq!(versions.len(), 2);
+        for key in ["a", "c"] {
+            let row = client.get("t", key).await.expect("read").expect("a row");
+            assert_eq!((row.version, row.value), (version, json!(1)));
+        }
         let listed = client.list("t", "a", 10).await.expect("listed");
         let keys = listed
             .iter()
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -15,7 +15,7 @@
 use crate::Request;
 
 /// Version of the link protocol.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// One message on a peer link.
 #[derive(Clone, Debug, PartialEq)]
@@ -149,6 +149,12 @@
     /// Service that is called.
     #[serde(rename = "s")]
     pub service: Arc<str>,
+    /// Route of the call, which tells calls of different cost apart.
+    #[serde(rename = "r")]
+    pub route: Arc<str>,
+    /// Whether the call may run more than once.
+    #[serde(rename = "z")]
+    pub repeatable: bool,
     /// HTTP method.
     #[serde(rename = "m")]
     pub method: String,
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -1,6 +1,7 @@
 //! The identity of a root request.
 
 use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::str::FromStr;
 
 use cardamomshed_code::{Code, Failure};
@@ -16,6 +17,17 @@
     pub fn random() -> Self {
         Self(rand::random(), rand::random())
     }
+
+    /// The identity that stands for a label which a client chose: its value
+    /// where it is a short hexadecimal number, a hash otherwise.
+    pub fn labelled(label: &str) -> Self {
+        if let Ok(value) = u64::from_str_radix(label, 16) {
+            return Self(0, value);
+        }
+        let mut hasher = DefaultHasher::new();
+        label.hash(&mut hasher);
+        Self(1, hasher.finish())
+    }
 }
 
 impl fmt::Display for Request {
--- a/crates/wire/tests/all/frame_codec.rs
+++ b/crates/wire/tests/all/frame_codec.rs
@@ -18,6 +18,8 @@
 #[expect(clippy::needless_pass_by_value, reason = "generated values are owned")]
 fn round_trips(id: u64, path: String, header: (String, String), body: Vec<u8>) -> bool {
     let call = Call {
+        route: "route".into(),
+        repeatable: false,
         id,
         request: Request::random(),
         account: "account".into(),
