--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -33,6 +33,8 @@
     CertificateLoaded = 104, "certificate loaded";
     CertificateRejected = 105, "new certificate rejected; the earlier one stays in use";
     ListenerFailed = 106, "a connection could not be accepted";
+    SettingsRead = 107, "settings read again";
+    SettingsRejected = 108, "changed settings rejected; those in force stay";
     RequestAccepted = 200, "request accepted at the ingress";
     RequestRefused = 201, "request refused at the ingress";
     RequestAnswered = 202, "request answered";
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -63,7 +63,7 @@
     loop {
         let arrived = node.tokens_arrived.notified();
         let spend = lock(&node.wallet).spend(account, node.clock.now());
-        ask(node, name, account);
+        ask(node, name, account, spend == Spend::Wait);
         match spend {
             Spend::Paid => return true,
             Spend::Dry => return false,
@@ -76,9 +76,9 @@
 }
 
 /// Asks a lender for tokens if the wallet is low.
-fn ask(node: &Arc<Node>, name: &Arc<str>, account: AccountKey) {
+fn ask(node: &Arc<Node>, name: &Arc<str>, account: AccountKey, waiting: bool) {
     let now = node.clock.now();
-    let wanted = lock(&node.wallet).ask(account, PATIENCE, now);
+    let wanted = lock(&node.wallet).ask(account, waiting, PATIENCE, now);
     if wanted > 0 {
         let Some(bound) = bound_of(node, name) else {
             return;
@@ -89,7 +89,10 @@
             tokens: 0,
             asked_us: now.as_micros(),
             validity_us: validity(bound).as_micros() as u64,
-            turn: 0,
+            turn: match node.settings.sidecar {
+                Some(_) => lock(&node.wallet).unanswered(account),
+                None => 0,
+            },
         };
         send_ask(node, ask);
     }
@@ -102,10 +105,7 @@
         ask.turn += 1;
         match lender {
             None => {
-                let account = node.names.account(&ask.account);
-                let until = node.clock.now() + DRY;
-                lock(&node.wallet).set_dry(account, until);
-                node.tokens_arrived.notify_waiters();
+                set_dry(node, &ask);
                 return;
             }
             Some(peer) if peer.node == node.name => {
@@ -114,6 +114,10 @@
                     take_in(node, &given);
                     return;
                 }
+                if node.settings.sidecar.is_some() {
+                    set_dry(node, &ask);
+                    return;
+                }
             }
             Some(peer) => {
                 node.links.send(node, &peer, Frame::AskTokens(ask));
@@ -123,6 +127,14 @@
     }
 }
 
+/// Notes that no lender has a token for this account.
+fn set_dry(node: &Node, ask: &Grant) {
+    let account = node.names.account(&ask.account);
+    let until = node.clock.now() + DRY;
+    lock(&node.wallet).set_dry(account, until);
+    node.tokens_arrived.notify_waiters();
+}
+
 /// Takes in a lender's answer.
 pub fn receive(node: &Arc<Node>, grant: &Grant) {
     if grant.tokens > 0 {
@@ -131,6 +143,11 @@
     }
     let now = node.clock.now();
     let asked = Moment::from_micros(grant.asked_us);
+    if node.settings.sidecar.is_some() {
+        // The first lender has the account whole.
+        set_dry(node, grant);
+        return;
+    }
     if now.since(asked) > PATIENCE {
         return;
     }
@@ -164,6 +181,9 @@
 /// The lender whose turn it is for an ask: the own failure domain first, then
 /// the region.
 fn lender_for(node: &Node, ask: &Grant) -> Option<Peer> {
+    if node.settings.sidecar.is_some() {
+        return ranked::lender(node, &ask.account, ask.turn);
+    }
     let lookup = node.lookup();
     let bound = lookup.config.accounts.get(&ask.account).map(bound)?;
     let per_domain = lookup.config.limits.lender_slots;
@@ -343,6 +363,10 @@
 
 /// Brings the shares held here in line with the configuration in force.
 fn set_shares(node: &Node) {
+    if node.settings.sidecar.is_some() {
+        ranked::set_shares(node);
+        return;
+    }
     let lookup = node.lookup();
     let domains = domains(node);
     let per_domain = lookup.config.limits.lender_slots;
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -5,16 +5,19 @@
 //! to a slot waits until the one before it can no longer serve requests with
 //! keys, and starts with no tokens.
 
+use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use cardamomshed_code::Event;
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::quota::Lease;
+use cardamomshed_policy::member::State;
+use cardamomshed_policy::quota::{Lease, MILLION};
 
 use crate::http::announce;
 use crate::node::Node;
+use crate::service::Peer;
 use crate::sync::lock;
 
 /// Time between two looks at the members.
@@ -24,6 +27,11 @@
 /// Time after a rise in rank at which the slots are taken over.
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Lender slots of each failure domain.
+const SLOTS: u16 = 1;
+/// Members whose part of a bound a lender hands out that is not the first.
+const STAND_IN_MEMBERS: u32 = 2;
+
 /// Since when this daemon's rank entitles it to each slot, by number.
 #[derive(Debug, Default)]
 pub(super) struct Holding {
@@ -34,7 +42,7 @@
     /// Takes over and gives up slots as the members are now.
     pub(super) fn update(&mut self, node: &Arc<Node>) {
         let now = node.clock.now();
-        let slots = usize::from(node.lookup().config.limits.lender_slots);
+        let slots = usize::from(SLOTS);
         let rank = rank(node);
         let live = members(node);
         self.risen.resize(slots, None);
@@ -71,6 +79,56 @@
     }
 }
 
+/// The lender to ask on this turn: the first by the account's own order, or a
+/// later one where those before did not answer.
+pub(super) fn lender(node: &Node, account: &str, turn: u8) -> Option<Peer> {
+    let held = node.directory.ranked(account);
+    let place = usize::from(turn).min(held.len().checked_sub(1)?);
+    held.get(place).map(|(_, lender)| lender.peer.clone())
+}
+
+/// Brings the shares held here in line with configuration and members.
+///
+/// The first lender of an account has its whole bound, less the part of the
+/// members that it has lost sight of, so that the parts of a cut fleet add
+/// up to the bound. Any other lends a little while the first is silent.
+pub(super) fn set_shares(node: &Node) {
+    let (live, known) = fleet_size(node);
+    let whole = MILLION / known * live;
+    let little = (MILLION / known * STAND_IN_MEMBERS).min(whole);
+    let lookup = node.lookup();
+    let now = node.clock.now();
+    let mut kept = HashSet::new();
+    let mut lenders = lock(&node.lenders);
+    for (name, account) in &lookup.config.accounts {
+        let key = node.names.account(name);
+        let first = node.directory.ranked(name).into_iter().next();
+        for (number, lender) in lenders.iter_mut() {
+            let home = first.as_ref().is_some_and(|(slot, holder)| {
+                slot.number == *number && holder.peer.node == node.name
+            });
+            let parts = if home { whole } else { little };
+            lender.set_share(key, super::bound(account).share(parts), now);
+        }
+        kept.insert(key);
+    }
+    for lender in lenders.values_mut() {
+        lender.retain(|account| kept.contains(&account));
+    }
+}
+
+/// Members that answer, and all that are remembered, this one among both.
+fn fleet_size(node: &Node) -> (u32, u32) {
+    let fleet = lock(&node.fleet);
+    let mut live = 1;
+    let mut known = 1;
+    for record in fleet.members() {
+        live += u32::from(record.state.takes_part());
+        known += u32::from(record.state != State::Left);
+    }
+    (live, known)
+}
+
 /// Members of the own failure domain, this one among them.
 fn members(node: &Node) -> usize {
     let fleet = lock(&node.fleet);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -171,28 +171,39 @@
 }
 
 impl Daemon<Leaving> {
+    /// Waits until no request is open; says whether that came in time.
+    async fn wait_idle(&self, until: tokio::time::Instant) -> bool {
+        let node = &self.node;
+        loop {
+            let idle = node.metrics.open.get() == 0
+                && node.beside.is_idle()
+                && node.links.sessions.is_idle();
+            if idle || tokio::time::Instant::now() >= until {
+                return idle;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
     /// Waits for open requests to end, up to the time in the settings, then
     /// stops. Says whether all of them ended.
     pub async fn stop(self) -> bool {
         let node = &self.node;
         let until = tokio::time::Instant::now() + node.settings.timing.drain.get();
-        let mut idle = false;
         if node.settings.sidecar.is_some() {
             // Clients on this VM send on until the platform has asked twice.
             tokio::time::sleep(UNREADY).await;
         }
-        while !idle && tokio::time::Instant::now() < until {
-            tokio::time::sleep(LOOK_EVERY).await;
-            idle = node.metrics.open.get() == 0
-                && node.beside.is_idle()
-                && node.links.sessions.is_idle();
-        }
+        node.set_closing();
+        let mut idle = self.wait_idle(until).await;
         let output = lock(&node.fleet).leave(&mut rand::rng());
         gossip::post(node, output);
         tokio::time::sleep(ANNOUNCE).await;
         for server in &self.servers {
             server.stop().await;
         }
+        // Requests may have come over kept connections meanwhile.
+        idle &= self.wait_idle(until).await;
         node.note_event(Event::DaemonStopped, format_args!("all_ended={idle}"));
         self.root.do_send(Stop);
         idle
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -6,8 +6,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-use cardamomshed_policy::member::Record;
-use cardamomshed_policy::quota::Slot;
+use cardamomshed_policy::member::{Record, State};
+use cardamomshed_policy::quota::{Slot, order};
 
 use crate::service::Peer;
 use crate::sync::lock;
@@ -48,7 +48,7 @@
             }
         }
         let profile = &record.profile;
-        if !record.state.takes_part() || profile.lends.is_empty() {
+        if record.state != State::Alive || profile.lends.is_empty() {
             return;
         }
         let lender = Lender {
@@ -70,6 +70,18 @@
         index.slots.insert(Arc::clone(&record.name), slots);
     }
 
+    /// Every slot that is held, with its holder, the first for this account
+    /// first.
+    pub fn ranked(&self, account: &str) -> Vec<(Slot, Lender)> {
+        let index = lock(&self.index);
+        let held = index.holders.iter();
+        let mut held = held
+            .map(|(slot, lender)| (slot.clone(), lender.clone()))
+            .collect::<Vec<_>>();
+        held.sort_by_cached_key(|(slot, _)| order(account, slot));
+        held
+    }
+
     /// Holders of the slots, in their order.
     pub fn lenders(&self, slots: &[Slot]) -> Vec<Lender> {
         let index = lock(&self.index);
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -133,6 +133,9 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<Reply, Failure> {
+    if node.is_closing() && !inbound.account.is_empty() {
+        return Err(Failure::new(Code::Leaving, ""));
+    }
     let rank = admit(node, inbound).await?;
     let lookup = node.lookup();
     let mut headers = head::platform_fields(request.headers());
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod reload;
 pub mod reply;
 pub mod runner;
 pub mod service;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,12 +1,12 @@
 //! Command line of the daemon.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use anyhow::{Context as _, Result};
 use cardamomshed_code::{Code, Failure};
 use cardamomshed_daemon::daemon::Bound;
-use cardamomshed_daemon::{Options, logging, tls};
+use cardamomshed_daemon::{Options, logging, reload, tls};
 use cardamomshed_note::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -61,14 +61,22 @@
     Ok(settings)
 }
 
-async fn run(settings: Settings) -> Result<()> {
+async fn run(settings: Settings, path: &Path) -> Result<()> {
     let log = logging::logger(settings.log, &settings.node);
     let daemon = Bound::new(settings)?.start(Options::default(), log)?;
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+    let mut hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
+    let reload = async {
+        loop {
+            hangup.recv().await;
+            reload::report(daemon.node(), path);
+        }
+    };
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = reload => {}
     }
     daemon.leave().await.stop().await;
     Ok(())
@@ -84,7 +92,7 @@
         }
         Command::Run(path) => {
             let settings = read(&path)?;
-            actix::System::new().block_on(run(settings))?;
+            actix::System::new().block_on(run(settings, &path))?;
         }
     }
     Ok(())
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -113,6 +113,7 @@
     /// configuration in force is the newest.
     confirmed_us: AtomicU64,
     leaving: AtomicBool,
+    closing: AtomicBool,
     bodies: AtomicUsize,
 }
 
@@ -198,6 +199,7 @@
             lookup: RwLock::default(),
             confirmed_us: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             bodies: AtomicUsize::new(0),
             name,
             clock,
@@ -286,12 +288,22 @@
         self.lease_now().since(confirmed)
     }
 
-    /// Stops accepting requests.
+    /// Refuses new requests from now on; the process is about to end.
+    pub fn set_closing(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Announces that the daemon is leaving.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Whether the daemon has stopped accepting requests.
+    /// Whether the daemon is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -12,7 +12,7 @@
 mod wallet;
 
 pub use bucket::Bucket;
-pub use holders::{Slot, holders};
+pub use holders::{Slot, holders, order};
 pub use lender::{Lease, Lender};
 pub use wallet::{Spend, Wallet};
 
@@ -43,7 +43,7 @@
 }
 
 /// Longest time for which prepaid tokens are valid.
-pub const MAX_VALIDITY: Duration = Duration::from_millis(500);
+pub const MAX_VALIDITY: Duration = Duration::from_millis(200);
 
 /// Time for which prepaid tokens of an account are valid: short enough that
 /// the tokens outstanding never make up more than half the burst.
--- a/crates/policy/src/quota/holders.rs
+++ b/crates/policy/src/quota/holders.rs
@@ -49,6 +49,12 @@
     (slots, bound.share(MILLION / count as u32))
 }
 
+/// Place of a slot in the order in which an account's slots come, the same
+/// everywhere; the first that is held has the account whole.
+pub fn order(account: &str, slot: &Slot) -> u64 {
+    weight(account, slot)
+}
+
 /// Weight of a slot for an account, the same everywhere.
 fn weight(account: &str, slot: &Slot) -> u64 {
     let bytes = account
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -12,6 +12,8 @@
 const PERIOD: Duration = Duration::from_millis(60);
 /// Share of one period's use below which more tokens are asked for.
 const LOW_WATER: f64 = 0.4;
+/// Use of one period from which tokens are asked for ahead.
+const BUSY: f64 = 1.0;
 /// Tokens asked for, in periods' use. What is held lapses when the traffic
 /// moves to another ingress, so it is kept small.
 const ASK_PERIODS: f64 = 1.25;
@@ -33,6 +35,8 @@
     period_start: Moment,
     /// An ask is outstanding since this moment.
     asked: Option<Moment>,
+    /// Asks in a row without an answer.
+    unanswered: u8,
     /// Every lender was without tokens; none is asked until then.
     dry_until: Moment,
 }
@@ -81,8 +85,16 @@
     }
 
     /// Tokens to ask for now, zero while there are enough or an earlier ask
-    /// is outstanding for less than `patience`.
-    pub fn ask(&mut self, account: AccountKey, patience: Duration, now: Moment) -> u32 {
+    /// is outstanding for less than `patience`. `waiting` says that a request
+    /// waits for a token; without one, tokens are asked for ahead only where
+    /// they will be used before they lapse.
+    pub fn ask(
+        &mut self,
+        account: AccountKey,
+        waiting: bool,
+        patience: Duration,
+        now: Moment,
+    ) -> u32 {
         let entry = self.accounts.entry(account).or_default();
         entry.drop_lapsed(now);
         let outstanding = entry.asked.is_some_and(|since| now.since(since) < patience);
@@ -90,12 +102,27 @@
             return 0;
         }
         let held = entry.grants.iter().map(|grant| grant.tokens).sum::<u32>();
-        let pace = entry.use_per_period.max(f64::from(entry.used)).max(1.0);
-        if f64::from(held) > pace * LOW_WATER {
+        let ahead = entry.use_per_period >= BUSY;
+        let pace = if waiting {
+            entry.use_per_period.max(f64::from(entry.used))
+        } else {
+            entry.use_per_period
+        };
+        if (!waiting && !ahead) || f64::from(held) > pace * LOW_WATER {
             return 0;
         }
+        entry.unanswered = match entry.asked {
+            Some(_) => entry.unanswered.saturating_add(1),
+            None => entry.unanswered,
+        };
         entry.asked = Some(now);
-        (pace * ASK_PERIODS).ceil() as u32
+        ((pace * ASK_PERIODS) as u32).max(1)
+    }
+
+    /// Asks in a row that no lender has answered.
+    pub fn unanswered(&self, account: AccountKey) -> u8 {
+        let entry = self.accounts.get(&account);
+        entry.map_or(0, |entry| entry.unanswered)
     }
 
     /// Takes in tokens that were asked for at `asked` and are valid for
@@ -103,6 +130,7 @@
     pub fn receive(&mut self, account: AccountKey, tokens: u32, asked: Moment, validity: Duration) {
         let entry = self.accounts.entry(account).or_default();
         entry.asked = None;
+        entry.unanswered = 0;
         if tokens > 0 {
             entry.grants.push_back(Grant {
                 tokens,
@@ -115,6 +143,7 @@
     pub fn set_dry(&mut self, account: AccountKey, until: Moment) {
         let entry = self.accounts.entry(account).or_default();
         entry.asked = None;
+        entry.unanswered = 0;
         entry.dry_until = until;
     }
 
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod quota_bound;
 mod retry_tokens;
 mod route_choice;
+mod wallet_waste;
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::SeedableRng;
--- a/crates/policy/tests/all/quota_bound.rs
+++ b/crates/policy/tests/all/quota_bound.rs
@@ -68,7 +68,7 @@
                 passed.push(now);
             }
         }
-        let wanted = wallets[wallet].ask(ACCOUNT, Duration::from_millis(20), now);
+        let wanted = wallets[wallet].ask(ACCOUNT, true, Duration::from_millis(20), now);
         let tokens = lenders[lender].lend(ACCOUNT, wanted, now);
         // Every fifth grant is lost, some are late.
         if fault % 5 != 0 {
