--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -8,7 +8,7 @@
 use cardamomshed_note::Account;
 use cardamomshed_platform::{Client, Expect, Row};
 use cardamomshed_policy::member::State;
-use cardamomshed_policy::quota::{Bound, Lease, Lender, Spend, holders, validity};
+use cardamomshed_policy::quota::{Bound, Lease, Lender, RAISE_AFTER, Spend, holders, validity};
 use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_wire::{Frame, Grant};
 use serde::{Deserialize, Serialize};
@@ -90,7 +90,7 @@
             asked_us: now.as_micros(),
             validity_us: validity(bound).as_micros() as u64,
             turn: match node.settings.sidecar {
-                Some(_) => lock(&node.wallet).unanswered(account),
+                Some(_) => lock(&node.wallet).silent_lenders(account, now),
                 None => 0,
             },
         };
@@ -137,6 +137,10 @@
 
 /// Takes in a lender's answer.
 pub fn receive(node: &Arc<Node>, grant: &Grant) {
+    if grant.turn <= 1 {
+        let account = node.names.account(&grant.account);
+        lock(&node.wallet).heard_first(account);
+    }
     if grant.tokens > 0 {
         take_in(node, grant);
         return;
@@ -384,7 +388,7 @@
         for slot in own {
             let key = node.names.account(name);
             if let Some(lender) = lenders.get_mut(&slot.number) {
-                lender.set_share(key, share, now);
+                lender.set_share(key, share, RAISE_AFTER, now);
                 kept.insert((slot.number, key));
             }
         }
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -25,7 +25,12 @@
 /// Time for which a slot stays held without another look.
 const HELD_FOR: Duration = Duration::from_secs(3);
 /// Time after a rise in rank at which the slots are taken over.
-const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_000);
+const TAKE_OVER_AFTER: Duration = Duration::from_millis(250);
+/// Time after the start in which a daemon learns of the members.
+const SETTLED_AFTER: Duration = Duration::from_millis(1_000);
+/// Time after which a larger share comes into force: those who held the rest
+/// have learned of it by then.
+const RAISE_AFTER: Duration = Duration::from_millis(500);
 
 /// Lender slots of each failure domain.
 const SLOTS: u16 = 1;
@@ -49,7 +54,17 @@
         let mut changed = false;
         for number in 0..slots {
             // With fewer members than slots the slots go round.
-            let entitled = !node.is_leaving() && number % live == rank;
+            let held = lock(&node.lenders).contains_key(&(number as u16));
+            let first = number % live == rank;
+            let free = first && !held_elsewhere(node, number as u16);
+            let settled = now.since(Moment::ZERO) >= SETTLED_AFTER;
+            let entitled = !node.is_leaving()
+                && settled
+                && if held {
+                    keeps(node, number as u16)
+                } else {
+                    free
+                };
             let since = &mut self.risen[number];
             if !entitled {
                 *since = None;
@@ -108,7 +123,8 @@
                 slot.number == *number && holder.peer.node == node.name
             });
             let parts = if home { whole } else { little };
-            lender.set_share(key, super::bound(account).share(parts), now);
+            let share = super::bound(account).share(parts);
+            lender.set_share(key, share, RAISE_AFTER, now);
         }
         kept.insert(key);
     }
@@ -129,6 +145,36 @@
     (live, known)
 }
 
+/// Other members of the own failure domain that hold a slot.
+fn other_holders(node: &Node, number: u16) -> Vec<Arc<str>> {
+    let fleet = lock(&node.fleet);
+    let domain = &fleet.own().profile.domain;
+    let holders = fleet.members().filter(|record| {
+        record.state == State::Alive
+            && record.profile.domain == *domain
+            && record.profile.lends.contains(&number)
+    });
+    holders.map(|record| Arc::clone(&record.name)).collect()
+}
+
+fn held_elsewhere(node: &Node, number: u16) -> bool {
+    !other_holders(node, number).is_empty()
+}
+
+/// Whether this daemon goes on holding a slot: of two holders the first by
+/// rank does.
+fn keeps(node: &Node, number: u16) -> bool {
+    let others = other_holders(node, number);
+    let own = order(&node.name);
+    others.iter().all(|name| order(name) > own)
+}
+
+fn order(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Members of the own failure domain, this one among them.
 fn members(node: &Node) -> usize {
     let fleet = lock(&node.fleet);
@@ -141,11 +187,6 @@
 
 /// Members of the own failure domain that come before this one.
 fn rank(node: &Node) -> usize {
-    let order = |name: &str| {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        hasher.finish()
-    };
     let own = order(&node.name);
     let fleet = lock(&node.fleet);
     let domain = &fleet.own().profile.domain;
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -13,7 +13,7 @@
 
 pub use bucket::Bucket;
 pub use holders::{Slot, holders, order};
-pub use lender::{Lease, Lender};
+pub use lender::{Lease, Lender, RAISE_AFTER};
 pub use wallet::{Spend, Wallet};
 
 use std::time::Duration;
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -8,7 +8,7 @@
 use crate::moment::Moment;
 
 /// Time after which every daemon has a release note in force.
-const RAISE_AFTER: Duration = Duration::from_secs(6);
+pub const RAISE_AFTER: Duration = Duration::from_secs(6);
 
 /// A lease on a share.
 ///
@@ -79,7 +79,15 @@
 
     /// Sets the share of an account. A new share starts with no tokens,
     /// since an earlier holder may just have handed out its last.
-    pub fn set_share(&mut self, account: AccountKey, share: Bound, now: Moment) {
+    /// A larger share comes into force after `raise_after`, when no other
+    /// holder counts on the earlier division any more.
+    pub fn set_share(
+        &mut self,
+        account: AccountKey,
+        share: Bound,
+        raise_after: Duration,
+        now: Moment,
+    ) {
         let bound = reserve(share);
         let entry = self.accounts.entry(account).or_insert_with(|| Account {
             share,
@@ -97,7 +105,7 @@
         if share == kept {
             entry.raise = None;
         } else if entry.raise.is_none_or(|(pending, _)| pending != share) {
-            entry.raise = Some((share, now + RAISE_AFTER));
+            entry.raise = Some((share, now + raise_after));
         }
     }
 
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -12,6 +12,8 @@
 const PERIOD: Duration = Duration::from_millis(60);
 /// Share of one period's use below which more tokens are asked for.
 const LOW_WATER: f64 = 0.4;
+/// Time after which a lender that did not answer is asked again.
+const SILENT_FOR: Duration = Duration::from_secs(2);
 /// Use of one period from which tokens are asked for ahead.
 const BUSY: f64 = 1.0;
 /// Tokens asked for, in periods' use. What is held lapses when the traffic
@@ -35,8 +37,10 @@
     period_start: Moment,
     /// An ask is outstanding since this moment.
     asked: Option<Moment>,
-    /// Asks in a row without an answer.
+    /// Asks in a row that the account's first lender did not answer.
     unanswered: u8,
+    /// When the last of them was given up.
+    silent_at: Moment,
     /// Every lender was without tokens; none is asked until then.
     dry_until: Moment,
 }
@@ -111,18 +115,24 @@
         if (!waiting && !ahead) || f64::from(held) > pace * LOW_WATER {
             return 0;
         }
-        entry.unanswered = match entry.asked {
-            Some(_) => entry.unanswered.saturating_add(1),
-            None => entry.unanswered,
-        };
+        if entry.asked.is_some() {
+            entry.unanswered = entry.unanswered.saturating_add(1);
+            entry.silent_at = now;
+        }
         entry.asked = Some(now);
         ((pace * ASK_PERIODS) as u32).max(1)
     }
 
-    /// Asks in a row that no lender has answered.
-    pub fn unanswered(&self, account: AccountKey) -> u8 {
+    /// Lenders to pass over, since they did not answer lately.
+    pub fn silent_lenders(&self, account: AccountKey, now: Moment) -> u8 {
         let entry = self.accounts.get(&account);
-        entry.map_or(0, |entry| entry.unanswered)
+        let lately = entry.filter(|entry| now.since(entry.silent_at) < SILENT_FOR);
+        lately.map_or(0, |entry| entry.unanswered)
+    }
+
+    /// Notes that the first lender answered.
+    pub fn heard_first(&mut self, account: AccountKey) {
+        self.accounts.entry(account).or_default().unanswered = 0;
     }
 
     /// Takes in tokens that were asked for at `asked` and are valid for
@@ -130,7 +140,6 @@
     pub fn receive(&mut self, account: AccountKey, tokens: u32, asked: Moment, validity: Duration) {
         let entry = self.accounts.entry(account).or_default();
         entry.asked = None;
-        entry.unanswered = 0;
         if tokens > 0 {
             entry.grants.push_back(Grant {
                 tokens,
@@ -143,7 +152,6 @@
     pub fn set_dry(&mut self, account: AccountKey, until: Moment) {
         let entry = self.accounts.entry(account).or_default();
         entry.asked = None;
-        entry.unanswered = 0;
         entry.dry_until = until;
     }
 
--- a/crates/policy/tests/all/quota_bound.rs
+++ b/crates/policy/tests/all/quota_bound.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cardamomshed_policy::quota::{Bound, Lease, Lender, Spend, Wallet, holders, validity};
+use cardamomshed_policy::quota::{
+    Bound, Lease, Lender, RAISE_AFTER, Spend, Wallet, holders, validity,
+};
 use cardamomshed_policy::{AccountKey, Moment};
 
 use crate::check;
@@ -36,7 +38,7 @@
     let mut now = Moment::from_millis(10);
     for lender in &mut lenders {
         lender.set_lease(Lease::granted(now, LEASE));
-        lender.set_share(ACCOUNT, share, now);
+        lender.set_share(ACCOUNT, share, RAISE_AFTER, now);
     }
     for (who, wait, fault) in steps {
         now = now + Duration::from_millis(u64::from(*wait) % 40);
@@ -50,7 +52,7 @@
                 now = now + Lease::wait_out(LEASE);
                 lenders[lender] = Lender::default();
                 lenders[lender].set_lease(Lease::granted(now, LEASE));
-                lenders[lender].set_share(ACCOUNT, share, now);
+                lenders[lender].set_share(ACCOUNT, share, RAISE_AFTER, now);
             }
             // Leases are renewed.
             200..250 => lenders[lender].set_lease(Lease::granted(now, LEASE)),
@@ -133,7 +135,7 @@
         rate: 100.0,
         burst: 100.0,
     };
-    lender.set_share(ACCOUNT, bound, now);
+    lender.set_share(ACCOUNT, bound, RAISE_AFTER, now);
     let later = now + Duration::from_millis(500);
     assert!(lender.lend(ACCOUNT, 5, later) == 5);
     // The holder is paused past its lease and wakes before its successor
@@ -152,16 +154,26 @@
         rate: figure,
         burst: figure,
     };
-    lender.set_share(ACCOUNT, bound(10.0), now);
+    lender.set_share(ACCOUNT, bound(10.0), RAISE_AFTER, now);
     // A raise that is taken back before it is in force must not come later.
-    lender.set_share(ACCOUNT, bound(1_000.0), now);
-    lender.set_share(ACCOUNT, bound(10.0), now + Duration::from_secs(1));
+    lender.set_share(ACCOUNT, bound(1_000.0), RAISE_AFTER, now);
+    lender.set_share(
+        ACCOUNT,
+        bound(10.0),
+        RAISE_AFTER,
+        now + Duration::from_secs(1),
+    );
     assert!(lender.lend(ACCOUNT, 1_000, now + Duration::from_secs(8)) <= 10);
     assert!(lender.lend(ACCOUNT, 1_000, now + Duration::from_secs(9)) <= 10);
     // A second raise waits its own time.
     let start = now + Duration::from_secs(20);
-    lender.set_share(ACCOUNT, bound(20.0), start);
-    lender.set_share(ACCOUNT, bound(1_000.0), start + Duration::from_secs(5));
+    lender.set_share(ACCOUNT, bound(20.0), RAISE_AFTER, start);
+    lender.set_share(
+        ACCOUNT,
+        bound(1_000.0),
+        RAISE_AFTER,
+        start + Duration::from_secs(5),
+    );
     assert!(lender.lend(ACCOUNT, 1_000, start + Duration::from_secs(7)) <= 20);
     assert!(lender.lend(ACCOUNT, 1_000, start + Duration::from_secs(8)) <= 20);
 }
@@ -175,13 +187,13 @@
         rate: 10.0,
         burst: 10.0,
     };
-    lender.set_share(ACCOUNT, small, now);
+    lender.set_share(ACCOUNT, small, RAISE_AFTER, now);
     let large = Bound {
         rate: 1_000.0,
         burst: 1_000.0,
     };
     let second = now + Duration::from_secs(1);
-    lender.set_share(ACCOUNT, large, second);
+    lender.set_share(ACCOUNT, large, RAISE_AFTER, second);
     assert!(lender.lend(ACCOUNT, 1_000, second + Duration::from_secs(5)) <= 10);
     let raised = second + Duration::from_secs(6);
     lender.lend(ACCOUNT, 1, raised);
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -13,7 +13,7 @@
 use cardamomshed_daemon::Options;
 use cardamomshed_note::{Account, Config, Digest, Grant, Lookup, Names, Note, PerSecond, Section};
 use cardamomshed_policy::member::{self, Fleet as Members, Profile, Record, State};
-use cardamomshed_policy::quota::{Bound, Lease, Lender, Wallet};
+use cardamomshed_policy::quota::{Bound, Lease, Lender, RAISE_AFTER, Wallet};
 use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_standin::experiment::{Bound as Target, Experiment, cpu_time, resident};
 use cardamomshed_standin::fleet::{Fleet, Kind, name};
@@ -139,6 +139,8 @@
 fn accounts_note(from: usize, count: usize) -> Note {
     let entries = from..from + count;
     let accounts = entries.clone().map(|place| Account {
+        unlimited: false,
+        priority: None,
         name: name(&format!("account-{place}")),
         rate: PerSecond::try_from("50/s".to_owned()).expect("a valid rate"),
         burst: 100,
@@ -223,7 +225,7 @@
         lender.set_lease(Lease::granted(now, Duration::from_hours(1)));
         let mut wallet = Wallet::default();
         for account in 0..size {
-            lender.set_share(AccountKey(account), bound, now);
+            lender.set_share(AccountKey(account), bound, RAISE_AFTER, now);
             wallet.count(AccountKey(account), now);
         }
         memory.push((f64::from(size), resident() - before));
