--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -43,7 +43,7 @@
 }
 
 /// Longest time for which prepaid tokens are valid.
-pub const MAX_VALIDITY: Duration = Duration::from_millis(200);
+pub const MAX_VALIDITY: Duration = Duration::from_millis(120);
 
 /// Time for which prepaid tokens of an account are valid: short enough that
 /// the tokens outstanding never make up more than half the burst.
