Shed at the ingress by the price of the whole chain

Each daemon now raises a price for its target while calls queue, learns which calls its target makes, and passes the price on with answers.

--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -15,6 +15,7 @@
 use crate::link::{self, Start};
 use crate::node::Node;
 use crate::runner::{self, Job};
+use crate::sync::lock;
 
 /// Time between two looks at the children.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -153,6 +154,7 @@
         let now = node.clock.now();
         node.links.sessions.sweep(now);
         node.beside.tick();
+        lock(&node.prices).chain.tick(now);
         if let Some(service) = node.beside.lapse(node.settings.timing.announce.get()) {
             node.note_event(Event::TargetLapsed, format_args!("service={service}"));
             crate::http::announce::publish(&node);
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -9,6 +9,7 @@
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::{Level, OPEN, Rank, Steering};
 use cardamomshed_policy::gate::{self, Change, Gate, Offer, Shed, Ticket, Verdict};
+use cardamomshed_policy::price::Meter;
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -58,6 +59,7 @@
     announced: Moment,
     gate: Gate,
     steering: Steering,
+    meter: Meter,
     waiting: HashMap<Ticket, oneshot::Sender<Result<(), Shed>>>,
 }
 
@@ -152,6 +154,7 @@
         *target = Some(Target {
             gate,
             steering: Steering::default(),
+            meter: Meter::default(),
             announced: now,
             waiting: HashMap::new(),
             announcement,
@@ -240,6 +243,8 @@
         let mut changes = Vec::new();
         target.steering.arrived(visitor.rank);
         target.steering.tick(now);
+        target.meter.arrived();
+        target.tick_price(now);
         let verdict = target.gate.offer(offer, now, &mut changes);
         target.tell(&changes);
         let receiver = match verdict {
@@ -276,10 +281,18 @@
             let mut changes = Vec::new();
             target.gate.tick(now, &mut changes);
             target.steering.tick(now);
+            target.tick_price(now);
             target.tell(&changes);
         }
     }
 
+    /// Price of a call's time on the target.
+    pub fn price(&self, route: cardamomshed_policy::RouteKey) -> f64 {
+        lock(&self.target).as_ref().map_or(0.0, |target| {
+            target.meter.price() * target.gate.service_time_of(route).as_secs_f64()
+        })
+    }
+
     /// Whether any call runs or waits.
     pub fn is_idle(&self) -> bool {
         lock(&self.target)
@@ -323,9 +336,19 @@
         // go elsewhere.
         if !matches!(shed, Shed::Closed | Shed::Stalled) {
             self.steering.shed();
+            if self.gate.is_full() {
+                self.meter.shed();
+            }
         }
     }
 
+    fn tick_price(&mut self, now: Moment) {
+        let load = self.gate.load(now);
+        let calls = f64::from(load.running + load.waiting);
+        let load_per_slot = calls / f64::from(load.limit.max(1));
+        self.meter.tick(load_per_slot, load.service_time, now);
+    }
+
     fn tell(&mut self, changes: &[Change]) {
         for change in changes {
             let (ticket, verdict) = match *change {
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -136,7 +136,7 @@
     if node.is_closing() && !inbound.account.is_empty() {
         return Err(Failure::new(Code::Leaving, ""));
     }
-    let rank = admit(node, inbound).await?;
+    admit(node, inbound).await?;
     let lookup = node.lookup();
     let mut headers = head::platform_fields(request.headers());
     if let Some(sidecar) = &node.settings.sidecar {
@@ -148,34 +148,57 @@
         request: id,
         account: Arc::clone(&inbound.account),
         priority: inbound.priority,
-        rank: rank.unwrap_or(Rank::FIRST),
+        rank: Rank::FIRST,
     };
     let route = share_of(node, &inbound.access);
     let context = Context::new(chain, inbound.deadline, 0, route.retries);
     let reply = dispatch(node, &context, &route, &parts).await;
-    if rank.is_some() {
-        let shed = matches!(&reply, Reply::Refused(refused) if refused.is_shed());
+    learn_price(node, inbound, &reply);
+    Ok(reply)
+}
+
+/// Takes in the price that came with the end of a call.
+fn learn_price(node: &Node, inbound: &Inbound, reply: &Reply) {
+    let price = match reply {
+        Reply::Answer(answer) => Some(answer.price),
+        Reply::Refused(refused) => refused.price,
+    };
+    if let Some(price) = price {
         let now = node.clock.now();
-        lock(&node.admission).observe(inbound.access.key, context.level(), shed, now);
+        let mut prices = lock(&node.prices);
+        prices.book.learn(inbound.access.key, f64::from(price), now);
     }
-    Ok(reply)
 }
 
 /// Sheds and takes quota. Calls on open routes belong to requests that were
 /// admitted before, so they are not shed here.
-async fn admit(node: &Arc<Node>, inbound: &Inbound) -> Result<Option<Rank>, Failure> {
+async fn admit(node: &Arc<Node>, inbound: &Inbound) -> Result<(), Failure> {
+    let route = &inbound.access.route;
     if inbound.account.is_empty() {
-        return Ok(None);
+        lock(&node.prices).chain.made(inbound.access.key);
+        return Ok(());
+    }
+    let now = node.clock.now();
+    let share = {
+        let mut prices = lock(&node.prices);
+        let load = prices.usage.count(inbound.account_key, now);
+        let key = inbound.access.key;
+        prices.book.share(key, inbound.priority, load, now)
+    };
+    if rand::random::<f64>() >= share {
+        let detail = format!(
+            "account {} route {} share {share:.2}",
+            inbound.account, route.name
+        );
+        return Err(Failure::new(Code::AdmissionShed, detail));
     }
-    let route = &inbound.access.route;
-    let rank = ingress::admit_rank(node, &inbound.access, inbound.account_key, inbound.priority)?;
     if inbound.limited
         && !crate::actor::quota::take(node, &inbound.account, inbound.account_key).await
     {
         let detail = format!("account {} route {}", inbound.account, route.name);
         return Err(Failure::new(Code::QuotaExceeded, detail));
     }
-    Ok(Some(rank))
+    Ok(())
 }
 
 /// The route to the service whose turn it is.
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -319,6 +319,7 @@
         // A limit of zero says that there is no target.
         load: (refusal.load.limit > 0).then_some(refusal.load),
         level: (refusal.load.limit > 0).then_some(refusal.level),
+        price: (refusal.load.limit > 0).then_some(refusal.price),
         tokens: refusal.tokens,
     }
 }
@@ -369,6 +370,7 @@
         body,
         load: answer.load,
         level: answer.level,
+        price: answer.price,
         tokens: answer.tokens,
     }
 }
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -312,6 +312,7 @@
                 length: answer.body.len() as u64,
                 load: answer.load,
                 level: answer.level,
+                price: answer.price,
                 tokens: answer.tokens,
             };
             Out::Body(Frame::Answer(Box::new(head)), answer.body.clone())
@@ -323,6 +324,7 @@
             detail: refused.detail.clone(),
             load: refused.load.unwrap_or_default(),
             level: refused.level.unwrap_or(OPEN),
+            price: refused.price.unwrap_or(0.0),
             tokens: refused.tokens,
         }))),
     };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use cardamomshed_note::{Config, Lookup, Names, Note, Settings};
 use cardamomshed_policy::admission::{self, Admission};
 use cardamomshed_policy::member::{self, Fleet, Profile};
+use cardamomshed_policy::price;
 use cardamomshed_policy::quota::{Lender, Wallet};
 use cardamomshed_policy::registration::Registration;
 use cardamomshed_policy::rotation::Rotation;
@@ -81,6 +82,8 @@
     pub links: Links,
     /// Members of the fleet.
     pub fleet: Mutex<Fleet>,
+    /// Prices of routes, and what calls on the target beside cause.
+    pub prices: Mutex<Prices>,
     /// Shedding at the ingress.
     pub admission: Mutex<Admission>,
     /// Prepaid quota tokens.
@@ -117,6 +120,17 @@
     bodies: AtomicUsize,
 }
 
+/// Prices as this daemon knows them.
+#[derive(Debug, Default)]
+pub struct Prices {
+    /// Prices of routes, from the ends of calls.
+    pub book: price::Book,
+    /// Calls that the target beside this daemon makes.
+    pub chain: price::Chain,
+    /// Load of each client account at this ingress.
+    pub usage: admission::Usage,
+}
+
 /// Choices that experiments vary.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -183,6 +197,7 @@
             directory: Directory::default(),
             links,
             fleet: Mutex::new(fleet),
+            prices: Mutex::default(),
             admission: Mutex::new(Admission::new(options.shedding)),
             wallet: Mutex::default(),
             lenders: Mutex::default(),
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -27,6 +27,8 @@
     pub load: Load,
     /// Lowest admission level along the call's chain.
     pub level: Level,
+    /// Price of the call's whole chain.
+    pub price: f32,
     /// Attempt tokens left.
     pub tokens: u8,
 }
@@ -45,6 +47,8 @@
     pub load: Option<Load>,
     /// Lowest admission level along the call's chain, where it is known.
     pub level: Option<Level>,
+    /// Price of the call's whole chain, where it is known.
+    pub price: Option<f32>,
     /// Attempt tokens left.
     pub tokens: u8,
 }
@@ -58,6 +62,7 @@
             detail: detail.into(),
             load: None,
             level: None,
+            price: None,
             tokens,
         }
     }
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -22,6 +22,7 @@
 use crate::exchange::{Broken, Incoming, Outgoing, Pool};
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
+use crate::sync::lock;
 
 /// Header that carries the call context to the target.
 pub const CONTEXT_HEADER: &str = "x-shed-context";
@@ -96,6 +97,7 @@
         Err(code) => return shed(node, call, code),
     };
     node.metrics.executions.inc();
+    lock(&node.prices).chain.started(visitor.route);
     node.metrics.wait.observe(entry.waited.as_secs_f64());
     node.decide(
         Event::CallStarted,
@@ -163,6 +165,7 @@
     let mut refused = Refused::not_run(code, "", call.tokens);
     refused.load = Some(load);
     refused.level = Some(node.beside.level());
+    refused.price = Some(price(node, call));
     Reply::Refused(refused)
 }
 
@@ -181,6 +184,7 @@
             let answer = Answer {
                 load,
                 level,
+                price: price(node, call),
                 tokens,
                 ..answer
             };
@@ -191,6 +195,7 @@
             let refused = Refused {
                 load: Some(load),
                 level: Some(level),
+                price: Some(price(node, call)),
                 tokens,
                 ..refused
             };
@@ -211,6 +216,18 @@
     reply
 }
 
+/// Price of a call's whole chain.
+fn price(node: &Node, call: &Call) -> f32 {
+    let route = node.names.route(&call.route);
+    let now = node.clock.now();
+    let own = node.beside.price(route);
+    let prices = lock(&node.prices);
+    let below = prices
+        .chain
+        .price(route, |route| prices.book.price(route, now));
+    (own + below) as f32
+}
+
 /// One call on its way to the target.
 struct Execution<'a> {
     node: &'a Node,
@@ -260,6 +277,7 @@
             body: incoming.body,
             load: cardamomshed_wire::Load::default(),
             level: OPEN,
+            price: 0.0,
             tokens: 0,
         })
     }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,7 +18,7 @@
 
 pub use level::{Level, OPEN, Steering};
 pub use rank::Rank;
-use usage::Usage;
+pub use usage::Usage;
 
 use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
--- a/crates/policy/src/admission/usage.rs
+++ b/crates/policy/src/admission/usage.rs
@@ -13,7 +13,7 @@
 
 /// Recent load of each account.
 #[derive(Debug, Default)]
-pub(super) struct Usage {
+pub struct Usage {
     accounts: HashMap<AccountKey, f64>,
     /// Sum of `accounts`.
     total: f64,
@@ -23,7 +23,7 @@
 impl Usage {
     /// Counts a request; gives the account's load as a multiple of the mean
     /// over the accounts with load.
-    pub(super) fn count(&mut self, account: AccountKey, now: Moment) -> f64 {
+    pub fn count(&mut self, account: AccountKey, now: Moment) -> f64 {
         if now.since(self.decayed) >= HALF_LIFE {
             self.decay(now);
         }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -266,6 +266,16 @@
         }
     }
 
+    /// Whether as many calls run as may, or some wait.
+    pub fn is_full(&self) -> bool {
+        self.queue.len() > 0 || self.running.len() as u32 >= self.limit.current()
+    }
+
+    /// Smoothed time from start to end of a call of this route.
+    pub fn service_time_of(&self, route: RouteKey) -> Duration {
+        self.limit.service_time_of(route)
+    }
+
     /// Whether a wait is long for this target: one that only a queue that
     /// stands brings about.
     pub fn is_long(&self, wait: Duration) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod key;
 pub mod member;
 pub mod moment;
+pub mod price;
 pub mod quota;
 pub mod registration;
 pub mod retry;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -231,6 +231,9 @@
     /// Lowest admission level along the call's chain.
     #[serde(rename = "x")]
     pub level: Level,
+    /// Price of the call's whole chain.
+    #[serde(rename = "$")]
+    pub price: f32,
     /// Attempt tokens left of those lent.
     #[serde(rename = "k")]
     pub tokens: u8,
@@ -258,6 +261,9 @@
     /// Lowest admission level along the call's chain.
     #[serde(rename = "x")]
     pub level: Level,
+    /// Price of the call's whole chain.
+    #[serde(rename = "$")]
+    pub price: f32,
     /// Attempt tokens left of those lent.
     #[serde(rename = "k")]
     pub tokens: u8,
