--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -32,6 +32,10 @@
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 /// Longest time that a request waits for a token.
 const MAX_WAIT: Duration = Duration::from_millis(150);
+/// The same where no lender is known, as after a start of the whole fleet.
+const MAX_LENDER_WAIT: Duration = Duration::from_millis(600);
+/// Time between two looks of a request that waits for a token.
+const ASK_AGAIN: Duration = Duration::from_millis(40);
 /// Time after which an ask is taken for lost.
 const PATIENCE: Duration = Duration::from_millis(120);
 /// Time for which no lender is asked after all were without tokens.
@@ -58,7 +62,7 @@
 /// Takes one token for a request, waiting briefly for a lender's answer.
 pub async fn take(node: &Arc<Node>, name: &Arc<str>, account: AccountKey) -> bool {
     let now = node.clock.now();
-    let until = Instant::now() + MAX_WAIT;
+    let arrived_at = Instant::now();
     lock(&node.wallet).count(account, now);
     loop {
         let arrived = node.tokens_arrived.notified();
@@ -69,7 +73,14 @@
             Spend::Dry => return false,
             Spend::Wait => {}
         }
-        if timeout_at(until, arrived).await.is_err() {
+        let longest = if ranked::has_lender(node) {
+            MAX_WAIT
+        } else {
+            MAX_LENDER_WAIT
+        };
+        let until = arrived_at + longest;
+        let look = until.min(Instant::now() + ASK_AGAIN);
+        if timeout_at(look, arrived).await.is_err() && Instant::now() >= until {
             return false;
         }
     }
@@ -104,6 +115,11 @@
         let lender = lender_for(node, &ask);
         ask.turn += 1;
         match lender {
+            None if node.settings.sidecar.is_some() => {
+                let account = node.names.account(&ask.account);
+                lock(&node.wallet).withdraw_ask(account);
+                return;
+            }
             None => {
                 set_dry(node, &ask);
                 return;
@@ -248,7 +264,7 @@
         }
         drop_lapsed(&node);
         let pause = if node.settings.sidecar.is_some() {
-            ranked::LOOK_EVERY
+            ranked::look_every(&node)
         } else {
             LOOK_EVERY.min(length / RENEWALS)
         };
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -21,13 +21,20 @@
 use crate::sync::lock;
 
 /// Time between two looks at the members.
-pub(super) const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// The same after the start, when there may be no lender at all.
+const FIRST_LOOKS: Duration = Duration::from_millis(50);
+/// Time after the start in which two members of a failure domain may take
+/// themselves for the holder of one slot.
+const OVERLAP: Duration = Duration::from_secs(4);
+/// Part of an account's bound that is lent meanwhile.
+const OVERLAP_SHARE: f64 = 0.75;
 /// Time for which a slot stays held without another look.
 const HELD_FOR: Duration = Duration::from_secs(3);
 /// Time after a rise in rank at which the slots are taken over.
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(250);
 /// Time after the start in which a daemon learns of the members.
-const SETTLED_AFTER: Duration = Duration::from_millis(1_000);
+const SETTLED_AFTER: Duration = Duration::from_millis(300);
 /// Time after which a larger share comes into force: those who held the rest
 /// have learned of it by then.
 const RAISE_AFTER: Duration = Duration::from_millis(500);
@@ -35,7 +42,7 @@
 /// Lender slots of each failure domain.
 const SLOTS: u16 = 1;
 /// Members whose part of a bound a lender hands out that is not the first.
-const STAND_IN_MEMBERS: u32 = 2;
+const STAND_IN_MEMBERS: u32 = 1;
 
 /// Since when this daemon's rank entitles it to each slot, by number.
 #[derive(Debug, Default)]
@@ -72,7 +79,7 @@
                 continue;
             }
             let since = *since.get_or_insert(now);
-            if now.since(since) < TAKE_OVER_AFTER {
+            if now.since(since) < TAKE_OVER_AFTER && has_lender(node) {
                 continue;
             }
             let lease = Lease {
@@ -94,6 +101,20 @@
     }
 }
 
+/// Time until the next look at the members.
+pub(super) fn look_every(node: &Node) -> Duration {
+    if node.clock.now().since(Moment::ZERO) < OVERLAP {
+        FIRST_LOOKS
+    } else {
+        LOOK_EVERY
+    }
+}
+
+/// Whether any lender is known.
+pub(super) fn has_lender(node: &Node) -> bool {
+    !node.directory.is_empty()
+}
+
 /// The lender to ask on this turn: the first by the account's own order, or a
 /// later one where those before did not answer.
 pub(super) fn lender(node: &Node, account: &str, turn: u8) -> Option<Peer> {
@@ -109,10 +130,13 @@
 /// up to the bound. Any other lends a little while the first is silent.
 pub(super) fn set_shares(node: &Node) {
     let (live, known) = fleet_size(node);
-    let whole = MILLION / known * live;
+    let now = node.clock.now();
+    let mut whole = MILLION / known * live;
+    if now.since(Moment::ZERO) < OVERLAP {
+        whole = (f64::from(whole) * OVERLAP_SHARE) as u32;
+    }
     let little = (MILLION / known * STAND_IN_MEMBERS).min(whole);
     let lookup = node.lookup();
-    let now = node.clock.now();
     let mut kept = HashSet::new();
     let mut lenders = lock(&node.lenders);
     for (name, account) in &lookup.config.accounts {
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -70,6 +70,11 @@
         index.slots.insert(Arc::clone(&record.name), slots);
     }
 
+    /// Whether no slot is held.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.index).holders.is_empty()
+    }
+
     /// Every slot that is held, with its holder, the first for this account
     /// first.
     pub fn ranked(&self, account: &str) -> Vec<(Slot, Lender)> {
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Notes that the last ask was not sent.
+    pub fn withdraw_ask(&mut self, account: AccountKey) {
+        self.accounts.entry(account).or_default().asked = None;
+    }
+
     /// Notes that every lender was without tokens.
     pub fn set_dry(&mut self, account: AccountKey, until: Moment) {
         let entry = self.accounts.entry(account).or_default();
