--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -35,6 +35,7 @@
     ListenerFailed = 106, "a connection could not be accepted";
     SettingsRead = 107, "settings read again";
     SettingsRejected = 108, "changed settings rejected; those in force stay";
+    LinesDropped = 109, "log lines dropped";
     RequestAccepted = 200, "request accepted at the ingress";
     RequestRefused = 201, "request refused at the ingress";
     RequestAnswered = 202, "request answered";
--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -27,6 +27,9 @@
 const PAGE: usize = 100;
 /// Pollers of each failure domain.
 const POLLERS: usize = 3;
+/// The same on the platform, where calls to the store are paid and a daemon
+/// that nobody confirms the configuration to reads by itself.
+const READERS: usize = 1;
 
 /// What a daemon tells a peer that is behind.
 #[derive(Debug)]
@@ -53,13 +56,17 @@
         name.hash(&mut hasher);
         hasher.finish()
     };
+    let pollers = match node.settings.sidecar {
+        Some(_) => READERS,
+        None => POLLERS,
+    };
     let own = rank(&node.name);
     let before = fleet
         .members()
         .filter(|record| record.state.takes_part() && record.profile.domain == *domain)
         .filter(|record| rank(&record.name) < own)
         .count();
-    before < POLLERS
+    before < pollers
 }
 
 /// Follows the release notes until the task is dropped.
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -26,6 +26,13 @@
 /// Part of that time that is used, for the way there and back.
 const PATIENCE_USED: f64 = 0.8;
 
+/// Time after which a client should come back that was refused before it was
+/// known.
+const SOON: Duration = Duration::from_millis(1_000);
+/// Longest time after which a client should come back whose account is over
+/// its rate, or for which no target was there.
+const LATER: Duration = Duration::from_millis(1_500);
+
 /// A request whose sender is known.
 struct Inbound {
     access: Access,
@@ -261,7 +268,7 @@
         ),
     );
     let status = status(refused);
-    let retry_after = matches!(status, 429 | 503).then(|| retry_after(node, inbound));
+    let retry_after = matches!(status, 429 | 503).then(|| retry_after(node, inbound, refused.code));
     problem::platform_response(id, refused, status, retry_after)
 }
 
@@ -277,16 +284,23 @@
     }
 }
 
-/// Time after which a refused client should come back, within what it waits.
-fn retry_after(node: &Node, inbound: Option<&Inbound>) -> Duration {
+/// Time after which a refused client should come back: when room is expected
+/// where that is why it was refused, and else within what it waits.
+fn retry_after(node: &Node, inbound: Option<&Inbound>, code: Code) -> Duration {
     let draw = rand::random::<f64>();
     let Some(inbound) = inbound else {
-        return Duration::from_secs_f64(0.5 + draw);
+        return SOON.mul_f64(0.5 + draw);
     };
     let now = node.clock.now();
-    let wanted = lock(&node.admission).retry_after(inbound.access.key, draw, now);
-    let left = inbound.client_deadline.since(now);
-    wanted.min(left.mul_f64(PATIENCE_SHARE * PATIENCE_USED * (0.5 + 0.5 * draw)))
+    if code == Code::AdmissionShed {
+        let key = inbound.access.key;
+        return lock(&node.prices)
+            .book
+            .room_after(key, inbound.priority, draw, now);
+    }
+    let patience = inbound.client_deadline.since(now).mul_f64(PATIENCE_SHARE);
+    let spread = 0.5 + 0.5 * draw;
+    LATER.min(patience.mul_f64(PATIENCE_USED)).mul_f64(spread)
 }
 
 /// Adds what every answer carries.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,18 +1,23 @@
 //! Structured logs on standard output.
 //!
-//! Lines are written by a thread of their own behind a bounded channel. When
-//! the reader of standard output is slow, lines are dropped and counted; a
-//! request never waits for its log line.
+//! Lines are gathered in a bounded buffer that a thread of its own writes out
+//! a few times a second. When the reader of standard output is slow, lines
+//! are dropped and counted; a request never waits for its log line.
 
-use std::io;
-use std::sync::Mutex;
+use std::io::{self, Write};
+use std::mem;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
 
+use cardamomshed_code::Event;
 use cardamomshed_note::LogForm;
 use slog::{Drain, Logger, o};
-use slog_async::OverflowStrategy;
 
-/// Lines that wait to be written.
-const CHANNEL: usize = 8_192;
+/// Bytes of lines that wait to be written.
+const CAPACITY: usize = 2 * 1024 * 1024;
+/// Time between two writes.
+const WRITE_EVERY: Duration = Duration::from_millis(100);
 
 /// A logger of the given form whose lines carry the daemon's name.
 pub fn logger(form: LogForm, node: &str) -> Logger {
@@ -20,26 +25,88 @@
     match form {
         LogForm::Off => Logger::root(slog::Discard, values),
         LogForm::Json => {
-            let drain = slog_json::Json::new(io::stdout())
+            let drain = slog_json::Json::new(Buffer::start())
                 .add_default_keys()
                 .build();
-            Logger::root(in_background(drain.fuse()), values)
+            Logger::root(Mutex::new(drain).fuse(), values)
         }
         LogForm::Text => {
             let decorator = slog_term::PlainSyncDecorator::new(io::stdout());
             let drain = slog_term::FullFormat::new(decorator).build();
-            Logger::root(in_background(drain.fuse()), values)
+            Logger::root(drain.fuse(), values)
         }
     }
 }
 
-fn in_background<D>(drain: D) -> slog::Fuse<slog_async::Async>
-where
-    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
-{
-    slog_async::Async::new(Mutex::new(drain).fuse())
-        .chan_size(CHANNEL)
-        .overflow_strategy(OverflowStrategy::DropAndReport)
-        .build()
-        .fuse()
+#[derive(Debug, Default)]
+struct Lines {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+/// Lines that wait to be written; a clone shares them.
+#[derive(Clone, Debug, Default)]
+struct Buffer(Arc<Mutex<Lines>>);
+
+impl Buffer {
+    /// An empty buffer and the thread that writes it out, which ends with the
+    /// process.
+    fn start() -> Self {
+        let buffer = Self::default();
+        let lines = buffer.clone();
+        // Without the thread lines are dropped and counted, as with a reader
+        // that does not read.
+        let _ = thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || {
+                loop {
+                    thread::sleep(WRITE_EVERY);
+                    lines.write_out();
+                }
+            });
+        buffer
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Lines> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write_out(&self) {
+        let taken = mem::take(&mut *self.lock());
+        let mut output = io::stdout().lock();
+        // A reader that is gone leaves nobody to tell.
+        let _ = output.write_all(&taken.bytes);
+        if taken.dropped > 0 {
+            let _ = writeln!(
+                output,
+                "{{\"msg\":\"{}\",\"event\":{},\"count\":{}}}",
+                Event::LinesDropped.text(),
+                Event::LinesDropped.number(),
+                taken.dropped
+            );
+        }
+        let _ = output.flush();
+    }
+}
+
+impl Write for Buffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut lines = self.lock();
+        if lines.bytes.len() + bytes.len() > CAPACITY {
+            lines.dropped += u64::from(bytes.ends_with(b"\n"));
+        } else {
+            lines.bytes.extend_from_slice(bytes);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.write_out();
+    }
 }
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -99,17 +99,21 @@
     node.metrics.executions.inc();
     lock(&node.prices).chain.started(visitor.route);
     node.metrics.wait.observe(entry.waited.as_secs_f64());
-    node.decide(
-        Event::CallStarted,
-        call.request,
-        format_args!(
-            "call={} service={} depth={} waited_us={}",
-            call.id,
-            call.service,
-            call.depth,
-            entry.waited.as_micros()
-        ),
-    );
+    if node.settings.sidecar.is_none() {
+        // On the platform, where lines are dear, the line of the call's end
+        // tells the same.
+        node.decide(
+            Event::CallStarted,
+            call.request,
+            format_args!(
+                "call={} service={} depth={} waited_us={}",
+                call.id,
+                call.service,
+                call.depth,
+                entry.waited.as_micros()
+            ),
+        );
+    }
     let root = Root {
         request: call.request,
         account: Arc::clone(&call.account),
@@ -117,6 +121,7 @@
         rank: call.rank,
     };
     let context = Context::new(root, deadline, call.depth + 1, call.tokens);
+    let waited = entry.waited;
     let live = node.contexts.open(context);
     let started = node.clock.now();
     let execution = Execution {
@@ -137,7 +142,7 @@
     let level = live.context.level().unwrap_or(OPEN);
     drop(live);
     drop(entry);
-    conclude(node, call, sent, total, tokens, level)
+    conclude(node, call, sent, waited, total, tokens, level)
 }
 
 /// Sheds a call that has not run.
@@ -173,6 +178,7 @@
     node: &Node,
     call: &Call,
     sent: Result<Answer, Refused>,
+    waited: Duration,
     total: Duration,
     tokens: u8,
     level: Level,
@@ -206,9 +212,10 @@
         Event::CallFinished,
         call.request,
         format_args!(
-            "call={} service={} outcome={outcome} total_us={} level={:.1} tokens={tokens}",
+            "call={} service={} outcome={outcome} waited_us={} total_us={} level={:.1} tokens={tokens}",
             call.id,
             call.service,
+            waited.as_micros(),
             total.as_micros(),
             level.0
         ),
--- a/crates/policy/src/price.rs
+++ b/crates/policy/src/price.rs
@@ -195,6 +195,11 @@
 const SILENCE: Duration = Duration::from_millis(500);
 /// Time in which it then halves.
 const HALVING: f64 = 0.5;
+/// Rate, in natural logarithms a second, at which prices fall once the load
+/// does.
+const FALL_PER_SECOND: f64 = 1.5;
+/// Shortest time after which a refused request should come back.
+const SOONEST: Duration = Duration::from_millis(250);
 /// Share of a route's requests that is admitted whatever the price, so that
 /// no route starves.
 const LEAST_SHARE: f64 = 0.25;
@@ -236,6 +241,20 @@
         })
     }
 
+    /// Time until the price of a route is expected to have fallen to the worth
+    /// of its requests, spread by `draw`, uniform in 0..1.
+    pub fn room_after(
+        &self,
+        route: RouteKey,
+        priority: Priority,
+        draw: f64,
+        now: Moment,
+    ) -> Duration {
+        let excess = (self.price(route, now) / worth(priority)).max(1.0).ln();
+        let spread = 0.7 + 0.6 * draw;
+        (SOONEST + Duration::from_secs_f64(excess / FALL_PER_SECOND)).mul_f64(spread)
+    }
+
     /// Share of the requests that is admitted. `load` is the account's load
     /// as a multiple of the mean.
     pub fn share(&self, route: RouteKey, priority: Priority, load: f64, now: Moment) -> f64 {
