--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -7,13 +7,15 @@
 
 mod limit;
 mod queue;
+mod reserve;
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 pub use limit::Limit;
-use queue::Queue;
+use queue::{Next, Queue};
+use reserve::Reserve;
 
 use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
@@ -149,6 +151,7 @@
 struct Running {
     started: Moment,
     route: RouteKey,
+    priority: Priority,
 }
 
 /// Admission beside one target.
@@ -160,6 +163,9 @@
     /// Each running call. `running.len()` never exceeds the limit in force
     /// when the last of them started.
     running: IndexMap<Ticket, Running>,
+    /// Entries of `running` by priority.
+    by_priority: [u32; Priority::ALL.len()],
+    reserve: Reserve,
     opened: Moment,
     closed: bool,
     /// When a call ended last, or the first of those that run started.
@@ -177,6 +183,8 @@
             limit: Limit::new(config.slots, config.first_estimate, config.adaptive),
             queue: Queue::default(),
             running: IndexMap::new(),
+            by_priority: [0; Priority::ALL.len()],
+            reserve: Reserve::default(),
             opened: now,
             closed: false,
             progress: now,
@@ -200,11 +208,18 @@
             return Verdict::Shed(Shed::Closed);
         }
         self.check_stalled(now, changes);
-        if now + self.limit.service_time_of(offer.route) > offer.deadline {
+        let service_time = self.limit.service_time_of(offer.route);
+        if now + service_time > offer.deadline {
             return Verdict::Shed(Shed::Deadline);
         }
-        if self.queue.len() == 0 && self.has_room(now) {
-            self.start(offer.ticket, offer.route, now);
+        self.reserve.arrived(offer.priority, service_time, now);
+        if self.queue.len() == 0 && self.has_room(offer.priority, now) {
+            let call = Next {
+                ticket: offer.ticket,
+                route: offer.route,
+                priority: offer.priority,
+            };
+            self.start(call, now);
             return Verdict::Run;
         }
         if self.stalled {
@@ -231,7 +246,7 @@
     ) {
         self.progress = now;
         self.stalled = false;
-        if let Some(call) = self.running.swap_remove(&ticket) {
+        if let Some(call) = self.take_running(ticket) {
             let total = now.since(call.started);
             let running = self.running.len() as u32 + 1;
             self.limit
@@ -242,7 +257,7 @@
 
     /// Takes a call out, whether it waits or runs; says whether it ran.
     pub fn cancel(&mut self, ticket: Ticket, now: Moment, changes: &mut Vec<Change>) -> bool {
-        let ran = self.running.swap_remove(&ticket).is_some();
+        let ran = self.take_running(ticket).is_some();
         if !ran {
             self.queue.remove(ticket);
         }
@@ -297,15 +312,23 @@
         ((f64::from(limit) * warm).floor() as u32).clamp(1, limit)
     }
 
-    fn start(&mut self, ticket: Ticket, route: RouteKey, now: Moment) {
+    fn take_running(&mut self, ticket: Ticket) -> Option<Running> {
+        let call = self.running.swap_remove(&ticket)?;
+        self.by_priority[call.priority.index()] -= 1;
+        Some(call)
+    }
+
+    fn start(&mut self, call: Next, now: Moment) {
         if self.running.is_empty() {
             self.progress = now;
         }
-        let call = Running {
+        self.by_priority[call.priority.index()] += 1;
+        let running = Running {
             started: now,
-            route,
+            route: call.route,
+            priority: call.priority,
         };
-        self.running.insert(ticket, call);
+        self.running.insert(call.ticket, running);
     }
 
     /// Notices that half the slots or more are taken and no call has ended for
@@ -319,13 +342,16 @@
             return;
         }
         self.stalled = true;
-        while let Some((ticket, _)) = self.queue.pop() {
-            changes.push(Change::Shed(ticket, Shed::Stalled));
+        while let Some(call) = self.queue.pop() {
+            changes.push(Change::Shed(call.ticket, Shed::Stalled));
         }
     }
 
-    fn has_room(&self, now: Moment) -> bool {
-        (self.running.len() as u32) < self.allowed(now)
+    fn has_room(&self, priority: Priority, now: Moment) -> bool {
+        let allowed = self.allowed(now);
+        let running = self.running.len() as u32;
+        let kept = self.reserve.kept_from(priority, &self.by_priority, allowed);
+        running + kept < allowed
     }
 
     fn latest_start(&self, offer: &Offer, now: Moment) -> Moment {
@@ -383,12 +409,15 @@
 
     fn start_waiting(&mut self, now: Moment, changes: &mut Vec<Change>) {
         self.queue.expire(now, changes);
-        while self.has_room(now) {
-            let Some((ticket, route)) = self.queue.pop() else {
+        while let Some(priority) = self.queue.next_priority() {
+            if !self.has_room(priority, now) {
+                return;
+            }
+            let Some(call) = self.queue.pop() else {
                 return;
             };
-            self.start(ticket, route, now);
-            changes.push(Change::Run(ticket));
+            self.start(call, now);
+            changes.push(Change::Run(call.ticket));
         }
     }
 }
--- a/crates/policy/src/gate/queue.rs
+++ b/crates/policy/src/gate/queue.rs
@@ -25,6 +25,14 @@
     latest_start: Moment,
 }
 
+/// A call whose turn it is.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Next {
+    pub(super) ticket: Ticket,
+    pub(super) route: RouteKey,
+    pub(super) priority: Priority,
+}
+
 /// The waiting calls of one account in one priority.
 #[derive(Debug, Default)]
 struct Lane {
@@ -89,12 +97,22 @@
     }
 
     /// Takes the call whose turn it is.
-    pub(super) fn pop(&mut self) -> Option<(Ticket, RouteKey)> {
+    pub(super) fn pop(&mut self) -> Option<Next> {
         let class = self.classes.iter_mut().find(|class| class.waiting > 0)?;
         let ticket = class.serve()?;
-        let route = self.entries.get(&ticket)?.route;
+        let entry = *self.entries.get(&ticket)?;
         self.remove(ticket);
-        Some((ticket, route))
+        Some(Next {
+            ticket,
+            route: entry.route,
+            priority: entry.priority,
+        })
+    }
+
+    /// Priority of the call whose turn it is.
+    pub(super) fn next_priority(&self) -> Option<Priority> {
+        let class = self.classes.iter().position(|class| class.waiting > 0)?;
+        Some(Priority::ALL[class])
     }
 
     /// Takes out a call wherever it stands.
