--- a/crates/daemon/src/actor/gossip.rs
+++ b/crates/daemon/src/actor/gossip.rs
@@ -33,6 +33,10 @@
         node.services.update(&change.record, now);
         node.directory.update(&change.record);
         log_change(node, change);
+        if *change.record.profile.domain == *node.settings.domain {
+            // A lender slot may have become free.
+            node.quota_wake.notify_one();
+        }
         if change.record.state == State::Alive && change.before == Some(State::Failed) {
             node.rejoin.notify_one();
         }
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -32,12 +32,12 @@
 /// Time for which a slot stays held without another look.
 const HELD_FOR: Duration = Duration::from_secs(3);
 /// Time after a rise in rank at which the slots are taken over.
-const TAKE_OVER_AFTER: Duration = Duration::from_millis(250);
+const TAKE_OVER_AFTER: Duration = Duration::from_millis(100);
 /// Time after the start in which a daemon learns of the members.
 const SETTLED_AFTER: Duration = Duration::from_millis(300);
-/// Time after which a larger share comes into force: those who held the rest
-/// have learned of it by then.
-const RAISE_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a larger share comes into force. One lender has an account
+/// whole, so that nobody else counts on the earlier division.
+const RAISE_AFTER: Duration = Duration::ZERO;
 
 /// Lender slots of each failure domain.
 const SLOTS: u16 = 1;
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -35,12 +35,17 @@
 const TIERS: usize = 3;
 /// Draws made to find two available targets before a scan.
 const DRAWS: usize = 6;
-/// Load of a target, in limits, above which a farther tier is considered.
-const SPILL_ABOVE: f64 = 1.5;
+/// Load of a target, in limits, above which a farther tier is considered:
+/// calls wait there.
+const SPILL_ABOVE: f64 = 1.0;
+/// Part of the nearer target's backlog, in time, that a target of another
+/// failure domain may have at most to be taken instead.
+const SPILL_SHARE: f64 = 0.6;
 /// The same for the slow link, which is paid by volume: not for a burst, only
 /// for a queue that the nearer targets cannot serve soon.
 const REMOTE_ABOVE: f64 = 4.0;
-/// Load of a farther target, in limits, below which it is taken instead.
+/// Load of a target over the slow link, in limits, below which it is taken
+/// instead.
 const SPILL_BELOW: f64 = 0.8;
 /// Age at which a reported load says nothing any more.
 const LOAD_AGE: Duration = Duration::from_secs(5);
@@ -183,11 +188,14 @@
             let Some(found) = self.choose_in(tier, exclude, random, now) else {
                 continue;
             };
-            let above = match tier {
-                Tier::Remote => REMOTE_ABOVE,
-                Tier::Domain | Tier::Region => SPILL_ABOVE,
+            let spills = |near: Choice| match tier {
+                Tier::Remote => near.load > REMOTE_ABOVE && found.load < SPILL_BELOW,
+                Tier::Domain | Tier::Region => {
+                    let (here, there) =
+                        self.backlogs((near.target, near.load), (found.target, found.load));
+                    near.load > SPILL_ABOVE && there < here * SPILL_SHARE
+                }
             };
-            let spills = |near: Choice| near.load > above && found.load < SPILL_BELOW;
             let taken = best.is_none_or(spills);
             if taken {
                 best = Some(found);
@@ -268,7 +276,8 @@
             return Some(single);
         };
         let second_load = self.load_of(second, now);
-        if second_load < first_load {
+        let (one, other) = self.backlogs((first, first_load), (second, second_load));
+        if other < one {
             return Some(Choice {
                 target: second,
                 load: second_load,
@@ -282,6 +291,24 @@
         })
     }
 
+    /// Backlogs of two targets with their loads, in seconds: the time in which
+    /// each would serve the calls that it has. Targets of one service differ
+    /// in speed; one whose speed is not known is taken to be as fast as the
+    /// other.
+    fn backlogs(&self, one: (TargetKey, f64), other: (TargetKey, f64)) -> (f64, f64) {
+        let time = |key: TargetKey| {
+            let target = self.targets[key.0 as usize].as_ref();
+            let time = target.map(|target| target.load.service_time);
+            time.filter(|time| !time.is_zero())
+        };
+        let (first, second) = (time(one.0), time(other.0));
+        let fallback = Duration::from_secs(1);
+        let of = |own: Option<Duration>, beside: Option<Duration>| {
+            own.or(beside).unwrap_or(fallback).as_secs_f64()
+        };
+        (one.1 * of(first, second), other.1 * of(second, first))
+    }
+
     /// Draws an available target of a tier.
     fn draw(
         &self,
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -58,6 +58,43 @@
     assert_eq!(reach(&mut balancer, region, 100, now), 100);
 }
 
+/// Load of a target that takes this long for a call.
+fn timed(running: u32, waiting: u32, millis: u64) -> Load {
+    Load {
+        service_time: Duration::from_millis(millis),
+        ..load(running, waiting)
+    }
+}
+
+#[test]
+fn slow_target_spills() {
+    let now = Moment::from_millis(1);
+    let (mut balancer, keys) = local(1);
+    let region = balancer.insert(Tier::Region, 10, now);
+    let told = |balancer: &mut Balancer, key, load| {
+        balancer.started(key, now);
+        balancer.finished(key, Outcome::Answered, Some(load), now);
+    };
+    // Both are full; the nearer one takes three times as long for a call.
+    told(&mut balancer, keys[0], timed(10, 15, 300));
+    told(&mut balancer, region, timed(10, 5, 100));
+    assert_eq!(reach(&mut balancer, region, 100, now), 100);
+    // As fast as the other, it is not left for a somewhat shorter queue.
+    told(&mut balancer, keys[0], timed(10, 10, 100));
+    assert_eq!(reach(&mut balancer, region, 100, now), 0);
+}
+
+#[test]
+fn faster_target_taken() {
+    let now = Moment::from_millis(1);
+    let (mut balancer, keys) = local(2);
+    for (key, millis) in [(keys[0], 50), (keys[1], 150)] {
+        balancer.started(key, now);
+        balancer.finished(key, Outcome::Answered, Some(timed(4, 0, millis)), now);
+    }
+    assert_eq!(reach(&mut balancer, keys[0], 100, now), 100);
+}
+
 #[test]
 fn burst_stays_near() {
     let now = Moment::from_millis(1);
