--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -19,13 +19,16 @@
 /// Time between two writes.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 
-/// A logger of the given form whose lines carry the daemon's name.
-pub fn logger(form: LogForm, node: &str) -> Logger {
+/// A logger of the given form whose lines carry the daemon's name, and what
+/// writes out the last of them when it is dropped.
+pub fn logger(form: LogForm, node: &str) -> (Logger, Flush) {
     let values = o!("node" => node.to_owned());
-    match form {
+    let buffer = Buffer::default();
+    let logger = match form {
         LogForm::Off => Logger::root(slog::Discard, values),
         LogForm::Json => {
-            let drain = slog_json::Json::new(Buffer::start())
+            buffer.start();
+            let drain = slog_json::Json::new(buffer.clone())
                 .add_default_keys()
                 .build();
             Logger::root(Mutex::new(drain).fuse(), values)
@@ -35,6 +38,17 @@
             let drain = slog_term::FullFormat::new(decorator).build();
             Logger::root(drain.fuse(), values)
         }
+    };
+    (logger, Flush(buffer))
+}
+
+/// Writes out the lines that wait when it is dropped.
+#[derive(Debug)]
+pub struct Flush(Buffer);
+
+impl Drop for Flush {
+    fn drop(&mut self) {
+        self.0.write_out();
     }
 }
 
@@ -49,11 +63,10 @@
 struct Buffer(Arc<Mutex<Lines>>);
 
 impl Buffer {
-    /// An empty buffer and the thread that writes it out, which ends with the
+    /// Starts the thread that writes the lines out, which ends with the
     /// process.
-    fn start() -> Self {
-        let buffer = Self::default();
-        let lines = buffer.clone();
+    fn start(&self) {
+        let lines = self.clone();
         // Without the thread lines are dropped and counted, as with a reader
         // that does not read.
         let _ = thread::Builder::new()
@@ -64,7 +77,6 @@
                     lines.write_out();
                 }
             });
-        buffer
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Lines> {
@@ -104,9 +116,3 @@
         Ok(())
     }
 }
-
-impl Drop for Buffer {
-    fn drop(&mut self) {
-        self.write_out();
-    }
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -62,7 +62,7 @@
 }
 
 async fn run(settings: Settings, path: &Path) -> Result<()> {
-    let log = logging::logger(settings.log, &settings.node);
+    let (log, _flush) = logging::logger(settings.log, &settings.node);
     let daemon = Bound::new(settings)?.start(Options::default(), log)?;
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -82,7 +82,7 @@
         let (thread, node) = Thread::start(
             "daemon",
             async move || {
-                let log = logging::logger(settings.log, &settings.node);
+                let (log, _flush) = logging::logger(settings.log, &settings.node);
                 let bound = Bound::new(settings).expect("free ports");
                 let daemon = bound.start(options, log).expect("a daemon");
                 (Arc::clone(daemon.node()), daemon)
