--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -18,7 +18,7 @@
 use crate::sync::lock;
 
 /// Time for which one question to the store waits for a change.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 /// Time for which a feed may be silent about a change, of the platform's
 /// description; a confirmation by the feed is older by that much.
 const FEED_LAG: Duration = Duration::from_millis(1_100);
@@ -27,7 +27,7 @@
 /// Pause between two looks of a daemon that does not read.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after failures.
-const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// Follows the configuration until the task is dropped.
 pub(super) async fn run(node: Arc<Node>) {
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -273,16 +273,13 @@
 
 /// Refuses keys that can no longer be confirmed, where the notes say so.
 pub(super) fn check_confirmed(node: &Node, lookup: &Lookup) -> Result<(), Failure> {
-    let (refuse, after) = match &node.settings.sidecar {
-        Some(sidecar) => (
-            sidecar.strict_keys,
-            sidecar.withdraw_within.get().mul_f64(LEASE_SHARE),
-        ),
-        None => {
-            let limits = &lookup.config.limits;
-            let refuse = limits.unconfirmed_keys == Unconfirmed::Refuse;
-            (refuse, limits.unconfirmed_after.get())
-        }
+    let (refuse, after) = if let Some(sidecar) = &node.settings.sidecar {
+        let lease = sidecar.withdraw_within.get().mul_f64(LEASE_SHARE);
+        (sidecar.strict_keys, lease)
+    } else {
+        let limits = &lookup.config.limits;
+        let refuse = limits.unconfirmed_keys == Unconfirmed::Refuse;
+        (refuse, limits.unconfirmed_after.get())
     };
     if lookup.config.revision == 0 {
         let detail = "no release note has reached this daemon yet";
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -28,7 +28,7 @@
 
 /// Time after which a client should come back that was refused before it was
 /// known.
-const SOON: Duration = Duration::from_millis(1_000);
+const SOON: Duration = Duration::from_secs(1);
 /// Longest time after which a client should come back whose account is over
 /// its rate, or for which no target was there.
 const LATER: Duration = Duration::from_millis(1_500);
--- a/crates/daemon/src/http/problem.rs
+++ b/crates/daemon/src/http/problem.rs
@@ -58,7 +58,7 @@
     response.json(problem(request, refused, status))
 }
 
-fn problem<'a>(request: Request, refused: &'a Refused, status: u16) -> Problem<'a> {
+fn problem(request: Request, refused: &Refused, status: u16) -> Problem<'_> {
     let code = refused.code;
     Problem {
         kind: format!("urn:cardamomshed:code:{}", code.number()),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use actix_web::{App, HttpResponse, HttpServer, web};
-use cardamomshed_platform::store::{self, RowsAnswer, Transaction};
+use cardamomshed_platform::store::{self, FeedQuery, RangeQuery, RowsAnswer, Transaction};
 use cardamomshed_platform::{Expect, Operation};
-use serde::Deserialize;
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -225,39 +224,9 @@
     format!("{base}/{{name}}")
 }
 
-/// A range of keys of one table.
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct Range {
-    table: String,
-    /// First key of the range.
-    #[serde(default)]
-    from: String,
-    /// First key behind the range.
-    #[serde(default)]
-    target: Option<String>,
-    #[serde(default = "page")]
-    limit: usize,
-}
-
-const fn page() -> usize {
-    store::PAGE
-}
-
-/// A wait for changes of one table.
-#[derive(Debug)]
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Wait {
-    table: String,
-    after: u64,
-    #[serde(default)]
-    wait_ms: u64,
-}
-
 type Handle = web::Data<Shared>;
 
-async fn range(state: Handle, range: web::Query<Range>) -> HttpResponse {
+async fn range(state: Handle, range: web::Query<RangeQuery>) -> HttpResponse {
     if let Err(outage) = state.admit(false).await {
         return outage;
     }
@@ -265,18 +234,18 @@
     HttpResponse::Ok().json(tables.range(
         &range.table,
         &range.from,
-        range.target.as_deref(),
+        range.end.as_deref(),
         range.limit.min(store::PAGE),
     ))
 }
 
-async fn feed(state: Handle, wait: web::Query<Wait>) -> HttpResponse {
+async fn feed(state: Handle, wait: web::Query<FeedQuery>) -> HttpResponse {
     /// Time between two looks at the table.
     const LOOK_EVERY: Duration = Duration::from_millis(5);
     if let Err(outage) = state.admit(false).await {
         return outage;
     }
-    let until = Instant::now() + Duration::from_millis(wait.wait_ms);
+    let until = Instant::now() + Duration::from_millis(wait.wait);
     loop {
         let changed = state.lock().tables.since(&wait.table, wait.after);
         match changed {
