--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -2,11 +2,13 @@
 
 mod call_context;
 mod caller_tls;
+mod exchange_shapes;
 mod idempotency_claims;
 mod key_checks;
 mod link_resume;
 mod link_silence;
 mod note_follow;
+mod platform_path;
 mod process_signals;
 mod quota_fleet;
 mod request_heads;
--- /dev/null
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -0,0 +1,286 @@
+//! Daemons in the platform's form: configuration from the operators' row,
+//! targets by heartbeat, requests from one daemon to the target beside another.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use cardamomshed_daemon::Options;
+use cardamomshed_note::{Length, Settings, Sidecar};
+use cardamomshed_platform::header;
+use cardamomshed_standin::client::{Reply, Request};
+use cardamomshed_standin::fleet::{Place, Running, settings};
+use cardamomshed_standin::platform::{Capacity, Faults, Platform};
+
+use cardamomshed_standin::thread::Thread;
+use serde_json::{Value, json};
+
+/// Longest time that anything here may take to come about.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What the target saw of the last request, and how many ran.
+#[derive(Debug, Default)]
+struct Seen {
+    runs: AtomicUsize,
+    headers: Mutex<Vec<(String, String)>>,
+}
+
+impl Seen {
+    fn header(&self, name: &str) -> Option<String> {
+        let headers = self.headers.lock().expect("not poisoned");
+        let found = headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.clone())
+    }
+}
+
+/// A target that signs its answers.
+fn target() -> (Thread, SocketAddr, Arc<Seen>) {
+    let seen = Arc::new(Seen::default());
+    let data = web::Data::from(Arc::clone(&seen));
+    let (thread, address) = Thread::start(
+        "target",
+        async move || {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let address = listener.local_addr().expect("a bound port");
+            let server = HttpServer::new(move || {
+                App::new()
+                    .app_data(data.clone())
+                    .default_service(web::to(answer))
+            });
+            let server = server
+                .workers(1)
+                .disable_signals()
+                .listen(listener)
+                .expect("a listener");
+            let server = server.run();
+            let handle = server.handle();
+            actix_rt::spawn(server);
+            (address, handle)
+        },
+        async |handle: actix_web::dev::ServerHandle| handle.stop(false).await,
+    );
+    (thread, address, seen)
+}
+
+async fn answer(seen: web::Data<Seen>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    seen.runs.fetch_add(1, Ordering::Relaxed);
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.as_str().to_owned(), value)
+    });
+    *seen.headers.lock().expect("not poisoned") = fields.collect();
+    let id = request.headers().get(header::ATTEMPT).cloned();
+    let mut response = HttpResponse::Ok();
+    if let Some(id) = id {
+        response.insert_header((header::ATTEMPT, id));
+    }
+    response
+        .insert_header((header::SIGNATURE, "3e1b.07"))
+        .body(format!(
+            "{} {} {}",
+            request.method(),
+            request.uri(),
+            body.len()
+        ))
+}
+
+fn sidecar(node: &str, service: &str, target: SocketAddr, platform: &Platform) -> Settings {
+    let place = Place {
+        node: node.to_owned(),
+        domain: "a".to_owned(),
+        region: "r".to_owned(),
+    };
+    let domains = [("a".to_owned(), "r".to_owned())];
+    let mut settings = settings(&place, &domains, &platform.base());
+    settings.sidecar = Some(Sidecar {
+        service: service.into(),
+        address: target,
+        ready: SocketAddr::from(([127, 0, 0, 1], 0)),
+        strict_keys: true,
+        withdraw_within: Length::from_millis(3_000),
+        grace: Length::from_millis(6_000),
+        retry_ratio: 0.2,
+        retry_slack: 48.0,
+        retry_window: Length::from_millis(10_000),
+    });
+    settings
+}
+
+fn config(version: u64, key: &str) -> Value {
+    json!({
+        "version": version,
+        "routes": {
+            "r-a": {"host": "h.example", "prefix": "/a/", "kind": "idempotent",
+                "timeout": "2s", "priority": 0, "service": "s-two", "max-attempts": 2},
+            "r-open": {"host": "h.example", "prefix": "/open/", "kind": "idempotent",
+                "timeout": "2s", "priority": 1, "service": "s-two", "public": true}
+        },
+        "services": {"s-two": {"max-connections": 50}},
+        "limits": {},
+        "tenants": {"t-1": {"api-keys": [key], "rate-per-s": 500, "burst": 500}}
+    })
+}
+
+/// Two daemons, with a target beside the second.
+struct Deployment {
+    platform: Platform,
+    first: Running,
+    second: Running,
+    seen: Arc<Seen>,
+    target: SocketAddr,
+    sequence: u64,
+    _target: Thread,
+}
+
+impl Deployment {
+    fn start() -> Self {
+        let platform = Platform::start(Capacity::default());
+        let (thread, target, seen) = target();
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let start = |settings| Running::start(settings, Options::default());
+        let first = start(sidecar("n-1", "s-one", nowhere, &platform));
+        let second = start(sidecar("n-2", "s-two", target, &platform));
+        Self {
+            platform,
+            first,
+            second,
+            seen,
+            target,
+            sequence: 0,
+            _target: thread,
+        }
+    }
+
+    fn get(&self, path: &str) -> Request {
+        Request::get(self.first.node.settings.callers, path)
+            .header("host", "h.example")
+            .header(header::ATTEMPT, "9c41d07be2a35f68")
+            .header(header::DEADLINE, "1500")
+    }
+
+    fn heartbeat(&mut self, state: &str) -> Reply {
+        self.sequence += 1;
+        let body = json!({
+            "service": "s-two", "address": self.target, "zone": "a", "version": "v1",
+            "slots": 8, "state": state, "warmup-left": "0ms",
+            "sequence": self.sequence, "born": 10
+        });
+        let control = self.second.node.settings.target;
+        Request::post(
+            control,
+            "/instances/i-1/heartbeat",
+            body.to_string().as_bytes(),
+        )
+        .send()
+    }
+
+    fn configure(&self, version: u64, key: &str) {
+        self.platform.write("op", "config", &config(version, key));
+    }
+}
+
+/// Repeats a request until it has this status.
+fn eventually(status: u16, mut request: impl FnMut() -> Reply) -> Reply {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let reply = request();
+        if reply.status == status {
+            return reply;
+        }
+        assert!(
+            Instant::now() < until,
+            "{} instead of {status}",
+            reply.status
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn request_goes_whole() {
+    let mut fleet = Deployment::start();
+    assert_eq!(fleet.get("/a/b").send().status, 503, "nothing is known yet");
+    fleet.configure(3, "key-one");
+    eventually(401, || fleet.get("/a/b").send());
+    assert_eq!(fleet.get("/b/").send().status, 404);
+    assert_eq!(fleet.heartbeat("ready").status, 200);
+    let request = |fleet: &Deployment| {
+        fleet
+            .get("/a/b?c=d")
+            .key("key-one")
+            .header(header::ACCOUNT, "forged")
+            .header(header::CALLER_SERVICE, "forged")
+            .send()
+    };
+    let reply = eventually(200, || request(&fleet));
+    assert_eq!(String::from_utf8_lossy(&reply.body), "GET /a/b?c=d 0");
+    assert_eq!(reply.header(header::SIGNATURE), Some("3e1b.07"));
+    assert_eq!(reply.header(header::ATTEMPT), Some("9c41d07be2a35f68"));
+    let seen = |name: &str| fleet.seen.header(name);
+    assert_eq!(seen(header::ACCOUNT).as_deref(), Some("t-1"));
+    assert_eq!(seen(header::CALLER_SERVICE).as_deref(), Some("s-one"));
+    assert_eq!(seen(header::EXPECTED_INSTANCE).as_deref(), Some("i-1"));
+    assert_eq!(seen("host").as_deref(), Some("h.example"));
+    assert_eq!(seen("authorization"), None, "no target sees a key");
+    let left = seen(header::DEADLINE).expect("a deadline");
+    assert!(left.parse::<u64>().expect("a number") <= 1_500);
+    assert_eq!(eventually(200, || fleet.get("/open/x").send()).status, 200);
+    assert_eq!(fleet.seen.header(header::ACCOUNT), None);
+}
+
+#[test]
+fn leaving_target_left_alone() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually(200, || fleet.get("/a/").key("key-one").send());
+    assert_eq!(fleet.heartbeat("draining").status, 200);
+    let runs = fleet.seen.runs.load(Ordering::Relaxed);
+    // A heartbeat that was overtaken does not open the target again.
+    fleet.sequence -= 2;
+    fleet.heartbeat("ready");
+    for _ in 0..20 {
+        assert_eq!(fleet.get("/a/").key("key-one").send().status, 503);
+    }
+    assert_eq!(fleet.seen.runs.load(Ordering::Relaxed), runs);
+}
+
+#[test]
+fn withdrawn_key_stops() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually(200, || fleet.get("/a/").key("key-one").send());
+    fleet.configure(9, "key-two");
+    eventually(401, || fleet.get("/a/").key("key-one").send());
+    eventually(200, || fleet.get("/a/").key("key-two").send());
+    // With the store away no key can be confirmed, and none opens anything;
+    // requests without one are served on.
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    eventually(503, || fleet.get("/a/").key("key-two").send());
+    fleet.heartbeat("ready");
+    assert_eq!(fleet.get("/open/").send().status, 200);
+    fleet.platform.set_faults(Faults::default());
+    eventually(200, || fleet.get("/a/").key("key-two").send());
+}
+
+#[test]
+fn forgotten_history_read_anew() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually(200, || fleet.get("/a/").key("key-one").send());
+    fleet.configure(4, "key-two");
+    fleet.platform.forget_history();
+    eventually(200, || fleet.get("/a/").key("key-two").send());
+    // A configuration that cannot be read keeps the one in force.
+    fleet.platform.write("op", "config", &json!({"routes": 7}));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(fleet.get("/a/").key("key-two").send().status, 200);
+}
