Divide the fleet's retry budget among its members

Cause, found by reading: each ingress saved up 20 retries a service, 320 over 16 daemons, where the platform allows a fifth of the requests and 48 more (for till 338 in a window, its calls' repeats included). Each daemon now has its part of half of that; tests retry_share. Half is left for the calls that a repeated call makes in turn.

--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -155,9 +155,24 @@
         node.links.sessions.sweep(now);
         node.beside.tick();
         lock(&node.prices).chain.tick(now);
+        share_retries(&node);
         if let Some(service) = node.beside.lapse(node.settings.timing.announce.get()) {
             node.note_event(Event::TargetLapsed, format_args!("service={service}"));
             crate::http::announce::publish(&node);
         }
     }
 }
+
+/// Part of the fleet's retry budget that daemons spend; the rest is left for
+/// the calls that a repeated call makes in turn, which count as repeats too.
+const RETRY_SHARE: f64 = 0.5;
+
+/// Divides the fleet's retry budget among the members that are known.
+fn share_retries(node: &Node) {
+    if let Some(sidecar) = &node.settings.sidecar {
+        let members = lock(&node.fleet).live() as f64;
+        let capacity = sidecar.retry_slack * RETRY_SHARE / members;
+        let ratio = sidecar.retry_ratio * RETRY_SHARE;
+        node.services.set_retry_bounds(ratio, capacity);
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,6 +29,9 @@
 /// two of the platform's questions, one a second, and the way to it.
 const UNREADY: Duration = Duration::from_millis(2_400);
 
+/// Part of the time from SIGTERM to SIGKILL in which open requests may end.
+const GRACE_SHARE: f64 = 0.85;
+
 /// State of a daemon that accepts requests.
 #[derive(Debug)]
 pub struct Running;
@@ -189,7 +192,11 @@
     /// stops. Says whether all of them ended.
     pub async fn stop(self) -> bool {
         let node = &self.node;
-        let until = tokio::time::Instant::now() + node.settings.timing.drain.get();
+        let longest = match &node.settings.sidecar {
+            Some(sidecar) => sidecar.grace.get().mul_f64(GRACE_SHARE),
+            None => node.settings.timing.drain.get(),
+        };
+        let until = tokio::time::Instant::now() + longest;
         if node.settings.sidecar.is_some() {
             // Clients on this VM send on until the platform has asked twice.
             tokio::time::sleep(UNREADY).await;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -162,6 +162,13 @@
         entry.is_some_and(|entry| entry.budget.spend())
     }
 
+    /// Changes the bounds of every service's retry budget.
+    pub fn set_retry_bounds(&self, ratio: f64, capacity: f64) {
+        for service in lock(&self.table).services.values_mut() {
+            service.budget.set_bounds(ratio, capacity);
+        }
+    }
+
     /// Every service at a glance.
     pub fn summary(&self) -> Vec<Summary> {
         let table = lock(&self.table);
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -104,7 +104,6 @@
         grace: Length::from_millis(6_000),
         retry_ratio: 0.2,
         retry_slack: 48.0,
-        retry_window: Length::from_millis(10_000),
     });
     settings
 }
--- a/crates/note/src/settings.rs
+++ b/crates/note/src/settings.rs
@@ -77,10 +77,8 @@
     /// Retries of a service as a share of the requests for it, over the
     /// fleet.
     pub retry_ratio: f64,
-    /// Retries over the fleet beyond that share in one window.
+    /// Retries over the fleet beyond that share.
     pub retry_slack: f64,
-    /// Window of the retry budget.
-    pub retry_window: Length,
 }
 
 /// TLS towards callers. Both files are read again when they change.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -60,7 +60,8 @@
 /// Largest budget saved up, in retries.
 const CAPACITY: f64 = 20.0;
 
-/// Retry budget of one ingress towards one service.
+/// Retry budget of one ingress towards one service. Over a fleet the retries
+/// never exceed the ratio of all successes plus the sum of the capacities.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     /// Retries at hand, within 0..=`capacity`.
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod price_chain;
 mod quota_bound;
 mod registration_order;
+mod retry_share;
 mod retry_tokens;
 mod rotation_shares;
 mod route_choice;
