--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -192,7 +192,7 @@
                 Tier::Remote => near.load > REMOTE_ABOVE && found.load < SPILL_BELOW,
                 Tier::Domain | Tier::Region => {
                     let (here, there) =
-                        self.backlogs((near.target, near.load), (found.target, found.load));
+                        self.backlogs((near.target, near.load), (found.target, found.load), now);
                     near.load > SPILL_ABOVE && there < here * SPILL_SHARE
                 }
             };
@@ -276,7 +276,7 @@
             return Some(single);
         };
         let second_load = self.load_of(second, now);
-        let (one, other) = self.backlogs((first, first_load), (second, second_load));
+        let (one, other) = self.backlogs((first, first_load), (second, second_load), now);
         if other < one {
             return Some(Choice {
                 target: second,
@@ -293,11 +293,12 @@
 
     /// Backlogs of two targets with their loads, in seconds: the time in which
     /// each would serve the calls that it has. Targets of one service differ
-    /// in speed; one whose speed is not known is taken to be as fast as the
-    /// other.
-    fn backlogs(&self, one: (TargetKey, f64), other: (TargetKey, f64)) -> (f64, f64) {
+    /// in speed; one whose speed is not known, or was told long ago, is taken
+    /// to be as fast as the other.
+    fn backlogs(&self, one: (TargetKey, f64), other: (TargetKey, f64), now: Moment) -> (f64, f64) {
         let time = |key: TargetKey| {
             let target = self.targets[key.0 as usize].as_ref();
+            let target = target.filter(|target| now.since(target.load_at) < LOAD_AGE);
             let time = target.map(|target| target.load.service_time);
             time.filter(|time| !time.is_zero())
         };
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -95,6 +95,20 @@
     assert_eq!(reach(&mut balancer, keys[0], 100, now), 100);
 }
 
+#[test]
+fn slow_target_tried_again() {
+    let now = Moment::from_millis(1);
+    let (mut balancer, keys) = local(2);
+    for (key, millis) in [(keys[0], 3_000), (keys[1], 10)] {
+        balancer.started(key, now);
+        balancer.finished(key, Outcome::Answered, Some(timed(1, 0, millis)), now);
+    }
+    assert_eq!(reach(&mut balancer, keys[0], 100, now), 0);
+    // What it took long ago says nothing of its speed now.
+    let later = now + Duration::from_secs(6);
+    assert!(reach(&mut balancer, keys[0], 100, later) > 20);
+}
+
 #[test]
 fn burst_stays_near() {
     let now = Moment::from_millis(1);
