--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -1,9 +1,10 @@
 //! Lender slots held by rank among the members of a failure domain.
 //!
-//! No store is asked: the members of a failure domain order themselves by
-//! their names, and the first hold its slots. A daemon that has just risen
-//! to a slot waits until the one before it can no longer serve requests with
-//! keys, and starts with no tokens.
+//! No store is asked: the members of a failure domain are ordered by the hash
+//! of their names, and the first live one holds the slot until it leaves or
+//! fails. A daemon that takes a slot over starts with no tokens, since the
+//! holder before it may just have handed out its last. Until a failure is
+//! detected, two parts of a cut fleet may both lend an account's whole bound.
 
 use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -24,8 +25,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// The same after the start, when there may be no lender at all.
 const FIRST_LOOKS: Duration = Duration::from_millis(50);
-/// Time after the start in which two members of a failure domain may take
-/// themselves for the holder of one slot.
+/// Time after the start in which two members of a failure domain may both
+/// hold one slot, because neither knows of the other yet.
 const OVERLAP: Duration = Duration::from_secs(4);
 /// Part of an account's bound that is lent meanwhile.
 const OVERLAP_SHARE: f64 = 0.75;
@@ -126,8 +127,9 @@
 /// Brings the shares held here in line with configuration and members.
 ///
 /// The first lender of an account has its whole bound, less the part of the
-/// members that it has lost sight of, so that the parts of a cut fleet add
-/// up to the bound. Any other lends a little while the first is silent.
+/// members that have failed, so that the shares in the parts of a cut fleet add
+/// up to the bound. Any other lends one member's part while the first does not
+/// answer.
 pub(super) fn set_shares(node: &Node) {
     let (live, known) = fleet_size(node);
     let now = node.clock.now();
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -100,8 +100,8 @@
     lock(&node.prices).chain.started(visitor.route);
     node.metrics.wait.observe(entry.waited.as_secs_f64());
     if node.settings.sidecar.is_none() {
-        // On the platform, where lines are dear, the line of the call's end
-        // tells the same.
+        // The event at the call's end has the same figures; on the platform
+        // one line a call saves processor time.
         node.decide(
             Event::CallStarted,
             call.request,
--- a/crates/policy/src/registration.rs
+++ b/crates/policy/src/registration.rs
@@ -24,7 +24,7 @@
         /// Whether it takes no new calls.
         leaving: bool,
     },
-    /// The incarnation that stands here.
+    /// The current incarnation.
     Current {
         /// Whether it takes no new calls.
         leaving: bool,
@@ -81,7 +81,7 @@
     }
 
     /// Takes in the notice that an incarnation ends; says whether it is the
-    /// one that stands here, or one that no heartbeat came from.
+    /// current one, or one that no heartbeat came from.
     pub fn deregister(&mut self, instance: &Arc<str>, born_ms: Option<u64>) -> bool {
         let Some(known) = &mut self.known else {
             let incarnation = Incarnation {
