--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -4,6 +4,7 @@
 pub mod gossip;
 mod operator;
 pub mod quota;
+mod rank;
 pub mod root;
 mod seeds;
 mod worker;
--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -1,7 +1,6 @@
 //! Follows the release notes: from the platform where this daemon is one of
 //! the few pollers of its failure domain, from peers otherwise.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 use cardamomshed_wire::Frame;
 use serde::{Deserialize, Serialize};
 
+use super::rank::rank;
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -49,24 +49,11 @@
 /// Whether this daemon is one of the pollers of its failure domain, by the
 /// members that it knows. Any number of daemons may think so.
 pub(super) fn is_poller(node: &Node) -> bool {
-    let fleet = lock(&node.fleet);
-    let domain = &fleet.own().profile.domain;
-    let rank = |name: &str| {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        hasher.finish()
-    };
     let pollers = match node.settings.sidecar {
         Some(_) => READERS,
         None => POLLERS,
     };
-    let own = rank(&node.name);
-    let before = fleet
-        .members()
-        .filter(|record| record.state.takes_part() && record.profile.domain == *domain)
-        .filter(|record| rank(&record.name) < own)
-        .count();
-    before < pollers
+    rank(node) < pollers
 }
 
 /// Follows the release notes until the task is dropped.
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -7,7 +7,6 @@
 //! detected, two parts of a cut fleet may both lend an account's whole bound.
 
 use std::collections::HashSet;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use cardamomshed_policy::member::State;
 use cardamomshed_policy::quota::{Lease, MILLION};
 
+use crate::actor::rank::{order, rank};
 use crate::http::announce;
 use crate::node::Node;
 use crate::service::Peer;
@@ -195,12 +195,6 @@
     others.iter().all(|name| order(name) > own)
 }
 
-fn order(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Members of the own failure domain, this one among them.
 fn members(node: &Node) -> usize {
     let fleet = lock(&node.fleet);
@@ -210,15 +204,3 @@
         .filter(|record| record.state.takes_part() && record.profile.domain == *domain);
     near.count() + 1
 }
-
-/// Members of the own failure domain that come before this one.
-fn rank(node: &Node) -> usize {
-    let own = order(&node.name);
-    let fleet = lock(&node.fleet);
-    let domain = &fleet.own().profile.domain;
-    fleet
-        .members()
-        .filter(|record| record.state.takes_part() && record.profile.domain == *domain)
-        .filter(|record| order(&record.name) < own)
-        .count()
-}
