--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -15,7 +15,7 @@
 use cardamomshed_policy::member::State;
 use cardamomshed_policy::quota::{Lease, MILLION};
 
-use crate::actor::rank::{order, rank};
+use crate::actor::rank::{members, order, rank};
 use crate::http::announce;
 use crate::node::Node;
 use crate::service::Peer;
@@ -194,13 +194,3 @@
     let own = order(&node.name);
     others.iter().all(|name| order(name) > own)
 }
-
-/// Members of the own failure domain, this one among them.
-fn members(node: &Node) -> usize {
-    let fleet = lock(&node.fleet);
-    let domain = &fleet.own().profile.domain;
-    let near = fleet
-        .members()
-        .filter(|record| record.state.takes_part() && record.profile.domain == *domain);
-    near.count() + 1
-}
--- a/crates/daemon/src/actor/rank.rs
+++ b/crates/daemon/src/actor/rank.rs
@@ -2,6 +2,8 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use cardamomshed_policy::member::{Fleet, Record};
+
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -12,14 +14,22 @@
     hasher.finish()
 }
 
-/// Live members of the own failure domain that come before this one.
-pub(super) fn rank(node: &Node) -> usize {
-    let own = order(&node.name);
-    let fleet = lock(&node.fleet);
+/// Live members of the own failure domain, without this one.
+fn near(fleet: &Fleet) -> impl Iterator<Item = &Record> {
     let domain = &fleet.own().profile.domain;
     fleet
         .members()
-        .filter(|record| record.state.takes_part() && record.profile.domain == *domain)
-        .filter(|record| order(&record.name) < own)
-        .count()
+        .filter(move |record| record.state.takes_part() && record.profile.domain == *domain)
+}
+
+/// Live members of the own failure domain, this one among them.
+pub(super) fn members(node: &Node) -> usize {
+    near(&lock(&node.fleet)).count() + 1
+}
+
+/// Live members of the own failure domain that come before this one.
+pub(super) fn rank(node: &Node) -> usize {
+    let own = order(&node.name);
+    let before = |record: &&Record| order(&record.name) < own;
+    near(&lock(&node.fleet)).filter(before).count()
 }
