Break the circle of the daemon's files around its node

Cause: node.rs held thirty public fields, imported what every part of the daemon defines and was imported by 27 files; links, claims, followers, quota and gossip reached one another through it.

Each concern has its own state now (configuration, quota, routing, life, members, link::table, link::sessions), which imports no other part; functions over the node stand above: members, actor::config, actor::quota::{leased, ranked}. Peer links no longer take the node. Messages between parts (job, parts, claim::ask) have files of their own.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -1,10 +1,10 @@
 //! The long-lived parts of a daemon, under one supervisor.
 
+pub mod config;
 pub mod follower;
 pub mod gossip;
 mod operator;
 pub mod quota;
-mod rank;
 pub mod root;
 mod seeds;
 mod worker;
--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -7,15 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cardamomshed_code::{Code, Event, Failure};
-use cardamomshed_platform::{
-    CONFIG_KEY, CONFIG_TABLE, Client, Since, decode_config, redact_config,
-};
+use cardamomshed_code::{Event, Failure};
+use cardamomshed_platform::{CONFIG_KEY, CONFIG_TABLE, Client, Since, redact_config};
 use serde_json::Value;
 
-use super::{follower, gossip};
+use super::config::{ask_peer, install_written};
+use crate::members::{is_poller, tell_domain};
 use crate::node::Node;
-use crate::sync::lock;
 
 /// Time for which one question to the store waits for a change.
 const WAIT: Duration = Duration::from_secs(1);
@@ -41,7 +39,7 @@
     loop {
         tokio::select! {
             () = reader.step() => {}
-            () = node.note_wake.notified() => follower::ask_peer(&node),
+            () = node.configuration.wake.notified() => ask_peer(&node),
         }
     }
 }
@@ -57,8 +55,8 @@
 
 impl Reader {
     async fn step(&mut self) {
-        let unconfirmed = self.node.unconfirmed_for() > UNCONFIRMED;
-        if !unconfirmed && !follower::is_poller(&self.node) {
+        let unconfirmed = self.node.configuration.unconfirmed_for() > UNCONFIRMED;
+        if !unconfirmed && !is_poller(&self.node) {
             self.version = None;
             tokio::time::sleep(PAUSE).await;
             return;
@@ -70,7 +68,7 @@
                         .note_event(Event::PlatformFound, format_args!("configuration"));
                 }
                 self.failures = 0;
-                gossip::tell_domain(&self.node);
+                tell_domain(&self.node);
             }
             Err(failure) => {
                 if self.failures == 0 {
@@ -89,7 +87,7 @@
     }
 
     async fn read(&mut self) -> Result<(), Failure> {
-        let sent = self.node.lease_now();
+        let sent = self.node.configuration.lease_now();
         let Some(version) = self.version else {
             let (row, version) = self
                 .client
@@ -97,7 +95,7 @@
                 .await?;
             if let Some(row) = row {
                 take_in(&self.node, row.value);
-                self.node.confirm_lease(sent);
+                self.node.configuration.confirm_lease(sent);
             }
             self.version = Some(version);
             return Ok(());
@@ -112,9 +110,11 @@
                 }
                 self.version = Some(feed.version);
                 // An empty answer was decided once the store had waited.
-                let waited = self.node.lease_now().since(sent) >= WAIT;
+                let waited = self.node.configuration.lease_now().since(sent) >= WAIT;
                 let decided = if quiet && waited { sent + WAIT } else { sent };
-                self.node.confirm_lease(decided.before(FEED_LAG));
+                self.node
+                    .configuration
+                    .confirm_lease(decided.before(FEED_LAG));
             }
             Since::Forgotten => self.version = None,
         }
@@ -125,42 +125,7 @@
 /// Puts a configuration in force if it can be read and is newer.
 fn take_in(node: &Node, mut value: Value) {
     redact_config(&mut value);
-    if let Err(failure) = install(node, &value) {
+    if let Err(failure) = install_written(node, &value) {
         node.note_event(Event::ConfigRejected, format_args!("{failure}"));
     }
 }
-
-/// Puts a configuration in force if it is newer.
-fn install(node: &Node, value: &Value) -> Result<(), Failure> {
-    let (config, left_out) = decode_config(value)?;
-    let revision = config.revision;
-    if revision <= node.lookup().config.revision {
-        return Ok(());
-    }
-    let size = (
-        config.routes.len(),
-        config.accounts.len(),
-        config.keys.len(),
-    );
-    *lock(&node.operator_config) = Some(value.to_string().into());
-    node.install(config);
-    node.note_event(
-        Event::ConfigInForce,
-        format_args!(
-            "revision={revision} routes={} accounts={} keys={} left_out={left_out:?}",
-            size.0, size.1, size.2
-        ),
-    );
-    Ok(())
-}
-
-/// Takes in the configuration that a peer passed on.
-///
-/// # Errors
-///
-/// [`Code::PlatformAnswer`] where it cannot be read.
-pub(super) fn receive(node: &Node, text: &str) -> Result<(), Failure> {
-    let value = serde_json::from_str::<Value>(text)
-        .map_err(|error| Failure::new(Code::PlatformAnswer, error.to_string()))?;
-    install(node, &value)
-}
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -15,8 +15,8 @@
 use cardamomshed_policy::member::State;
 use cardamomshed_policy::quota::{Lease, MILLION};
 
-use crate::actor::rank::{members, order, rank};
-use crate::http::announce;
+use super::bound::bound;
+use crate::members::{members, order, publish, rank};
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -62,11 +62,11 @@
         let mut changed = false;
         for number in 0..slots {
             // With fewer members than slots the slots go round.
-            let held = lock(&node.lenders).contains_key(&(number as u16));
+            let held = lock(&node.quota.lenders).contains_key(&(number as u16));
             let first = number % live == rank;
             let free = first && !held_elsewhere(node, number as u16);
             let settled = now.since(Moment::ZERO) >= SETTLED_AFTER;
-            let entitled = !node.is_leaving()
+            let entitled = !node.life.is_leaving()
                 && settled
                 && if held {
                     keeps(node, number as u16)
@@ -76,7 +76,7 @@
             let since = &mut self.risen[number];
             if !entitled {
                 *since = None;
-                changed |= lock(&node.lenders).remove(&(number as u16)).is_some();
+                changed |= lock(&node.quota.lenders).remove(&(number as u16)).is_some();
                 continue;
             }
             let since = *since.get_or_insert(now);
@@ -86,18 +86,21 @@
             let lease = Lease {
                 until: now + HELD_FOR,
             };
-            let mut lenders = lock(&node.lenders);
+            let mut lenders = lock(&node.quota.lenders);
             changed |= !lenders.contains_key(&(number as u16));
             lenders.entry(number as u16).or_default().set_lease(lease);
         }
         if changed {
-            let held = lock(&node.lenders).keys().copied().collect::<Vec<_>>();
+            let held = lock(&node.quota.lenders)
+                .keys()
+                .copied()
+                .collect::<Vec<_>>();
             node.note_event(
                 Event::ShareLeased,
                 format_args!("slots={held:?} rank={rank} members={live}"),
             );
-            super::set_shares(node);
-            announce::publish(node);
+            set_shares(node);
+            publish(node);
         }
     }
 }
@@ -113,13 +116,13 @@
 
 /// Whether any lender is known.
 pub(super) fn has_lender(node: &Node) -> bool {
-    !node.directory.is_empty()
+    !node.quota.directory.is_empty()
 }
 
 /// The lender to ask on this turn: the first by the account's own order, or a
 /// later one where those before did not answer.
 pub(super) fn lender(node: &Node, account: &str, turn: u8) -> Option<Peer> {
-    let held = node.directory.ranked(account);
+    let held = node.quota.directory.ranked(account);
     let place = usize::from(turn).min(held.len().checked_sub(1)?);
     held.get(place).map(|(_, lender)| lender.peer.clone())
 }
@@ -140,16 +143,16 @@
     let little = (MILLION / known * STAND_IN_MEMBERS).min(whole);
     let lookup = node.lookup();
     let mut kept = HashSet::new();
-    let mut lenders = lock(&node.lenders);
+    let mut lenders = lock(&node.quota.lenders);
     for (name, account) in &lookup.config.accounts {
         let key = node.names.account(name);
-        let first = node.directory.ranked(name).into_iter().next();
+        let first = node.quota.directory.ranked(name).into_iter().next();
         for (number, lender) in lenders.iter_mut() {
             let home = first.as_ref().is_some_and(|(slot, holder)| {
                 slot.number == *number && holder.peer.node == node.name
             });
             let parts = if home { whole } else { little };
-            let share = super::bound(account).share(parts);
+            let share = bound(account).share(parts);
             lender.set_share(key, share, RAISE_AFTER, now);
         }
         kept.insert(key);
@@ -161,7 +164,7 @@
 
 /// Members that answer, and all that are remembered, this one among both.
 fn fleet_size(node: &Node) -> (u32, u32) {
-    let fleet = lock(&node.fleet);
+    let fleet = lock(&node.members.fleet);
     let mut live = 1;
     let mut known = 1;
     for record in fleet.members() {
@@ -173,7 +176,7 @@
 
 /// Other members of the own failure domain that hold a slot.
 fn other_holders(node: &Node, number: u16) -> Vec<Arc<str>> {
-    let fleet = lock(&node.fleet);
+    let fleet = lock(&node.members.fleet);
     let domain = &fleet.own().profile.domain;
     let holders = fleet.members().filter(|record| {
         record.state == State::Alive
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -11,10 +11,13 @@
 
 use super::worker::{LocalFuture, Stop, Worker};
 use super::{follower, gossip, quota};
-use crate::claim::{self, Ask};
-use crate::link::{self, Start};
+use crate::claim::ask::Ask;
+use crate::claim::store;
+use crate::job::Job;
+use crate::link;
+use crate::link::table::Start;
 use crate::node::Node;
-use crate::runner::{self, Job};
+use crate::runner;
 use crate::sync::lock;
 
 /// Time between two looks at the children.
@@ -81,7 +84,7 @@
         let claims = Rc::new(Mutex::new(parts.claims));
         self.supervise("claims", move || {
             let (node, claims) = (Arc::clone(&node), Rc::clone(&claims));
-            Box::pin(async move { claim::run(node, &mut *claims.lock().await).await })
+            Box::pin(async move { store::run(node, &mut *claims.lock().await).await })
         });
         let node = Arc::clone(&self.node);
         let starts = Rc::new(Mutex::new(parts.starts));
@@ -154,11 +157,11 @@
         let now = node.clock.now();
         node.links.sessions.sweep(now);
         node.beside.tick();
-        lock(&node.prices).chain.tick(now);
+        lock(&node.routing.prices).chain.tick(now);
         share_retries(&node);
         if let Some(service) = node.beside.lapse(node.settings.timing.announce.get()) {
             node.note_event(Event::TargetLapsed, format_args!("service={service}"));
-            crate::http::announce::publish(&node);
+            crate::members::publish(&node);
         }
     }
 }
@@ -170,9 +173,9 @@
 /// Divides the fleet's retry budget among the members that are known.
 fn share_retries(node: &Node) {
     if let Some(sidecar) = &node.settings.sidecar {
-        let members = lock(&node.fleet).live() as f64;
+        let members = lock(&node.members.fleet).live() as f64;
         let capacity = sidecar.retry_slack * RETRY_SHARE / members;
         let ratio = sidecar.retry_ratio * RETRY_SHARE;
-        node.services.set_retry_bounds(ratio, capacity);
+        node.routing.services.set_retry_bounds(ratio, capacity);
     }
 }
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -9,7 +9,7 @@
 use cardamomshed_policy::member::{Record, State};
 use rand::Rng;
 
-use super::{follower, gossip};
+use crate::members::{ask_members, is_poller, post};
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -31,8 +31,8 @@
     let mut pause = FIRST_PAUSE;
     let mut asked = 0;
     loop {
-        let alone = lock(&node.fleet).live() == 1;
-        if alone || follower::is_poller(&node) {
+        let alone = lock(&node.members.fleet).live() == 1;
+        if alone || is_poller(&node) {
             match look(&node, &client).await {
                 Ok(()) => {}
                 Err(failure) => {
@@ -40,14 +40,14 @@
                 }
             }
         }
-        if asked < 3 && lock(&node.fleet).live() > 1 {
+        if asked < 3 && lock(&node.members.fleet).live() > 1 {
             asked += 1;
-            gossip::ask_members(&node);
+            ask_members(&node);
         }
         let spread = 0.75 + rand::rng().random::<f64>() * 0.5;
         tokio::select! {
             () = tokio::time::sleep(pause.mul_f64(spread)) => {}
-            () = node.rejoin.notified() => asked = asked.min(2),
+            () = node.members.rejoin.notified() => asked = asked.min(2),
         }
         pause = (pause * 2).min(LOOK_EVERY);
     }
@@ -61,18 +61,18 @@
         .filter(|record| record.state.takes_part())
         .collect::<Vec<_>>();
     let unknown = {
-        let fleet = lock(&node.fleet);
+        let fleet = lock(&node.members.fleet);
         let unknown = |record: &Record| fleet.get(&record.name).is_none();
         records.into_iter().filter(unknown).collect::<Vec<_>>()
     };
-    let output = lock(&node.fleet).learn(unknown, node.clock.now());
-    gossip::post(node, output);
+    let output = lock(&node.members.fleet).learn(unknown, node.clock.now());
+    post(node, output);
     keep_row(node, client, &rows).await
 }
 
 /// Takes over one row of the own failure domain if its daemon is gone.
 async fn keep_row(node: &Arc<Node>, client: &Client, rows: &[Row]) -> Result<(), Failure> {
-    let own = lock(&node.fleet).own().clone();
+    let own = lock(&node.members.fleet).own().clone();
     let domain = &own.profile.domain;
     let keys = (0..ROWS_PER_DOMAIN).map(|number| format!("{domain}-{number}"));
     let holders = keys
@@ -115,7 +115,7 @@
 }
 
 fn is_live(node: &Node, name: Option<&str>) -> bool {
-    let fleet = lock(&node.fleet);
+    let fleet = lock(&node.members.fleet);
     name.and_then(|name| fleet.get(name))
         .is_some_and(|record| matches!(record.state, State::Alive | State::Suspect))
 }
--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -5,20 +5,20 @@
 //! that took effect is settled by reading. While the platform cannot record
 //! a claim, the request is refused with a true "not run".
 
+pub mod ask;
 mod row;
-mod store;
+pub mod store;
 
 use std::sync::Arc;
 
 use cardamomshed_code::{Code, Event, Ran};
 use tokio::sync::{mpsc, oneshot};
 
-pub use store::run;
-
 use crate::context::Context;
-use crate::dispatch::Parts;
 use crate::node::Node;
+use crate::parts::Parts;
 use crate::reply::{Refused, Reply};
+use ask::{Ask, Claimed};
 use row::{Outcome, Stored};
 
 /// Header with a caller's idempotency key.
@@ -26,32 +26,6 @@
 /// Longest idempotency key in bytes.
 const MAX_KEY: usize = 255;
 
-/// What a claim came to.
-#[derive(Debug)]
-pub enum Claimed {
-    /// The request may run; the row has this version.
-    Mine(u64),
-    /// It ran before, with this answer.
-    Answered(Stored),
-    /// It is in progress elsewhere.
-    InProgress,
-    /// An earlier one ended with an unknown fate.
-    Open,
-    /// The key was used for another request.
-    Reused,
-    /// The platform did not record it.
-    Unavailable(String),
-}
-
-/// What the request path asks of the claim maker.
-#[derive(Debug)]
-pub enum Ask {
-    /// Claim a key.
-    Claim(row::Wanted, oneshot::Sender<Claimed>),
-    /// Record how a claimed request ended.
-    Settle(row::Settled),
-}
-
 /// A claimed key. Dropping it unsettled records an unknown fate.
 #[derive(Debug)]
 pub struct Claim {
@@ -80,12 +54,12 @@
     if key.is_empty() || key.len() > MAX_KEY {
         return refuse(Code::BadRequest, Ran::No, "idempotency key: 1 to 255 bytes");
     }
-    let wanted = row::Wanted::new(node, context, key, parts);
+    let wanted = row::Wanted::new(&node.clock, context, key, parts);
     let row_key = wanted.key.clone();
     let claim = wanted.claim;
     let fingerprint = wanted.fingerprint.clone();
     let (reply, answer) = oneshot::channel();
-    let sent = node.channels.claims.send(Ask::Claim(wanted, reply)).is_ok();
+    let sent = node.claims.send(Ask::Claim(wanted, reply)).is_ok();
     let claimed = if sent { answer.await.ok() } else { None };
     let claimed = claimed.unwrap_or_else(|| Claimed::Unavailable("stopping".to_owned()));
     let log = |event, detail: &str| {
@@ -99,7 +73,7 @@
         Claimed::Mine(version) => {
             log(Event::ClaimMade, "");
             Ok(Claim {
-                channel: node.channels.claims.clone(),
+                channel: node.claims.clone(),
                 settled: Some(row::Settled {
                     key: row_key,
                     claim,
--- a/crates/daemon/src/claim/row.rs
+++ b/crates/daemon/src/claim/row.rs
@@ -8,9 +8,9 @@
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Clock;
 use crate::context::Context;
-use crate::dispatch::Parts;
-use crate::node::Node;
+use crate::parts::Parts;
 use crate::reply::Answer;
 
 /// Largest answer body that is stored, in bytes; a larger one is repeated
@@ -86,11 +86,11 @@
 }
 
 impl Wanted {
-    pub(crate) fn new(node: &Node, context: &Context, key: &str, parts: &Parts) -> Self {
+    pub(crate) fn new(clock: &Clock, context: &Context, key: &str, parts: &Parts) -> Self {
         let hex = |digest: Digest| digest.to_string().replace("sha256:", "");
         let body = Digest::of(&String::from_utf8_lossy(&parts.body));
         let request = format!("{} {} {body}", parts.method, parts.path);
-        let left = node.clock.left(context.deadline).as_millis() as u64;
+        let left = clock.left(context.deadline).as_millis() as u64;
         Self {
             key: hex(Digest::of(&format!("{}\n{key}", context.account))),
             claim: rand::random::<u64>() >> 12,
--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -9,8 +9,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep};
 
+use super::ask::{Ask, Claimed};
 use super::row::{Outcome, Row, Settled, State, Wanted};
-use super::{Ask, Claimed};
 use crate::node::Node;
 
 /// Table of the claims.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -12,11 +12,12 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
+use crate::actor::Stop;
+use crate::actor::quota::leased;
 use crate::actor::root::{Parts, Root};
-use crate::actor::{Stop, gossip, quota};
-use crate::http::announce;
 use crate::http::server::{self, Listeners, Running as Listening};
-use crate::link::Links;
+use crate::link::table::Links;
+use crate::members::{post, publish};
 use crate::node::{Channels, Node, Options};
 use crate::sync::lock;
 
@@ -105,7 +106,7 @@
         let (jobs, job_queue) = mpsc::unbounded_channel();
         let (claims, claim_queue) = mpsc::unbounded_channel();
         let (gossip, gossip_queue) = mpsc::unbounded_channel();
-        let (links, starts) = Links::new();
+        let (links, starts) = Links::new(log.clone());
         let channels = Channels {
             jobs,
             claims,
@@ -153,16 +154,16 @@
     pub async fn leave(self) -> Daemon<Leaving> {
         let node = &self.node;
         node.note_event(Event::DaemonLeaving, format_args!(""));
-        node.set_leaving();
+        node.life.set_leaving();
         if node.settings.sidecar.is_some() {
             // Others hear of it before calls on the way are refused.
-            announce::publish(node);
+            publish(node);
             tokio::time::sleep(ANNOUNCE).await;
             node.beside.close();
         } else {
             node.beside.close();
-            announce::publish(node);
-            quota::give_back(node).await;
+            publish(node);
+            leased::give_back(node).await;
         }
         Daemon {
             node: self.node,
@@ -201,10 +202,10 @@
             // Clients on this VM send on until the platform has asked twice.
             tokio::time::sleep(UNREADY).await;
         }
-        node.set_closing();
+        node.life.set_closing();
         let mut idle = self.wait_idle(until).await;
-        let output = lock(&node.fleet).leave(&mut rand::rng());
-        gossip::post(node, output);
+        let output = lock(&node.members.fleet).leave(&mut rand::rng());
+        post(node, output);
         tokio::time::sleep(ANNOUNCE).await;
         for server in &self.servers {
             server.stop().await;
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -12,9 +12,10 @@
 use tokio::sync::oneshot;
 
 use crate::context::Context;
+use crate::job::Job;
 use crate::node::Node;
+use crate::parts::Parts;
 use crate::reply::{Refused, Reply};
-use crate::runner::Job;
 use crate::service::Picked;
 use crate::sync::lock;
 
@@ -25,19 +26,6 @@
 /// Bytes of the heads of a call and its answer, for the slow link's budget.
 const HEADS: usize = 600;
 
-/// A request as it is sent on.
-#[derive(Clone, Debug)]
-pub struct Parts {
-    /// HTTP method.
-    pub method: String,
-    /// Path and query.
-    pub path: String,
-    /// End-to-end headers.
-    pub headers: Vec<(String, String)>,
-    /// Whole body.
-    pub body: Bytes,
-}
-
 /// One attempt of a call; when it is dropped unsettled, as a cancelled call
 /// is, the balancer stops counting it all the same.
 struct Attempt<'a> {
@@ -58,6 +46,7 @@
         let target = self.picked.choice.target;
         let now = self.node.clock.now();
         self.node
+            .routing
             .services
             .finished(self.service, target, outcome, load, now)
     }
@@ -76,8 +65,12 @@
     let mut tried = Vec::new();
     loop {
         let now = node.clock.now();
-        let remote = lock(&node.slow_link).has_room(now);
-        let Some(picked) = node.services.pick(&route.service, &tried, remote, now) else {
+        let remote = lock(&node.routing.slow_link).has_room(now);
+        let Some(picked) = node
+            .routing
+            .services
+            .pick(&route.service, &tried, remote, now)
+        else {
             return no_target(node, context, route, tried.len());
         };
         log_choice(node, context, route, &picked);
@@ -142,7 +135,7 @@
             return run_here(node, context, call, parts.body.clone()).await;
         }
         node.links
-            .call(node, peer, call, parts.body.clone(), context.deadline)
+            .call(peer, call, parts.body.clone(), context.deadline)
             .await
     });
     wait.await.unwrap_or_else(|_| {
@@ -163,7 +156,7 @@
         deadline: context.deadline,
         reply,
     };
-    if node.channels.jobs.send(job).is_err() {
+    if node.jobs.send(job).is_err() {
         return Reply::Refused(Refused::not_run(Code::Leaving, "", tokens));
     }
     end.await.unwrap_or_else(|_| {
@@ -209,7 +202,7 @@
             Reply::Refused(_) => 0,
         };
         let bytes = attempt.sent + answered + HEADS;
-        lock(&node.slow_link).spend(bytes);
+        lock(&node.routing.slow_link).spend(bytes);
         node.metrics
             .bytes
             .with_label_values(&["slow_link_calls"])
@@ -242,7 +235,7 @@
     elsewhere
         && !node.clock.left(context.deadline).is_zero()
         && context.spend()
-        && node.services.spend_retry(&route.service)
+        && node.routing.services.spend_retry(&route.service)
 }
 
 fn no_target(node: &Node, context: &Context, route: &Route, tried: usize) -> Reply {
--- a/crates/daemon/src/http/admin.rs
+++ b/crates/daemon/src/http/admin.rs
@@ -45,21 +45,21 @@
 pub async fn status(node: web::Data<Node>) -> HttpResponse {
     let now = node.clock.now();
     let lookup = node.lookup();
-    let fleet = lock(&node.fleet);
+    let fleet = lock(&node.members.fleet);
     let members = fleet.members().cloned().chain([fleet.own().clone()]);
     let status = Status {
         node: Arc::clone(&node.name),
         domain: node.settings.domain.to_text(),
         region: node.settings.region.to_text(),
         revision: lookup.config.revision,
-        confirmed_ms_ago: now.since(node.confirmed()).as_millis() as u64,
-        leaving: node.is_leaving(),
+        confirmed_ms_ago: now.since(node.configuration.confirmed()).as_millis() as u64,
+        leaving: node.life.is_leaving(),
         open_requests: node.metrics.open.get(),
         links: node.links.len(),
         lender_slots: fleet.own().profile.lends.clone(),
         target: node.beside.announcement(),
         load: node.beside.load(),
-        services: node.services.summary(),
+        services: node.routing.services.summary(),
         members: members.collect(),
         accounts: lookup.config.accounts.keys().cloned().collect(),
     };
--- a/crates/daemon/src/http/announce.rs
+++ b/crates/daemon/src/http/announce.rs
@@ -7,11 +7,10 @@
 use cardamomshed_wire::Request;
 
 use super::problem;
-use crate::actor::gossip;
 use crate::beside::{Announced, Announcement};
+use crate::members::publish;
 use crate::node::Node;
 use crate::reply::Refused;
-use crate::sync::lock;
 
 /// Path at which a target announces itself.
 pub const PATH: &str = "/-/target";
@@ -64,24 +63,3 @@
         Announced::Same => {}
     }
 }
-
-/// Tells the fleet, and this daemon's own routing, of the target and of the
-/// lender slots as they are.
-pub fn publish(node: &Arc<Node>) {
-    let output = {
-        let mut fleet = lock(&node.fleet);
-        let mut profile = fleet.own().profile.clone();
-        let announcement = node.beside.announcement();
-        profile.open = announcement
-            .as_ref()
-            .is_some_and(|target| !target.leaving && !node.is_leaving());
-        profile.slots = announcement.as_ref().map_or(0, |target| target.slots);
-        profile.service = announcement.map(|target| target.service);
-        profile.lends = lock(&node.lenders).keys().copied().collect();
-        let output = fleet.set_profile(profile, &mut rand::rng());
-        node.services.update(fleet.own(), node.clock.now());
-        node.directory.update(fleet.own());
-        output
-    };
-    gossip::post(node, output);
-}
--- a/crates/daemon/src/http/control.rs
+++ b/crates/daemon/src/http/control.rs
@@ -12,6 +12,7 @@
 
 use super::announce;
 use crate::beside::Announcement;
+use crate::members::publish;
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -68,14 +69,14 @@
             Event::TargetLeaving,
             format_args!("instance={instance} deregistered"),
         );
-        announce::publish(&node);
+        publish(&node);
     }
     acknowledge()
 }
 
 /// Says whether this daemon takes requests.
 pub async fn ready(node: web::Data<Node>) -> HttpResponse {
-    if node.is_leaving() || node.lookup().config.revision == 0 {
+    if node.life.is_leaving() || node.lookup().config.revision == 0 {
         return HttpResponse::ServiceUnavailable().finish();
     }
     HttpResponse::Ok().finish()
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -18,8 +18,10 @@
 use crate::actor::quota;
 use crate::claim;
 use crate::context::{self, Context};
-use crate::dispatch::{Parts, dispatch};
-use crate::node::{Held, Node};
+use crate::dispatch::dispatch;
+use crate::life::Held;
+use crate::node::Node;
+use crate::parts::Parts;
 use crate::reply::{Answer, Refused, Reply};
 use crate::runner::{CONTEXT_HEADER, REQUEST_HEADER, TIMEOUT_HEADER};
 use crate::sync::lock;
@@ -193,7 +195,7 @@
     payload: web::Payload,
 ) -> Result<Reply, Failure> {
     let route = &root.access.route;
-    if node.is_leaving() {
+    if node.life.is_leaving() {
         return Err(Failure::new(Code::Leaving, ""));
     }
     let rank = admit(node, root).await?;
@@ -220,7 +222,7 @@
     let reply = claimed_dispatch(node, request, root, &context, &parts).await;
     let shed = matches!(&reply, Reply::Refused(refused) if refused.is_shed());
     let now = node.clock.now();
-    lock(&node.admission).observe(root.access.key, context.level(), shed, now);
+    lock(&node.routing.admission).observe(root.access.key, context.level(), shed, now);
     Ok(reply)
 }
 
@@ -285,7 +287,7 @@
         let detail = "no release note has reached this daemon yet";
         return Err(Failure::new(Code::KeyUnconfirmed, detail));
     }
-    let age = node.unconfirmed_for();
+    let age = node.configuration.unconfirmed_for();
     if refuse && age > after {
         let detail = format!("not confirmed for {} s", age.as_secs());
         return Err(Failure::new(Code::KeyUnconfirmed, detail));
@@ -317,7 +319,7 @@
         priority,
         draw: rand::random(),
     };
-    let admitted = lock(&node.admission).admit(&request, node.clock.now());
+    let admitted = lock(&node.routing.admission).admit(&request, node.clock.now());
     admitted.ok_or_else(|| Failure::new(Code::AdmissionShed, access.route.name.to_string()))
 }
 
@@ -338,7 +340,10 @@
     }
     let chunked = request.headers().contains_key("transfer-encoding");
     let expected = announced.unwrap_or(if chunked { limit } else { 0 });
-    let held = node.hold(expected).map_err(|code| Failure::new(code, ""))?;
+    let held = node
+        .life
+        .hold(expected, node.settings.bodies.get())
+        .map_err(|code| Failure::new(code, ""))?;
     let body = read_body(payload, expected, limit).await?;
     let parts = Parts {
         method: request.method().to_string(),
@@ -415,7 +420,9 @@
         let draw = rand::random::<f64>();
         root.map_or_else(
             || Duration::from_secs_f64(1.0 + draw),
-            |root| lock(&node.admission).retry_after(root.access.key, draw, node.clock.now()),
+            |root| {
+                lock(&node.routing.admission).retry_after(root.access.key, draw, node.clock.now())
+            },
         )
     });
     problem::response(id, refused, retry_after)
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -140,7 +140,7 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<Reply, Failure> {
-    if node.is_closing() && !inbound.account.is_empty() {
+    if node.life.is_closing() && !inbound.account.is_empty() {
         return Err(Failure::new(Code::Leaving, ""));
     }
     admit(node, inbound).await?;
@@ -172,7 +172,7 @@
     };
     if let Some(price) = price {
         let now = node.clock.now();
-        let mut prices = lock(&node.prices);
+        let mut prices = lock(&node.routing.prices);
         prices.book.learn(inbound.access.key, f64::from(price), now);
     }
 }
@@ -182,12 +182,12 @@
 async fn admit(node: &Arc<Node>, inbound: &Inbound) -> Result<(), Failure> {
     let route = &inbound.access.route;
     if inbound.account.is_empty() {
-        lock(&node.prices).chain.made(inbound.access.key);
+        lock(&node.routing.prices).chain.made(inbound.access.key);
         return Ok(());
     }
     let now = node.clock.now();
     let share = {
-        let mut prices = lock(&node.prices);
+        let mut prices = lock(&node.routing.prices);
         let load = prices.usage.count(inbound.account_key, now);
         let key = inbound.access.key;
         prices.book.share(key, inbound.priority, load, now)
@@ -215,7 +215,7 @@
     }
     let weights = access.shares.iter().map(|(weight, _)| *weight);
     let weights = weights.collect::<Vec<_>>();
-    let mut rotations = lock(&node.rotations);
+    let mut rotations = lock(&node.routing.rotations);
     let rotation = rotations.entry(access.key).or_default();
     let part = rotation.next(&weights, rand::random());
     part.map_or_else(
@@ -294,7 +294,7 @@
     let now = node.clock.now();
     if code == Code::AdmissionShed {
         let key = inbound.access.key;
-        return lock(&node.prices)
+        return lock(&node.routing.prices)
             .book
             .room_after(key, inbound.priority, draw, now);
     }
@@ -309,7 +309,7 @@
         let name = http_header::HeaderName::from_static(header::ATTEMPT);
         response.headers_mut().insert(name, value);
     }
-    if node.is_leaving() {
+    if node.life.is_leaving() {
         response
             .head_mut()
             .set_connection_type(actix_http::ConnectionType::Close);
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -13,8 +13,8 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::handshake::{self, Socket};
+use super::table::{Command, Link, Pending};
 use super::writer::{self, Out};
-use super::{Command, Link};
 use crate::node::Node;
 use crate::reply::{self, Refused, Reply};
 use crate::sync::lock;
@@ -65,7 +65,7 @@
             }
         };
         failures = 0;
-        node.services.set_linked(&link.peer.node, true);
+        node.routing.services.set_linked(&link.peer.node, true);
         node.note_event(Event::LinkOpened, format_args!("node={}", link.peer.node));
         if last_boot.is_some_and(|last| last != boot) {
             fail_sent(&link, "the other daemon was restarted");
@@ -84,14 +84,14 @@
     node.links.forget(&link);
     // The next call opens a new link and finds out; without this a target
     // whose link was given up would never be called again.
-    node.services.set_linked(&link.peer.node, true);
+    node.routing.services.set_linked(&link.peer.node, true);
     commands.close();
     link.fail(true, "link closed");
 }
 
 /// Settles calls after a failed redial; says whether to try again.
 async fn after_failure(node: &Node, link: &Link, failures: u32, detail: &str) -> bool {
-    node.services.set_linked(&link.peer.node, false);
+    node.routing.services.set_linked(&link.peer.node, false);
     if failures == 1 {
         node.note_event(
             Event::LinkClosed,
@@ -99,7 +99,7 @@
         );
     }
     link.fail(failures >= GIVE_UP_AFTER, detail);
-    let known = lock(&node.fleet)
+    let known = lock(&node.members.fleet)
         .get(&link.peer.node)
         .is_some_and(|record| record.state.takes_part());
     if !known && failures >= GIVE_UP_AFTER || failures >= FORGET_AFTER {
@@ -251,7 +251,7 @@
     }
 }
 
-impl super::Pending {
+impl Pending {
     fn start(&mut self, now: cardamomshed_policy::Moment, out: &mpsc::UnboundedSender<Out>) {
         self.sent = true;
         let left = self.deadline.since(now).as_millis();
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -1,8 +1,7 @@
 //! The end of a link that accepted: it runs calls and keeps their answers
 //! until they have arrived.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,90 +11,20 @@
 use cardamomshed_wire::{Answer, Call, Frame, Refusal, decode};
 use futures_util::StreamExt;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 
 use super::handshake::{Other, Socket};
+use super::sessions::Served;
 use super::writer::{self, Out};
-use crate::node::{Held, Node};
+use crate::job::Job;
+use crate::life::Held;
+use crate::node::Node;
 use crate::reply::{Refused, Reply};
-use crate::runner::Job;
 use crate::sync::lock;
 
 /// Records in one message of members.
 const MEMBERS_PER_FRAME: usize = 200;
-/// Time beyond the deadline for which an answer is kept.
-const KEEP: Duration = Duration::from_secs(1);
-
-/// A call that came over a link.
-#[derive(Debug)]
-enum Served {
-    /// Its body is still arriving.
-    Arriving(Box<Call>, BytesMut, Moment, Held),
-    /// It waits or runs; aborting cancels it.
-    Running(AbortHandle, Moment),
-    /// It ended and its end has not arrived at the other daemon.
-    Done(Reply, Moment),
-    /// It was said not to have run, so it must not be started any more.
-    Barred(Moment),
-}
-
-impl Served {
-    const fn deadline(&self) -> Moment {
-        match self {
-            Self::Arriving(_, _, deadline, _)
-            | Self::Running(_, deadline)
-            | Self::Done(_, deadline)
-            | Self::Barred(deadline) => *deadline,
-        }
-    }
-}
-
-/// Calls of one process of another daemon, over all its connections.
-#[derive(Debug, Default)]
-struct Session {
-    /// The newest connection, which replaces all earlier ones.
-    out: Option<mpsc::UnboundedSender<Out>>,
-    reader: Option<AbortHandle>,
-    calls: HashMap<u64, Served>,
-}
-
-/// Calls of every other daemon, by the number of its process.
-#[derive(Debug, Default)]
-pub struct Sessions {
-    sessions: Mutex<HashMap<u64, Session>>,
-}
-
-impl Sessions {
-    /// Forgets answers that are of no use any more.
-    pub fn sweep(&self, now: Moment) {
-        let mut sessions = lock(&self.sessions);
-        for session in sessions.values_mut() {
-            session.calls.retain(|_, served| {
-                let keep = served.deadline() + KEEP > now;
-                if let (false, Served::Running(task, _)) = (keep, &*served) {
-                    task.abort();
-                }
-                keep
-            });
-        }
-        sessions.retain(|_, session| session.out.is_some() || !session.calls.is_empty());
-    }
-
-    /// Whether any call of another daemon runs.
-    pub fn is_idle(&self) -> bool {
-        let busy = |served: &Served| !matches!(served, Served::Barred(_));
-        let sessions = lock(&self.sessions);
-        !sessions
-            .values()
-            .any(|session| session.calls.values().any(busy))
-    }
-
-    fn with<R>(&self, boot: u64, change: impl FnOnce(&mut Session) -> R) -> R {
-        change(lock(&self.sessions).entry(boot).or_default())
-    }
-}
 
 /// Serves one connection until it ends.
 pub(super) async fn run(node: Arc<Node>, socket: Socket, other: Other) {
@@ -166,7 +95,7 @@
             });
         }
         Frame::AskMembers { digests } => {
-            let records = lock(&node.fleet).differing(&digests);
+            let records = lock(&node.members.fleet).differing(&digests);
             for part in records.chunks(MEMBERS_PER_FRAME) {
                 send(out, Frame::Members(part.to_vec()));
             }
@@ -182,10 +111,10 @@
 pub(super) fn control(node: &Arc<Node>, frame: Frame, chunk: &Bytes) {
     match frame {
         Frame::Members(records) => {
-            let output = lock(&node.fleet).learn(records, node.clock.now());
-            crate::actor::gossip::post(node, output);
+            let output = lock(&node.members.fleet).learn(records, node.clock.now());
+            crate::members::post(node, output);
         }
-        Frame::Note { revision } => crate::actor::follower::receive(node, revision, chunk),
+        Frame::Note { revision } => crate::actor::config::receive(node, revision, chunk),
         Frame::GiveTokens(grant) => crate::actor::quota::receive(node, &grant),
         _ => {}
     }
@@ -197,7 +126,7 @@
 }
 
 fn send_notes(node: &Node, out: &mpsc::UnboundedSender<Out>, after: u64) {
-    for (revision, row) in crate::actor::follower::rows_since(node, after) {
+    for (revision, row) in crate::actor::config::rows_since(node, after) {
         let _ = out.send(Out::Whole(Frame::Note { revision }, row));
     }
 }
@@ -219,7 +148,9 @@
         return;
     }
     let limit = node.lookup().config.limits.body.get() as u64;
-    let held = node.hold(call.length as usize);
+    let held = node
+        .life
+        .hold(call.length as usize, node.settings.bodies.get());
     let refused = match &held {
         _ if call.length > limit => Some(Code::BodyTooLarge),
         Err(code) => Some(*code),
@@ -273,7 +204,7 @@
         deadline,
         reply,
     };
-    let sent = node.channels.jobs.send(job).is_ok();
+    let sent = node.jobs.send(job).is_ok();
     let task = {
         let node = Arc::clone(node);
         actix_rt::spawn(async move {
--- a/crates/daemon/src/link/writer.rs
+++ b/crates/daemon/src/link/writer.rs
@@ -8,7 +8,9 @@
 use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::{Error, Message};
 
-use super::CHUNK;
+/// Bytes of a body that go into one message, so that a large body does not
+/// hold up small ones.
+const CHUNK: usize = 32 * 1024;
 
 /// What is to be sent.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/daemon/src/quota.rs
@@ -0,0 +1,24 @@
+//! Quota as this daemon holds it.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use cardamomshed_policy::quota::{Lender, Wallet};
+use tokio::sync::Notify;
+
+use crate::directory::Directory;
+
+/// Quota as this daemon holds it.
+#[derive(Debug, Default)]
+pub struct Quota {
+    /// Who holds which lender slot.
+    pub directory: Directory,
+    /// Prepaid quota tokens.
+    pub wallet: Mutex<Wallet>,
+    /// Quota shares held, by lender slot.
+    pub lenders: Mutex<BTreeMap<u16, Lender>>,
+    /// Wakes requests that wait for quota tokens.
+    pub arrived: Notify,
+    /// Wakes the actor that holds lender slots.
+    pub wake: Notify,
+}
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -15,11 +15,12 @@
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::{Level, OPEN};
 use cardamomshed_wire::Call;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::beside::{Entry, Visitor};
 use crate::context::{Context, Live, Root};
 use crate::exchange::{Broken, Incoming, Outgoing, Pool};
+use crate::job::Job;
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
 use crate::sync::lock;
@@ -33,19 +34,6 @@
 /// Header that carries the time left, in milliseconds, in both directions.
 pub const TIMEOUT_HEADER: &str = "x-shed-timeout-ms";
 
-/// A call for the target. Dropping the receiver of `reply` cancels it.
-#[derive(Debug)]
-pub struct Job {
-    /// The call.
-    pub call: Box<Call>,
-    /// Its whole body.
-    pub body: Bytes,
-    /// Its deadline on this daemon's clock.
-    pub deadline: Moment,
-    /// Where its end is told.
-    pub reply: oneshot::Sender<Reply>,
-}
-
 /// Runs calls until every sender of jobs is gone.
 pub async fn run(node: Arc<Node>, jobs: &mut mpsc::UnboundedReceiver<Job>) {
     let pool = Rc::new(Pool::default());
@@ -97,7 +85,7 @@
         Err(code) => return shed(node, call, code),
     };
     node.metrics.executions.inc();
-    lock(&node.prices).chain.started(visitor.route);
+    lock(&node.routing.prices).chain.started(visitor.route);
     node.metrics.wait.observe(entry.waited.as_secs_f64());
     if node.settings.sidecar.is_none() {
         // The event at the call's end has the same figures; on the platform
@@ -228,7 +216,7 @@
     let route = node.names.route(&call.route);
     let now = node.clock.now();
     let own = node.beside.price(route);
-    let prices = lock(&node.prices);
+    let prices = lock(&node.routing.prices);
     let below = prices
         .chain
         .price(route, |route| prices.book.price(route, now));
--- a/crates/daemon/tests/all/link_silence.rs
+++ b/crates/daemon/tests/all/link_silence.rs
@@ -118,13 +118,7 @@
     };
     let deadline = node.clock.now() + Duration::from_secs(8);
     node.links
-        .call(
-            node,
-            peer,
-            call,
-            Bytes::from_static(body.as_bytes()),
-            deadline,
-        )
+        .call(peer, call, Bytes::from_static(body.as_bytes()), deadline)
         .await
 }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod caller_tls;
 mod exchange_shapes;
 mod idempotency_claims;
+mod import_order;
 mod key_checks;
 mod link_resume;
 mod link_silence;
--- a/crates/daemon/tests/all/note_follow.rs
+++ b/crates/daemon/tests/all/note_follow.rs
@@ -73,7 +73,7 @@
     // platform before its first look at the notes.
     let started = Running::start(late, cardamomshed_daemon::Options::default());
     eventually("it knows the others", || {
-        started.node.fleet.lock().expect("whole").live() == 4
+        started.node.members.fleet.lock().expect("whole").live() == 4
     });
     fleet.platform.set_faults(DOWN);
     eventually("it has the newest note", || {
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -183,10 +183,10 @@
         eventually_holds("one lender", || {
             let known = nodes
                 .iter()
-                .all(|node| node.fleet.lock().expect("not poisoned").live() == 2);
+                .all(|node| node.members.fleet.lock().expect("not poisoned").live() == 2);
             let held = nodes
                 .iter()
-                .map(|node| node.lenders.lock().expect("not poisoned").len());
+                .map(|node| node.quota.lenders.lock().expect("not poisoned").len());
             known && held.sum::<usize>() == 1
         });
         // What both know of it travels with the next gossip.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -419,9 +419,13 @@
 
 /// Targets, revision and lender slots that a daemon knows of.
 fn readiness(node: &Node) -> (usize, u64, usize) {
-    let known = node.services.summary();
+    let known = node.routing.services.summary();
     let targets = known.iter().map(|service| service.targets).sum();
-    let fleet = node.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = node
+        .members
+        .fleet
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let lends = |record: &Record| record.profile.lends.len();
     let lenders = fleet.members().map(lends).sum::<usize>() + lends(fleet.own());
     (targets, node.lookup().config.revision, lenders)
