An ask that reaches a former lender is no empty account

Ruled out: the lender's own bucket, which had tokens.

An answer says now whether the daemon lends. Where it does not, the ask is withdrawn and repeated, and the request waits as long as where no lender is known. platform_path::former_lender_asked: 429 before, 200 now.

--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -46,7 +46,8 @@
             Spend::Dry => return false,
             Spend::Wait => {}
         }
-        let longest = if ranked::has_lender(node) {
+        let turned_away = lock(&node.quota.wallet).is_turned_away(account);
+        let longest = if ranked::has_lender(node) && !turned_away {
             MAX_WAIT
         } else {
             MAX_LENDER_WAIT
@@ -77,6 +78,7 @@
                 Some(_) => lock(&node.quota.wallet).silent_lenders(account, now),
                 None => 0,
             },
+            lends: false,
         };
         send_ask(node, ask);
     }
@@ -104,7 +106,7 @@
                     return;
                 }
                 if node.settings.sidecar.is_some() {
-                    set_dry(node, &ask);
+                    take_refusal(node, &given);
                     return;
                 }
             }
@@ -116,6 +118,17 @@
     }
 }
 
+/// Takes in an answer without tokens. The first lender has an account whole;
+/// a daemon that lends no more says nothing of it.
+fn take_refusal(node: &Node, grant: &Grant) {
+    if grant.lends {
+        set_dry(node, grant);
+    } else {
+        let account = node.names.account(&grant.account);
+        lock(&node.quota.wallet).turned_away(account);
+    }
+}
+
 /// Notes that no lender has a token for this account.
 fn set_dry(node: &Node, ask: &Grant) {
     let account = node.names.account(&ask.account);
@@ -137,8 +150,7 @@
     let now = node.clock.now();
     let asked = Moment::from_micros(grant.asked_us);
     if node.settings.sidecar.is_some() {
-        // The first lender has the account whole.
-        set_dry(node, grant);
+        take_refusal(node, grant);
         return;
     }
     if now.since(asked) > PATIENCE {
@@ -169,11 +181,13 @@
     let account = node.names.account(&ask.account);
     let now = node.clock.now();
     let mut given = 0;
-    for lender in lock(&node.quota.lenders).values_mut() {
+    let mut lenders = lock(&node.quota.lenders);
+    for lender in lenders.values_mut() {
         given += lender.lend(account, ask.wanted - given, now);
     }
     Grant {
         tokens: given,
+        lends: !lenders.is_empty(),
         ..ask
     }
 }
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -8,8 +8,10 @@
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use cardamomshed_daemon::Options;
+use cardamomshed_daemon::node::Node;
 use cardamomshed_note::{Length, Settings, Sidecar};
 use cardamomshed_platform::header;
+use cardamomshed_policy::member::Record;
 use cardamomshed_standin::client::{Reply, Request, eventually as eventually_holds};
 use cardamomshed_standin::fleet::{Place, Running, settings};
 use cardamomshed_standin::platform::{Capacity, Faults, Platform};
@@ -265,6 +267,32 @@
     assert_eq!(fleet.seen.runs.load(Ordering::Relaxed), runs);
 }
 
+#[test]
+fn former_lender_asked() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    fleet.settle();
+    eventually(200, || fleet.get("/a/").key("key-one").send());
+    let nodes = [&fleet.first.node, &fleet.second.node];
+    let own = |node: &Node| node.members.fleet.lock().expect("whole").own().clone();
+    let records = nodes.map(|node| own(node));
+    let lends = |record: &&Record| !record.profile.lends.is_empty();
+    let lender = records.iter().find(lends).expect("a lender").clone();
+    let other = records.iter().find(|record| !lends(record));
+    let mut former = other.expect("one that does not lend").clone();
+    former.profile.lends.clone_from(&lender.profile.lends);
+    // The first daemon takes the other for the lender, as it does while two
+    // that started together settle who lends.
+    let directory = &fleet.first.node.quota.directory;
+    directory.update(&former);
+    let request = fleet.get("/a/").key("key-one");
+    let asked = std::thread::spawn(move || request.send());
+    std::thread::sleep(Duration::from_millis(250));
+    directory.update(&lender);
+    assert_eq!(asked.join().expect("an answer").status, 200);
+}
+
 #[test]
 fn withdrawn_key_stops() {
     let mut fleet = Deployment::start();
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -43,6 +43,8 @@
     silent_at: Moment,
     /// Every lender was without tokens; none is asked until then.
     dry_until: Moment,
+    /// The last ask went to a daemon that lends no more.
+    turned_away: bool,
 }
 
 /// What becomes of a request that needs a token.
@@ -140,6 +142,7 @@
     pub fn receive(&mut self, account: AccountKey, tokens: u32, asked: Moment, validity: Duration) {
         let entry = self.accounts.entry(account).or_default();
         entry.asked = None;
+        entry.turned_away = false;
         if tokens > 0 {
             entry.grants.push_back(Grant {
                 tokens,
@@ -148,6 +151,21 @@
         }
     }
 
+    /// Notes that the daemon that was asked lends no more, so that the account
+    /// may have tokens elsewhere.
+    pub fn turned_away(&mut self, account: AccountKey) {
+        let entry = self.accounts.entry(account).or_default();
+        entry.asked = None;
+        entry.turned_away = true;
+    }
+
+    /// Whether the daemon that was asked last lends no more.
+    pub fn is_turned_away(&self, account: AccountKey) -> bool {
+        self.accounts
+            .get(&account)
+            .is_some_and(|entry| entry.turned_away)
+    }
+
     /// Notes that the last ask was not sent.
     pub fn withdraw_ask(&mut self, account: AccountKey) {
         self.accounts.entry(account).or_default().asked = None;
@@ -157,6 +175,7 @@
     pub fn set_dry(&mut self, account: AccountKey, until: Moment) {
         let entry = self.accounts.entry(account).or_default();
         entry.asked = None;
+        entry.turned_away = false;
         entry.dry_until = until;
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -292,4 +292,8 @@
     /// Lenders that were asked before for these tokens.
     #[serde(rename = "c")]
     pub turn: u8,
+    /// Whether the daemon that answers holds a lender slot; one that does not
+    /// knows nothing of the account's tokens.
+    #[serde(rename = "h")]
+    pub lends: bool,
 }
