Know a living target after a restart, keep departures, reload settings, bound store calls

A daemon that starts beside a living target asks its health path who it is and serves it before its next heartbeat.

Settings that can change while running do, on SIGHUP or within 5 s without a signal; the log names those that wait for a restart. All clients of the store in one daemon share a budget, its part of the store's rates: test store_budget::fleet_stays_under.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -33,7 +33,7 @@
     CertificateLoaded = 104, "certificate loaded";
     CertificateRejected = 105, "new certificate rejected; the earlier one stays in use";
     ListenerFailed = 106, "a connection could not be accepted";
-    SettingsRead = 107, "settings read again";
+    SettingsRead = 107, "settings read again; what can change while running is in force";
     SettingsRejected = 108, "changed settings rejected; those in force stay";
     LinesDropped = 109, "log lines dropped";
     RequestAccepted = 200, "request accepted at the ingress";
@@ -60,6 +60,8 @@
     TargetEjected = 313, "target ejected after failures";
     TargetRestored = 314, "ejected target admitted again";
     HeartbeatRejected = 315, "registration call rejected; it names no target here";
+    DepartureNotKept = 316, "that the target leaves could not be kept in the store";
+    TargetUnknown = 317, "the target did not say who it is; its heartbeat will";
     MemberJoined = 320, "member joined";
     MemberSuspected = 321, "member suspected";
     MemberFailed = 322, "member failed";
--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod follower;
 pub mod gossip;
+mod keeper;
 mod operator;
 pub mod quota;
 pub mod root;
--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -27,8 +27,8 @@
     if node.settings.sidecar.is_some() {
         return operator::run(node).await;
     }
-    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
-    let poll = node.settings.timing.poll.get();
+    let client = node.store();
+    let poll = node.current().timing.poll.get();
     let mut lost = false;
     loop {
         if is_poller(&node) {
--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -29,7 +29,7 @@
 
 /// Follows the configuration until the task is dropped.
 pub(super) async fn run(node: Arc<Node>) {
-    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
+    let client = node.store();
     let mut reader = Reader {
         node: Arc::clone(&node),
         client,
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use cardamomshed_code::Event;
-use cardamomshed_platform::Client;
 use cardamomshed_policy::quota::{Bound, Lender, Spend, validity};
 use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_wire::{Frame, Grant};
@@ -194,8 +193,8 @@
 
 /// Keeps leases until the task is dropped.
 pub(super) async fn run(node: Arc<Node>) {
-    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
-    let length = node.settings.timing.lease.get();
+    let client = node.store();
+    let length = node.current().timing.lease.get();
     let mut seen = HashMap::new();
     let mut renewed = node.clock.now();
     let mut held_by_rank = ranked::Holding::default();
--- a/crates/daemon/src/actor/quota/leased.rs
+++ b/crates/daemon/src/actor/quota/leased.rs
@@ -53,7 +53,7 @@
     renew: bool,
 ) -> Result<(), Failure> {
     let rows = client.list(TABLE, "", MAX_ROWS).await?;
-    let length = node.settings.timing.lease.get();
+    let length = node.current().timing.lease.get();
     for number in 0..node.lookup().config.limits.lender_slots {
         let key = format!("{}-{number}", node.settings.domain);
         let row = rows.iter().find(|row| row.key == key);
@@ -133,7 +133,7 @@
     };
     let asked = node.clock.now();
     client.put(TABLE, key, expect, &next).await?;
-    let lease = Lease::granted(asked, node.settings.timing.lease.get());
+    let lease = Lease::granted(asked, node.current().timing.lease.get());
     let new = {
         let mut lenders = lock(&node.quota.lenders);
         let new = !lenders.contains_key(&number);
@@ -217,7 +217,7 @@
         return;
     }
     publish(node);
-    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
+    let client = node.store();
     for number in numbers {
         let key = format!("{}-{number}", node.settings.domain);
         // On failure the next holder waits out the lease.
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -6,17 +6,20 @@
 
 use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler};
 use cardamomshed_code::Event;
+use cardamomshed_platform::Sharers;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Mutex, mpsc};
 
 use super::worker::{LocalFuture, Stop, Worker};
-use super::{follower, gossip, quota};
+use super::{follower, gossip, keeper, quota};
 use crate::claim::ask::Ask;
 use crate::claim::store;
+use crate::departure::Departure;
 use crate::job::Job;
 use crate::link;
 use crate::link::table::Start;
-use crate::node::Node;
+use crate::members::{is_poller, readers};
+use crate::node::{Node, store_rates};
 use crate::runner;
 use crate::sync::lock;
 
@@ -30,6 +33,8 @@
     pub jobs: mpsc::UnboundedReceiver<Job>,
     /// Idempotency keys to be claimed or settled.
     pub claims: mpsc::UnboundedReceiver<Ask>,
+    /// Departures of the target to be kept.
+    pub departures: mpsc::UnboundedReceiver<Departure>,
     /// Links to be run.
     pub starts: mpsc::UnboundedReceiver<Start>,
     /// Gossip to be sent.
@@ -87,6 +92,12 @@
             Box::pin(async move { store::run(node, &mut *claims.lock().await).await })
         });
         let node = Arc::clone(&self.node);
+        let departures = Rc::new(Mutex::new(parts.departures));
+        self.supervise("keeper", move || {
+            let (node, departures) = (Arc::clone(&node), Rc::clone(&departures));
+            Box::pin(async move { keeper::run(node, &mut *departures.lock().await).await })
+        });
+        let node = Arc::clone(&self.node);
         let starts = Rc::new(Mutex::new(parts.starts));
         self.supervise("links", move || {
             let (node, starts) = (Arc::clone(&node), Rc::clone(&starts));
@@ -159,20 +170,33 @@
         node.beside.tick();
         lock(&node.routing.prices).chain.tick(now);
         share_retries(&node);
-        if let Some(service) = node.beside.lapse(node.settings.timing.announce.get()) {
+        share_store_calls(&node);
+        if let Some(service) = node.beside.lapse(node.current().timing.announce.get()) {
             node.note_event(Event::TargetLapsed, format_args!("service={service}"));
             crate::members::publish(&node);
         }
     }
 }
 
+/// Divides the calls that the platform's store takes among the members.
+fn share_store_calls(node: &Node) {
+    let daemons = lock(&node.members.fleet).live();
+    let sharers = Sharers {
+        daemons,
+        readers: (readers(node) * node.settings.domains.len()).min(daemons),
+        reads: is_poller(node),
+    };
+    node.store_calls
+        .share(store_rates(&node.current()), sharers);
+}
+
 /// Part of the fleet's retry budget that daemons spend; the rest is left for
 /// the calls that a repeated call makes in turn, which count as repeats too.
 const RETRY_SHARE: f64 = 0.5;
 
 /// Divides the fleet's retry budget among the members that are known.
 fn share_retries(node: &Node) {
-    if let Some(sidecar) = &node.settings.sidecar {
+    if let Some(sidecar) = &node.current().sidecar {
         let members = lock(&node.members.fleet).live() as f64;
         let capacity = sidecar.retry_slack * RETRY_SHARE / members;
         let ratio = sidecar.retry_ratio * RETRY_SHARE;
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -27,7 +27,7 @@
 /// Finds other daemons, and keeps the rows up to date where this daemon is
 /// one of those that do.
 pub(super) async fn join(node: Arc<Node>) {
-    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
+    let client = node.store();
     let mut pause = FIRST_PAUSE;
     let mut asked = 0;
     loop {
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -170,6 +170,13 @@
         Some(lapsed.announcement.service)
     }
 
+    /// Whether the target is leaving.
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.target)
+            .as_ref()
+            .is_some_and(|target| target.announcement.leaving)
+    }
+
     /// Refuses new calls from now on.
     pub fn close(&self) {
         if let Some(target) = lock(&self.target).as_mut() {
--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -61,7 +61,7 @@
 
 /// Claims and settles until every sender is gone.
 pub async fn run(node: Arc<Node>, asks: &mut mpsc::UnboundedReceiver<Ask>) {
-    let client = Client::new(&node.settings.platform, node.settings.timing.platform.get());
+    let client = node.store();
     let mut queue = Queue::default();
     loop {
         if queue.is_empty() {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -105,17 +105,20 @@
     pub fn start(self, options: Options, log: Logger) -> Result<Daemon<Running>> {
         let (jobs, job_queue) = mpsc::unbounded_channel();
         let (claims, claim_queue) = mpsc::unbounded_channel();
+        let (departures, departure_queue) = mpsc::unbounded_channel();
         let (gossip, gossip_queue) = mpsc::unbounded_channel();
         let (links, starts) = Links::new(log.clone());
         let channels = Channels {
             jobs,
             claims,
+            departures,
             gossip,
         };
         let node = Arc::new(Node::new(self.settings, options, log, channels, links)?);
         let parts = Parts {
             jobs: job_queue,
             claims: claim_queue,
+            departures: departure_queue,
             starts,
             gossip: gossip_queue,
             peers: TcpListener::from_std(self.peers).context("peers' listener")?,
@@ -193,9 +196,9 @@
     /// stops. Says whether all of them ended.
     pub async fn stop(self) -> bool {
         let node = &self.node;
-        let longest = match &node.settings.sidecar {
+        let longest = match &node.current().sidecar {
             Some(sidecar) => sidecar.grace.get().mul_f64(GRACE_SHARE),
-            None => node.settings.timing.drain.get(),
+            None => node.current().timing.drain.get(),
         };
         let until = tokio::time::Instant::now() + longest;
         if node.settings.sidecar.is_some() {
--- a/crates/daemon/src/http/control.rs
+++ b/crates/daemon/src/http/control.rs
@@ -3,19 +3,27 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_web::{HttpResponse, web};
 use cardamomshed_code::Event;
 use cardamomshed_note::Sidecar;
 use cardamomshed_platform::registration::{self, ACKNOWLEDGEMENT, Heartbeat, State};
 use cardamomshed_policy::registration::{Incarnation, Verdict};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use super::announce;
 use crate::beside::Announcement;
+use crate::departure::Departure;
 use crate::members::publish;
 use crate::node::Node;
 use crate::sync::lock;
 
+/// Time for which the acknowledgement of a leaving target waits until that is
+/// kept; a target waits a second for it.
+const KEEP_WITHIN: Duration = Duration::from_millis(500);
+
 /// Takes in a heartbeat.
 pub async fn heartbeat(
     node: web::Data<Node>,
@@ -47,13 +55,28 @@
     match verdict {
         Verdict::New { leaving } | Verdict::Current { leaving } => {
             let announcement = announcement(&node, &heartbeat, &incarnation, leaving);
+            let was_leaving = node.beside.is_leaving();
             announce::take_in(&node, announcement);
+            if leaving && !was_leaving {
+                keep_departure(&node, incarnation).await;
+            }
         }
         Verdict::Late => {}
     }
     acknowledge()
 }
 
+/// Waits for a while until it is kept that the target leaves, so that a
+/// daemon which is started again knows it.
+async fn keep_departure(node: &Node, incarnation: Incarnation) {
+    let (kept, told) = oneshot::channel();
+    let departure = Departure { incarnation, kept };
+    if node.departures.send(departure).is_ok() {
+        // The acknowledgement does not wait for a store that is away.
+        let _ = timeout(KEEP_WITHIN, told).await;
+    }
+}
+
 /// Takes in the notice that a target ends; it gets no new calls.
 pub async fn deregister(
     node: web::Data<Node>,
@@ -70,6 +93,10 @@
             format_args!("instance={instance} deregistered"),
         );
         publish(&node);
+        let leaving = lock(&node.registration).leaving().cloned();
+        if let Some(incarnation) = leaving {
+            keep_departure(&node, incarnation).await;
+        }
     }
     acknowledge()
 }
@@ -94,13 +121,11 @@
     incarnation: &Incarnation,
     leaving: bool,
 ) -> Announcement {
-    let lookup = node.lookup();
-    let connections = lookup.config.connections.get(&heartbeat.service).copied();
     Announcement {
         service: Arc::clone(&heartbeat.service),
         address: heartbeat.address,
         slots: heartbeat.slots,
-        connections: connections.filter(|most| *most > 0).unwrap_or(u32::MAX),
+        connections: node.lookup().connections(&heartbeat.service),
         cold_start_ms: u64::try_from(heartbeat.cold_for.as_millis()).unwrap_or(u64::MAX),
         leaving,
         instance: Some(Arc::clone(&incarnation.instance)),
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -275,7 +275,7 @@
 
 /// Refuses keys that can no longer be confirmed, where the notes say so.
 pub(super) fn check_confirmed(node: &Node, lookup: &Lookup) -> Result<(), Failure> {
-    let (refuse, after) = if let Some(sidecar) = &node.settings.sidecar {
+    let (refuse, after) = if let Some(sidecar) = &node.current().sidecar {
         let lease = sidecar.withdraw_within.get().mul_f64(LEASE_SHARE);
         (sidecar.strict_keys, lease)
     } else {
@@ -342,7 +342,7 @@
     let expected = announced.unwrap_or(if chunked { limit } else { 0 });
     let held = node
         .life
-        .hold(expected, node.settings.bodies.get())
+        .hold(expected, node.current().bodies.get())
         .map_err(|code| Failure::new(code, ""))?;
     let body = read_body(payload, expected, limit).await?;
     let parts = Parts {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod configuration;
 pub mod context;
 pub mod daemon;
+pub mod departure;
 pub mod directory;
 pub mod dispatch;
 pub mod exchange;
--- a/crates/daemon/src/link/accept.rs
+++ b/crates/daemon/src/link/accept.rs
@@ -17,7 +17,7 @@
             Ok((stream, from)) => {
                 let node = Arc::clone(&node);
                 actix_rt::spawn(async move {
-                    let connect = node.settings.timing.connect.get();
+                    let connect = node.current().timing.connect.get();
                     match timeout(connect, handshake::accept(&node, stream)).await {
                         Ok(Ok((socket, other))) => session::run(node, socket, other).await,
                         Ok(Err(failure)) => node
@@ -32,7 +32,7 @@
             Err(error) => {
                 // Out of file descriptors, most likely; they come back.
                 node.note_event(Event::LinkRejected, format_args!("{error}"));
-                tokio::time::sleep(node.settings.timing.heartbeat.get()).await;
+                tokio::time::sleep(node.current().timing.heartbeat.get()).await;
             }
         }
     }
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -47,7 +47,7 @@
     let mut failures = 0;
     let mut last_boot = None;
     loop {
-        let connect = node.settings.timing.connect.get();
+        let connect = node.current().timing.connect.get();
         let dialled = timeout(connect, handshake::dial(&node, link.peer.address)).await;
         let (socket, boot) = match dialled {
             Ok(Ok((socket, other))) if other.node == link.peer.node => (socket, other.boot),
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -36,7 +36,7 @@
         let node = Arc::clone(&node);
         let out = out.clone();
         actix_rt::spawn(async move {
-            let patience = node.settings.timing.idle.get() + node.settings.timing.silence.get();
+            let patience = node.current().timing.idle.get() + node.current().timing.silence.get();
             while let Ok(Some(Ok(message))) = timeout(patience, stream.next()).await {
                 let Message::Binary(bytes) = message else {
                     continue;
@@ -150,7 +150,7 @@
     let limit = node.lookup().config.limits.body.get() as u64;
     let held = node
         .life
-        .hold(call.length as usize, node.settings.bodies.get());
+        .hold(call.length as usize, node.current().bodies.get());
     let refused = match &held {
         _ if call.length > limit => Some(Code::BodyTooLarge),
         Err(code) => Some(*code),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use anyhow::{Context as _, Result};
 use cardamomshed_code::{Code, Failure};
@@ -66,13 +67,8 @@
     let daemon = Bound::new(settings)?.start(Options::default(), log)?;
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
-    let mut hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
-    let reload = async {
-        loop {
-            hangup.recv().await;
-            reload::report(daemon.node(), path);
-        }
-    };
+    let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
+    let reload = reload::File::new(path).follow(Arc::clone(daemon.node()), hangup);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -160,9 +160,13 @@
 /// Whether this daemon is one of the pollers of its failure domain, by the
 /// members that it knows. Any number of daemons may think so.
 pub fn is_poller(node: &Node) -> bool {
-    let pollers = match node.settings.sidecar {
+    rank(node) < readers(node)
+}
+
+/// Pollers of each failure domain.
+pub const fn readers(node: &Node) -> usize {
+    match node.settings.sidecar {
         Some(_) => READERS,
         None => POLLERS,
-    };
-    rank(node) < pollers
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,11 +1,12 @@
 //! One daemon: the state of each of its parts.
 
 use std::fmt;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::SystemTime;
 
 use cardamomshed_code::Event;
 use cardamomshed_note::{Lookup, Names, Settings};
+use cardamomshed_platform::{Budget, Client, Rates};
 use cardamomshed_policy::admission::{self, Admission};
 use cardamomshed_policy::member::{self, Fleet, Profile};
 use cardamomshed_policy::registration::Registration;
@@ -19,6 +20,7 @@
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::context::Contexts;
+use crate::departure::Departure;
 use crate::job::Job;
 use crate::life::Life;
 use crate::link::table::Links;
@@ -35,6 +37,8 @@
     pub jobs: mpsc::UnboundedSender<Job>,
     /// Idempotency keys to be claimed or settled.
     pub claims: mpsc::UnboundedSender<Ask>,
+    /// Departures of the target to be kept.
+    pub departures: mpsc::UnboundedSender<Departure>,
     /// Gossip to be sent.
     pub gossip: mpsc::UnboundedSender<member::Send>,
 }
@@ -53,8 +57,11 @@
 /// One daemon: the state of each of its parts.
 #[derive(Debug)]
 pub struct Node {
-    /// Settings as read at the start.
+    /// Settings as read at the start, for what does not change while the
+    /// daemon runs.
     pub settings: Settings,
+    /// Settings in force.
+    current: RwLock<Arc<Settings>>,
     /// Own name, shared.
     pub name: Arc<str>,
     /// Number of this process, drawn at its start.
@@ -89,12 +96,16 @@
     pub trace: Trace,
     /// Metrics.
     pub metrics: Metrics,
+    /// Calls that this daemon may make to the platform's store.
+    pub store_calls: Arc<Budget>,
     /// Log.
     pub log: Logger,
     /// Calls for the target beside this daemon.
     pub jobs: mpsc::UnboundedSender<Job>,
     /// Idempotency keys to be claimed or settled.
     pub claims: mpsc::UnboundedSender<Ask>,
+    /// Departures of the target to be kept.
+    pub departures: mpsc::UnboundedSender<Departure>,
 }
 
 /// Choices that experiments vary.
@@ -161,20 +172,51 @@
             quota: Quota::default(),
             trace: Trace::default(),
             metrics: Metrics::new()?,
+            store_calls: Arc::new(Budget::new(store_rates(&settings))),
             log,
             jobs: channels.jobs,
             claims: channels.claims,
+            departures: channels.departures,
             name,
             clock,
+            current: RwLock::new(Arc::new(settings.clone())),
             settings,
         })
     }
 
+    /// The settings in force.
+    pub fn current(&self) -> Arc<Settings> {
+        let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&current)
+    }
+
+    /// Takes in what of changed settings can change while the daemon runs,
+    /// and names the fields that wait for a restart.
+    pub fn reload(&self, changed: &Settings) -> Vec<&'static str> {
+        let (next, waiting) = self.current().reloaded(changed);
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        *current = Arc::new(next);
+        waiting
+    }
+
+    /// A client of the platform's store. It belongs to the calling thread;
+    /// all clients of a daemon share its part of the store's rates.
+    pub fn store(&self) -> Client {
+        let settings = &self.settings;
+        Client::new(&settings.platform, settings.timing.platform.get())
+            .within(Arc::clone(&self.store_calls))
+    }
+
     /// The configuration in force.
     pub fn lookup(&self) -> Arc<Lookup> {
         self.configuration.lookup()
     }
 
+    /// Wall clock in milliseconds since the Unix epoch.
+    pub fn wall_clock_ms(&self) -> u64 {
+        wall_clock_us() / 1_000
+    }
+
     /// Logs a decision about a request and keeps it for `explain`.
     pub fn decide(&self, event: Event, request: Request, detail: fmt::Arguments<'_>) {
         let detail = detail.to_string();
@@ -189,6 +231,14 @@
     }
 }
 
+/// Rates of the platform's store, of the settings.
+pub fn store_rates(settings: &Settings) -> Rates {
+    Rates {
+        reads: settings.platform_reads,
+        writes: settings.platform_writes,
+    }
+}
+
 /// A fleet of which this daemon is the one member known.
 fn fleet(settings: &Settings, options: &Options, name: &Arc<str>, epoch_us: u64) -> Fleet {
     let gossip = member::Config {
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -256,7 +256,7 @@
             repeatable: call.repeatable,
             identity: attempt(call).filter(|_| platform),
         };
-        let connect = node.settings.timing.connect.get();
+        let connect = node.current().timing.connect.get();
         let limit = node.lookup().config.limits.body.get();
         let incoming = self
             .pool
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -2,7 +2,7 @@
 //! targets by heartbeat, requests from one daemon to the target beside another.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 struct Seen {
     runs: AtomicUsize,
+    /// Whether the health check finds the target healthy.
+    health: AtomicBool,
     headers: Mutex<Vec<(String, String)>>,
 }
 
@@ -67,6 +69,15 @@
 }
 
 async fn answer(seen: web::Data<Seen>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    if request.path() == "/health" {
+        if !seen.health.load(Ordering::Relaxed) {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        return HttpResponse::Ok()
+            .insert_header((header::INSTANCE, "i-1"))
+            .insert_header((header::LOAD, "0,0,8"))
+            .finish();
+    }
     seen.runs.fetch_add(1, Ordering::Relaxed);
     let fields = request.headers().iter();
     let fields = fields.map(|(name, value)| {
@@ -106,6 +117,7 @@
         grace: Length::from_millis(6_000),
         retry_ratio: 0.2,
         retry_slack: 48.0,
+        first_start: false,
     });
     settings
 }
@@ -119,7 +131,7 @@
             "r-open": {"host": "h.example", "prefix": "/open/", "kind": "idempotent",
                 "timeout": "2s", "priority": 1, "service": "s-two", "public": true}
         },
-        "services": {"s-two": {"max-connections": 50}},
+        "services": {"s-two": {"max-connections": 50, "health-path": "/health"}},
         "limits": {},
         "tenants": {"t-1": {"api-keys": [key], "rate-per-s": 500, "burst": 500}}
     })
@@ -195,6 +207,13 @@
         std::thread::sleep(Duration::from_millis(500));
     }
 
+    /// Starts the daemon beside the target again; nothing of it is left.
+    fn restart_second(&mut self) {
+        self.second.leave();
+        let settings = sidecar("n-2", "s-two", self.target, &self.platform);
+        self.second = Running::start(settings, Options::default());
+    }
+
     fn configure(&self, version: u64, key: &str) {
         self.platform.write("op", "config", &config(version, key));
     }
@@ -293,6 +312,44 @@
     assert_eq!(asked.join().expect("an answer").status, 200);
 }
 
+#[test]
+fn restarted_beside_living_target() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually(200, || fleet.get("/open/").send());
+    fleet.seen.health.store(true, Ordering::Relaxed);
+    fleet.restart_second();
+    // No heartbeat comes; the target says itself who it is.
+    eventually(200, || fleet.get("/open/").send());
+    assert_eq!(
+        fleet.seen.header(header::EXPECTED_INSTANCE).as_deref(),
+        Some("i-1")
+    );
+}
+
+#[test]
+fn restarted_beside_leaving_target() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually(200, || fleet.get("/open/").send());
+    assert_eq!(fleet.heartbeat("draining").status, 200);
+    // Health checks may lie, and a heartbeat may have been on its way.
+    fleet.seen.health.store(true, Ordering::Relaxed);
+    fleet.restart_second();
+    let runs = fleet.seen.runs.load(Ordering::Relaxed);
+    let node = Arc::clone(&fleet.second.node);
+    eventually_holds("a configuration", || node.lookup().config.revision > 0);
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.heartbeat("ready");
+    for _ in 0..20 {
+        assert_eq!(fleet.get("/open/").send().status, 503);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(fleet.seen.runs.load(Ordering::Relaxed), runs);
+}
+
 #[test]
 fn withdrawn_key_stops() {
     let mut fleet = Deployment::start();
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -39,6 +39,9 @@
     /// left out has no limit but its slots.
     #[serde(default)]
     pub connections: IndexMap<Arc<str>, u32>,
+    /// Path of the health check of each service's targets.
+    #[serde(default)]
+    pub health_paths: IndexMap<Arc<str>, Arc<str>>,
     /// Limits that hold everywhere.
     pub limits: Limits,
 }
@@ -56,6 +59,7 @@
             keys: IndexMap::new(),
             keyed: true,
             connections: IndexMap::new(),
+            health_paths: IndexMap::new(),
             limits: Limits::default(),
         }
     }
--- a/crates/note/src/lookup.rs
+++ b/crates/note/src/lookup.rs
@@ -88,6 +88,12 @@
 }
 
 impl Lookup {
+    /// Connections that each target of a service accepts.
+    pub fn connections(&self, service: &str) -> u32 {
+        let most = self.config.connections.get(service).copied();
+        most.filter(|most| *most > 0).unwrap_or(u32::MAX)
+    }
+
     /// Prepares a configuration.
     pub fn new(config: Config, names: &Names) -> Self {
         let mut routes = HashMap::new();
--- a/crates/note/src/settings.rs
+++ b/crates/note/src/settings.rs
@@ -42,6 +42,12 @@
     /// TLS towards callers; left out, callers are served in plain.
     #[serde(default)]
     pub tls: Option<Tls>,
+    /// Reading calls a second that the platform takes from the whole fleet.
+    #[serde(default = "default_platform_reads")]
+    pub platform_reads: f64,
+    /// Writing calls a second that the platform takes from the whole fleet.
+    #[serde(default = "default_platform_writes")]
+    pub platform_writes: f64,
     /// Bytes a second that this daemon may send over the slow link.
     #[serde(default = "default_slow_link")]
     pub slow_link: Size,
@@ -79,6 +85,10 @@
     pub retry_ratio: f64,
     /// Retries over the fleet beyond that share.
     pub retry_slack: f64,
+    /// Whether the whole system starts for the first time, so that no target
+    /// can be older than its daemon.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 /// TLS towards callers. Both files are read again when they change.
@@ -150,6 +160,16 @@
     }
 }
 
+/// Of the platform's description.
+const fn default_platform_reads() -> f64 {
+    2_000.0
+}
+
+/// Of the platform's description.
+const fn default_platform_writes() -> f64 {
+    400.0
+}
+
 const fn default_slow_link() -> Size {
     Size::from_bytes(200 * 1024)
 }
@@ -176,6 +196,62 @@
         Ok(settings)
     }
 
+    /// These settings with what `changed` has that can be taken in while the
+    /// daemon runs, and the names of changed fields that wait for a restart.
+    #[must_use]
+    pub fn reloaded(&self, changed: &Self) -> (Self, Vec<&'static str>) {
+        let mut next = self.clone();
+        next.bodies = changed.bodies;
+        next.platform_reads = changed.platform_reads;
+        next.platform_writes = changed.platform_writes;
+        next.timing = Timing {
+            platform: self.timing.platform,
+            probe: self.timing.probe,
+            ..changed.timing
+        };
+        if let (Some(next), Some(changed)) = (&mut next.sidecar, &changed.sidecar) {
+            next.strict_keys = changed.strict_keys;
+            next.withdraw_within = changed.withdraw_within;
+            next.grace = changed.grace;
+            next.retry_ratio = changed.retry_ratio;
+            next.retry_slack = changed.retry_slack;
+        }
+        let waiting = next.differing(changed);
+        (next, waiting)
+    }
+
+    /// Names of the fields in which other settings differ.
+    fn differing(&self, other: &Self) -> Vec<&'static str> {
+        let text = |value: &dyn std::fmt::Debug| format!("{value:?}");
+        let target = |settings: &Self| {
+            let sidecar = settings.sidecar.as_ref();
+            sidecar.map(|sidecar| (sidecar.service.clone(), sidecar.address, sidecar.ready))
+        };
+        let fields = [
+            ("node", self.node != other.node),
+            ("domain", self.domain != other.domain),
+            ("region", self.region != other.region),
+            ("fleet_secret", self.fleet_secret != other.fleet_secret),
+            ("callers", self.callers != other.callers),
+            ("target", self.target != other.target),
+            ("peers", self.peers != other.peers),
+            ("admin", self.admin != other.admin),
+            ("platform", self.platform != other.platform),
+            ("domains", self.domains != other.domains),
+            ("sidecar", target(self) != target(other)),
+            ("tls", text(&self.tls) != text(&other.tls)),
+            ("slow_link", self.slow_link != other.slow_link),
+            ("log", self.log != other.log),
+            (
+                "timing.platform",
+                self.timing.platform != other.timing.platform,
+            ),
+            ("timing.probe", self.timing.probe != other.timing.probe),
+        ];
+        let changed = fields.into_iter().filter(|(_, differs)| *differs);
+        changed.map(|(name, _)| name).collect()
+    }
+
     /// Checks figures and names against each other.
     ///
     /// # Errors
--- a/crates/note/tests/all/settings_errors.rs
+++ b/crates/note/tests/all/settings_errors.rs
@@ -61,3 +61,19 @@
     let zero = "domains: [d]\ntiming: {poll: 0ms}";
     assert_eq!(code("s10.yaml", "domains: [d]", zero), Code::FigureRange);
 }
+
+#[test]
+fn reload_names_what_waits() {
+    let before = read("before.yaml", VALID).expect("valid settings");
+    let bounds = "bodies: 1MiB\ntiming: {drain: 3s, probe: 2s}\n";
+    let text = VALID.replace("admin: 127.0.0.1:4", "admin: 127.0.0.1:9") + bounds;
+    let changed = read("changed.yaml", &text).expect("valid settings");
+    let (next, waiting) = before.reloaded(&changed);
+    assert_eq!(waiting, ["admin", "timing.probe"]);
+    assert_eq!(next.bodies, changed.bodies);
+    assert_eq!(next.timing.drain, changed.timing.drain);
+    assert_eq!(next.admin, before.admin);
+    assert_eq!(next.timing.probe, before.timing.probe);
+    let (_, waiting) = next.reloaded(&before);
+    assert!(waiting.is_empty(), "{waiting:?}");
+}
--- a/crates/policy/src/registration.rs
+++ b/crates/policy/src/registration.rs
@@ -39,6 +39,8 @@
     sequence: u64,
     /// Never falls back to false: a target that leaves does not return.
     leaving: bool,
+    /// The instance answered a health check, which does not tell its start.
+    start_unknown: bool,
 }
 
 /// The incarnation beside a daemon.
@@ -57,6 +59,18 @@
         sequence: u64,
         draining: bool,
     ) -> Verdict {
+        if let Some(known) = &mut self.known
+            && known.start_unknown
+            && known.incarnation.instance == incarnation.instance
+        {
+            known.incarnation.born_ms = incarnation.born_ms;
+            known.sequence = sequence;
+            known.leaving |= draining;
+            known.start_unknown = false;
+            return Verdict::Current {
+                leaving: known.leaving,
+            };
+        }
         if let Some(known) = &mut self.known
             && known.incarnation == *incarnation
         {
@@ -80,6 +94,29 @@
         Verdict::New { leaving: draining }
     }
 
+    /// Takes in an instance that answered a health check; says whether it may
+    /// get calls, which is so only where no heartbeat or notice came first.
+    pub fn adopt(&mut self, instance: &Arc<str>) -> bool {
+        if self.known.is_some() {
+            return false;
+        }
+        let incarnation = Incarnation {
+            instance: Arc::clone(instance),
+            born_ms: 0,
+        };
+        self.replace(&incarnation, 0, false);
+        if let Some(known) = &mut self.known {
+            known.start_unknown = true;
+        }
+        true
+    }
+
+    /// The current incarnation where it is leaving.
+    pub fn leaving(&self) -> Option<&Incarnation> {
+        let known = self.known.as_ref().filter(|known| known.leaving);
+        known.map(|known| &known.incarnation)
+    }
+
     /// Takes in the notice that an incarnation ends; says whether it is the
     /// current one, or one that no heartbeat came from.
     pub fn deregister(&mut self, instance: &Arc<str>, born_ms: Option<u64>) -> bool {
@@ -92,7 +129,8 @@
             return true;
         };
         let same = known.incarnation.instance == *instance
-            && born_ms.is_none_or(|born_ms| born_ms == known.incarnation.born_ms);
+            && (known.start_unknown
+                || born_ms.is_none_or(|born_ms| born_ms == known.incarnation.born_ms));
         known.leaving |= same;
         same
     }
@@ -102,6 +140,7 @@
             incarnation: incarnation.clone(),
             sequence,
             leaving,
+            start_unknown: false,
         };
         if let Some(before) = self.known.replace(next) {
             if self.ended.len() == REMEMBERED {
--- a/crates/policy/tests/all/registration_order.rs
+++ b/crates/policy/tests/all/registration_order.rs
@@ -73,3 +73,46 @@
 fn older_never_returns() {
     check(newest_wins as fn(Vec<(u8, u8, bool)>) -> bool);
 }
+
+#[test]
+fn healthy_adopted() {
+    let mut registration = Registration::default();
+    assert!(registration.adopt(&"i-1".into()));
+    assert!(
+        !registration.adopt(&"i-2".into()),
+        "one stands there already"
+    );
+    // Its first heartbeat tells its start, and it stays what it was.
+    let verdict = registration.heartbeat(&incarnation("i-1", 10), 7, false);
+    assert_eq!(verdict, Verdict::Current { leaving: false });
+    assert_eq!(
+        registration.heartbeat(&incarnation("i-1", 10), 7, false),
+        Verdict::Late
+    );
+    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false);
+    assert_eq!(verdict, Verdict::New { leaving: false });
+}
+
+#[test]
+fn adopted_may_leave() {
+    let mut registration = Registration::default();
+    registration.adopt(&"i-1".into());
+    assert!(registration.deregister(&"i-1".into(), Some(10)));
+    let verdict = registration.heartbeat(&incarnation("i-1", 10), 8, false);
+    assert_eq!(verdict, Verdict::Current { leaving: true });
+}
+
+#[test]
+fn kept_departure_holds() {
+    let mut before = Registration::default();
+    before.heartbeat(&incarnation("i-1", 10), 4, true);
+    let leaving = before.leaving().expect("it leaves").clone();
+    // The daemon is started again and reads what it kept.
+    let mut after = Registration::default();
+    assert!(after.deregister(&leaving.instance, Some(leaving.born_ms)));
+    assert!(!after.adopt(&"i-1".into()));
+    let verdict = after.heartbeat(&incarnation("i-1", 10), 5, false);
+    assert_eq!(verdict, Verdict::Current { leaving: true });
+    let verdict = after.heartbeat(&incarnation("i-1", 30), 1, false);
+    assert_eq!(verdict, Verdict::New { leaving: false }, "a new start");
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -122,6 +122,8 @@
         platform: platform.into(),
         domains: domains.iter().map(|(domain, _)| name(domain)).collect(),
         tls: None,
+        platform_reads: 2_000.0,
+        platform_writes: 400.0,
         slow_link: cardamomshed_note::Size::from_bytes(200 * 1024),
         bodies: cardamomshed_note::Size::from_bytes(256 * 1024 * 1024),
         timing: Timing {
