Refer turned-away calls without a retry; let the target serve on while its daemon ends; no ramp for cold instances

Ruled out: processes killed at the end of their grace; all stopped within 4.5 s.

Tests, each red before: call_referral, beside_target (two), and platform_path::ending_daemon_serves_on.

--- a/crates/code/src/result.rs
+++ b/crates/code/src/result.rs
@@ -57,6 +57,7 @@
     Leaving = 1306, 503, "the daemon or target is leaving";
     MemoryShed = 1308, 503, "the daemon holds as many request bodies as its limit allows";
     TargetStalled = 1309, 503, "the target has stopped answering; the call was not started";
+    TargetRefused = 1310, 503, "the target said that it did not run the call";
     LinkFailed = 1401, 502, "the peer daemon cannot be reached";
     TargetFailed = 1402, 502, "the target broke off the call";
     TargetSilent = 1403, 504, "the target did not answer before the deadline";
--- a/crates/daemon/src/actor/keeper.rs
+++ b/crates/daemon/src/actor/keeper.rs
@@ -125,7 +125,7 @@
     };
     let known = lock(&node.registration).deregister(&leaving.instance, Some(leaving.born_ms));
     if known {
-        node.beside.close();
+        node.beside.leave_target();
         crate::members::publish(node);
         node.note_event(
             Event::TargetLeaving,
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -68,7 +69,10 @@
 pub struct Beside {
     clock: Clock,
     target: Mutex<Option<Target>>,
-    next_ticket: std::sync::atomic::AtomicU64,
+    next_ticket: AtomicU64,
+    /// The daemon ends, so that no target is in service any more, whatever
+    /// it says of itself.
+    withdrawn: AtomicBool,
 }
 
 /// A place on the target; given back when it is dropped.
@@ -112,7 +116,8 @@
         Self {
             clock,
             target: Mutex::new(None),
-            next_ticket: std::sync::atomic::AtomicU64::new(1),
+            next_ticket: AtomicU64::new(1),
+            withdrawn: AtomicBool::new(false),
         }
     }
 
@@ -139,16 +144,16 @@
                 return Announced::Same;
             }
         }
-        let config = gate::Config::new(announcement.slots.min(announcement.connections))
-            .cold_start(Duration::from_millis(announcement.cold_start_ms));
-        // The calls that an instance of the platform makes carry no mark of
-        // the call that made them.
+        let config = gate::Config::new(announcement.slots.min(announcement.connections));
         let config = match announcement.instance {
+            // The calls that an instance of the platform makes carry no mark
+            // of the call that made them. A cold one runs as many calls at
+            // once as a warm one, each of them slower.
             Some(_) => config.fixed(),
-            None => config,
+            None => config.cold_start(Duration::from_millis(announcement.cold_start_ms)),
         };
         let mut gate = Gate::new(config, now);
-        if announcement.leaving {
+        if announcement.leaving || self.is_withdrawn() {
             gate.close();
         }
         *target = Some(Target {
@@ -177,8 +182,27 @@
             .is_some_and(|target| target.announcement.leaving)
     }
 
+    /// Takes the target out of service for good, since the daemon ends: others
+    /// are told that it takes no calls. Calls that come all the same run
+    /// until [`Self::close`].
+    pub fn withdraw(&self) {
+        self.withdrawn.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the target is out of service since the daemon ends.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn.load(Ordering::Relaxed)
+    }
+
     /// Refuses new calls from now on.
     pub fn close(&self) {
+        if let Some(target) = lock(&self.target).as_mut() {
+            target.gate.close();
+        }
+    }
+
+    /// Refuses new calls from now on, since the target leaves.
+    pub fn leave_target(&self) {
         if let Some(target) = lock(&self.target).as_mut() {
             target.gate.close();
             target.announcement.leaving = true;
@@ -237,8 +261,7 @@
             .as_mut()
             .filter(|target| &*target.announcement.service == visitor.service)
             .ok_or(Code::NoTarget)?;
-        let order = std::sync::atomic::Ordering::Relaxed;
-        let ticket = Ticket(self.next_ticket.fetch_add(1, order));
+        let ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let offer = Offer {
             ticket,
             route: visitor.route,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::actor::Stop;
 use crate::actor::quota::leased;
@@ -30,6 +31,10 @@
 /// two of the platform's questions, one a second, and the way to it.
 const UNREADY: Duration = Duration::from_millis(2_400);
 
+/// Time after SIGTERM for which the target beside goes on taking calls. Most of
+/// them end within a second.
+const SERVE_ON: Duration = Duration::from_millis(1_400);
+
 /// Part of the time from SIGTERM to SIGKILL in which open requests may end.
 const GRACE_SHARE: f64 = 0.85;
 
@@ -47,6 +52,8 @@
     node: Arc<Node>,
     servers: Vec<Listening>,
     root: Addr<Root>,
+    /// When it was asked to end, in the state [`Leaving`].
+    asked: Option<Instant>,
     state: PhantomData<S>,
 }
 
@@ -140,6 +147,7 @@
             node,
             servers,
             root,
+            asked: None,
             state: PhantomData,
         })
     }
@@ -155,15 +163,21 @@
 impl Daemon<Running> {
     /// Stops accepting requests, tells the fleet, and gives shares back.
     pub async fn leave(self) -> Daemon<Leaving> {
+        let asked = Instant::now();
         let node = &self.node;
         node.note_event(Event::DaemonLeaving, format_args!(""));
         node.life.set_leaving();
         if node.settings.sidecar.is_some() {
+            // The target goes on for as long as its last calls can end by the
+            // time at which no client is left here.
+            tokio::time::sleep(SERVE_ON).await;
+            node.beside.withdraw();
             // Others hear of it before calls on the way are refused.
             publish(node);
             tokio::time::sleep(ANNOUNCE).await;
             node.beside.close();
         } else {
+            node.beside.withdraw();
             node.beside.close();
             publish(node);
             leased::give_back(node).await;
@@ -172,6 +186,7 @@
             node: self.node,
             servers: self.servers,
             root: self.root,
+            asked: Some(asked),
             state: PhantomData,
         }
     }
@@ -179,13 +194,13 @@
 
 impl Daemon<Leaving> {
     /// Waits until no request is open; says whether that came in time.
-    async fn wait_idle(&self, until: tokio::time::Instant) -> bool {
+    async fn wait_idle(&self, until: Instant) -> bool {
         let node = &self.node;
         loop {
             let idle = node.metrics.open.get() == 0
                 && node.beside.is_idle()
                 && node.links.sessions.is_idle();
-            if idle || tokio::time::Instant::now() >= until {
+            if idle || Instant::now() >= until {
                 return idle;
             }
             tokio::time::sleep(LOOK_EVERY).await;
@@ -200,10 +215,11 @@
             Some(sidecar) => sidecar.grace.get().mul_f64(GRACE_SHARE),
             None => node.current().timing.drain.get(),
         };
-        let until = tokio::time::Instant::now() + longest;
+        let asked = self.asked.unwrap_or_else(Instant::now);
+        let until = asked + longest;
         if node.settings.sidecar.is_some() {
             // Clients on this VM send on until the platform has asked twice.
-            tokio::time::sleep(UNREADY).await;
+            tokio::time::sleep_until(asked + UNREADY).await;
         }
         node.life.set_closing();
         let mut idle = self.wait_idle(until).await;
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -23,6 +23,10 @@
 /// the call.
 const GRACE: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// Times that a call is referred to another target after a gate turned it
+/// away. Nothing reached a target then, so that no retry is spent.
+const MAX_REFERRALS: u32 = 2;
+
 /// Bytes of the heads of a call and its answer, for the slow link's budget.
 const HEADS: usize = 600;
 
@@ -63,6 +67,7 @@
 /// Sends a call made in `context` along a route.
 pub async fn dispatch(node: &Arc<Node>, context: &Context, route: &Route, parts: &Parts) -> Reply {
     let mut tried = Vec::new();
+    let mut referrals = 0;
     loop {
         let now = node.clock.now();
         let remote = lock(&node.routing.slow_link).has_room(now);
@@ -86,7 +91,11 @@
         let reply = send(node, context, route, parts, &attempt).await;
         settle(node, context, route, &mut attempt, &reply);
         tried.push(target);
-        if !may_retry(node, context, route, &reply) {
+        let turned_away = is_turned_away(&reply);
+        if turned_away && referrals < MAX_REFERRALS && !node.clock.left(context.deadline).is_zero()
+        {
+            referrals += 1;
+        } else if turned_away || !may_retry(node, context, route, &reply) {
             return reply;
         }
         node.metrics.retries.inc();
@@ -212,21 +221,28 @@
     log_standing(node, route, &attempt.picked, standing);
 }
 
+/// Whether a gate turned the call away before it reached a target.
+const fn is_turned_away(reply: &Reply) -> bool {
+    match reply {
+        Reply::Answer(_) => false,
+        Reply::Refused(refused) => matches!(
+            refused.code,
+            Code::QueueFull
+                | Code::DeadlineUnmet
+                | Code::TargetStalled
+                | Code::Leaving
+                | Code::NoTarget
+        ),
+    }
+}
+
 /// Whether the reply leaves another attempt open, and pays for it.
 fn may_retry(node: &Node, context: &Context, route: &Route, reply: &Reply) -> bool {
     let Reply::Refused(refused) = reply else {
         return false;
     };
     let elsewhere = match (refused.ran, refused.code) {
-        (
-            Ran::No,
-            Code::QueueFull
-            | Code::TargetStalled
-            | Code::Leaving
-            | Code::NoTarget
-            | Code::LinkFailed
-            | Code::TargetFailed,
-        ) => true,
+        (Ran::No, Code::LinkFailed | Code::TargetFailed | Code::TargetRefused) => true,
         (Ran::Unknown, Code::TargetFailed | Code::FateUnknown | Code::LinkFailed) => {
             route.repeatable
         }
--- a/crates/daemon/src/http/control.rs
+++ b/crates/daemon/src/http/control.rs
@@ -87,7 +87,7 @@
     let instance: Arc<str> = instance.into_inner().into();
     let (_, born_ms) = registration::decode_leave(&body);
     if lock(&node.registration).deregister(&instance, born_ms) {
-        node.beside.close();
+        node.beside.leave_target();
         node.note_event(
             Event::TargetLeaving,
             format_args!("instance={instance} deregistered"),
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -82,7 +82,7 @@
         let announcement = node.beside.announcement();
         profile.open = announcement
             .as_ref()
-            .is_some_and(|target| !target.leaving && !node.life.is_leaving());
+            .is_some_and(|target| !target.leaving && !node.beside.is_withdrawn());
         profile.slots = announcement.as_ref().map_or(0, |target| target.slots);
         profile.service = announcement.map(|target| target.service);
         profile.lends = lock(&node.quota.lenders).keys().copied().collect();
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -330,12 +330,8 @@
 fn check_answer(incoming: &Incoming) -> Result<(), Refused> {
     match answer::kind(incoming.status, &incoming.headers) {
         answer::Kind::NotRun => {
-            let code = match incoming.status {
-                421 => Code::NoTarget,
-                _ => Code::QueueFull,
-            };
             let detail = format!("the target answered {}", incoming.status);
-            Err(Refused::not_run(code, detail, 0))
+            Err(Refused::not_run(Code::TargetRefused, detail, 0))
         }
         answer::Kind::Unsigned if (200..300).contains(&incoming.status) => {
             let detail = "a success without a signature";
--- /dev/null
+++ b/crates/daemon/tests/all/beside_target.rs
@@ -0,0 +1,65 @@
+//! The target beside a daemon, from its announcements to the daemon's end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cardamomshed_code::Code;
+use cardamomshed_daemon::beside::{Announced, Announcement, Beside, Visitor};
+use cardamomshed_daemon::clock::Clock;
+use cardamomshed_policy::admission::Rank;
+use cardamomshed_policy::{AccountKey, Priority, RouteKey};
+
+fn announcement(instance: Option<&str>) -> Announcement {
+    Announcement {
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 8,
+        connections: 64,
+        cold_start_ms: 3_000,
+        leaving: false,
+        instance: instance.map(Arc::from),
+    }
+}
+
+fn visitor(clock: &Clock) -> Visitor<'static> {
+    Visitor {
+        service: "s",
+        route: RouteKey(0),
+        account: AccountKey(0),
+        priority: Priority::High,
+        depth: 0,
+        rank: Rank::FIRST,
+        deadline: clock.now() + Duration::from_secs(1),
+    }
+}
+
+#[actix_web::rt::test]
+async fn heartbeat_keeps_it_closed() {
+    let clock = Clock::start();
+    let beside = Beside::new(clock);
+    assert_eq!(beside.announce(announcement(Some("i-1"))), Announced::New);
+    let entry = beside.enter(visitor(&clock)).await.expect("room");
+    beside.withdraw();
+    beside.close();
+    // The target lives on and says so; its calls go on being counted.
+    assert_eq!(beside.announce(announcement(Some("i-1"))), Announced::Same);
+    let refused = beside.enter(visitor(&clock)).await.err();
+    assert_eq!(refused, Some(Code::Leaving));
+    assert!(!beside.is_idle());
+    drop(entry);
+    assert!(beside.is_idle());
+    // A new incarnation is not served by a daemon that ends either.
+    beside.announce(announcement(Some("i-2")));
+    let refused = beside.enter(visitor(&clock)).await.err();
+    assert_eq!(refused, Some(Code::Leaving));
+}
+
+#[actix_web::rt::test]
+async fn cold_instance_keeps_slots() {
+    let clock = Clock::start();
+    let beside = Beside::new(clock);
+    beside.announce(announcement(Some("i-1")));
+    assert_eq!(beside.load().limit, 8, "slower, but as many at once");
+    beside.announce(announcement(None));
+    assert!(beside.load().limit < 8, "the own interface ramps up");
+}
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the daemon against stand-ins, one file a feature.
 
+mod beside_target;
 mod call_context;
+mod call_referral;
 mod caller_tls;
 mod exchange_shapes;
 mod idempotency_claims;
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -350,6 +350,39 @@
     assert_eq!(fleet.seen.runs.load(Ordering::Relaxed), runs);
 }
 
+#[test]
+fn ending_daemon_serves_on() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually(200, || fleet.get("/open/").send());
+    let request = fleet.get("/open/");
+    let second = std::mem::replace(
+        &mut fleet.second,
+        Running::start(
+            sidecar(
+                "n-3",
+                "s-one",
+                SocketAddr::from(([127, 0, 0, 1], 1)),
+                &fleet.platform,
+            ),
+            Options::default(),
+        ),
+    );
+    let asked = Instant::now();
+    let ending = std::thread::spawn(move || {
+        let mut second = second;
+        second.leave();
+    });
+    // Its target is alive, so that calls go on for as long as they can end.
+    while asked.elapsed() < Duration::from_secs(1) {
+        assert_eq!(request.clone().send().status, 200);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    ending.join().expect("a graceful end");
+    assert_eq!(request.send().status, 503, "nobody is beside the target");
+}
+
 #[test]
 fn withdrawn_key_stops() {
     let mut fleet = Deployment::start();
