Fetch a configuration from near by and once; wait for the lender that has an account

Ruled out: processor time (0.03 cores) and tokens that lapse.

The reader of the own failure domain comes first, one ask a quarter second; an ask counts as lost after 220 ms, and only the first lender's empty answer says that an account is over its rate. A refusal's log line says which it was.

--- a/crates/daemon/src/actor/config.rs
+++ b/crates/daemon/src/actor/config.rs
@@ -1,6 +1,7 @@
 //! Puts configurations in force, and passes them on between daemons.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event, Failure};
@@ -16,6 +17,10 @@
 use crate::service::Peer;
 use crate::sync::lock;
 
+/// Time that the reader of the own failure domain has to bring a newer
+/// configuration before another failure domain is asked.
+const NEAR_FIRST: Duration = Duration::from_millis(500);
+
 /// What a daemon tells a peer that is behind.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -121,22 +126,43 @@
     install_written(node, &value)
 }
 
-/// Asks the member that has a newer note for it.
+/// Asks the member that has a newer configuration for it. The reader of the
+/// own failure domain has it soon, so that one from elsewhere is asked only
+/// where that takes long: a configuration is large, and bytes between failure
+/// domains are dear.
 pub(super) fn ask_peer(node: &Arc<Node>) {
     let Some(name) = lock(&node.configuration.newer).take() else {
         return;
     };
-    let address = lock(&node.members.fleet)
-        .get(&name)
-        .map(|record| record.profile.peer);
-    if let Some(address) = address {
-        let after = node.lookup().config.revision;
-        let peer = Peer {
-            node: name,
-            address,
-        };
-        node.links.send(&peer, Frame::AskNotes { after });
+    let member = lock(&node.members.fleet).get(&name).map(|record| {
+        let near = *record.profile.domain == *node.settings.domain;
+        (record.profile.peer, near)
+    });
+    let Some((address, near)) = member else {
+        return;
+    };
+    let revision = node.lookup().config.revision;
+    let now = node.clock.now();
+    let waited = lock(&node.configuration.behind).since(revision, now);
+    if !near && waited < NEAR_FIRST {
+        let node = Arc::clone(node);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(NEAR_FIRST.saturating_sub(waited)).await;
+            lock(&node.configuration.newer).get_or_insert(name);
+            if node.lookup().config.revision == revision {
+                node.configuration.wake.notify_one();
+            }
+        });
+        return;
+    }
+    if !lock(&node.configuration.asked).may_ask(revision, now) {
+        return;
     }
+    let peer = Peer {
+        node: name,
+        address,
+    };
+    node.links.send(&peer, Frame::AskNotes { after: revision });
 }
 
 /// Rows that bring a peer up to date: the notes behind `after`, or the whole
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -21,18 +21,32 @@
 use bound::bound;
 
 /// Longest time that a request waits for a token.
-const MAX_WAIT: Duration = Duration::from_millis(150);
+const MAX_WAIT: Duration = Duration::from_millis(300);
 /// The same where no lender is known, as after a start of the whole fleet.
 const MAX_LENDER_WAIT: Duration = Duration::from_millis(600);
 /// Time between two looks of a request that waits for a token.
 const ASK_AGAIN: Duration = Duration::from_millis(40);
-/// Time after which an ask is taken for lost.
-const PATIENCE: Duration = Duration::from_millis(120);
+/// Time after which an ask is taken for lost: a link to another region opens
+/// in four round trips of 40 ms.
+const PATIENCE: Duration = Duration::from_millis(220);
 /// Time for which no lender is asked after all were without tokens.
 const DRY: Duration = Duration::from_millis(40);
 
+/// Why a request got no token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// The account's lenders have none left.
+    Dry,
+    /// No lender answered in time.
+    Unanswered,
+}
+
 /// Takes one token for a request, waiting briefly for a lender's answer.
-pub async fn take(node: &Arc<Node>, name: &Arc<str>, account: AccountKey) -> bool {
+///
+/// # Errors
+///
+/// [`Denied`] where the request must not run.
+pub async fn take(node: &Arc<Node>, name: &Arc<str>, account: AccountKey) -> Result<(), Denied> {
     let now = node.clock.now();
     let arrived_at = Instant::now();
     lock(&node.quota.wallet).count(account, now);
@@ -41,8 +55,8 @@
         let spend = lock(&node.quota.wallet).spend(account, node.clock.now());
         ask(node, name, account, spend == Spend::Wait);
         match spend {
-            Spend::Paid => return true,
-            Spend::Dry => return false,
+            Spend::Paid => return Ok(()),
+            Spend::Dry => return Err(Denied::Dry),
             Spend::Wait => {}
         }
         let turned_away = lock(&node.quota.wallet).is_turned_away(account);
@@ -54,7 +68,7 @@
         let until = arrived_at + longest;
         let look = until.min(Instant::now() + ASK_AGAIN);
         if timeout_at(look, arrived).await.is_err() && Instant::now() >= until {
-            return false;
+            return Err(Denied::Unanswered);
         }
     }
 }
@@ -117,14 +131,18 @@
     }
 }
 
-/// Takes in an answer without tokens. The first lender has an account whole;
-/// a daemon that lends no more says nothing of it.
+/// Takes in an answer without tokens. Only the first lender, which has an
+/// account whole, says by it that the account is over its rate; one that
+/// stands in for it has hardly any tokens, and a daemon that lends no more
+/// knows nothing.
 fn take_refusal(node: &Node, grant: &Grant) {
-    if grant.lends {
+    let account = node.names.account(&grant.account);
+    if !grant.lends {
+        lock(&node.quota.wallet).turned_away(account);
+    } else if grant.turn <= 1 {
         set_dry(node, grant);
     } else {
-        let account = node.names.account(&grant.account);
-        lock(&node.quota.wallet).turned_away(account);
+        lock(&node.quota.wallet).withdraw_ask(account);
     }
 }
 
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -21,6 +21,10 @@
 const MAX_ROWS: usize = 256;
 /// Time between two looks at the rows.
 const LOOK_EVERY: Duration = Duration::from_secs(5);
+/// Longest time between two asks for members while there may be more.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Asks without a new member after which a daemon knows them all.
+const QUIET_ASKS: u32 = 3;
 /// First pause of a daemon that knows no other.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -29,7 +33,9 @@
 pub(super) async fn join(node: Arc<Node>) {
     let client = node.store();
     let mut pause = FIRST_PAUSE;
-    let mut asked = 0;
+    // Asks in a row after which nothing new was known.
+    let mut quiet = 0;
+    let mut known = 0;
     loop {
         let alone = lock(&node.members.fleet).live() == 1;
         if alone || is_poller(&node) {
@@ -40,16 +46,23 @@
                 }
             }
         }
-        if asked < 3 && lock(&node.members.fleet).live() > 1 {
-            asked += 1;
+        let live = lock(&node.members.fleet).live();
+        if quiet < QUIET_ASKS && live > 1 {
+            quiet = if live > known { 0 } else { quiet + 1 };
+            known = live;
             ask_members(&node);
         }
         let spread = 0.75 + rand::rng().random::<f64>() * 0.5;
         tokio::select! {
             () = tokio::time::sleep(pause.mul_f64(spread)) => {}
-            () = node.members.rejoin.notified() => asked = asked.min(2),
+            () = node.members.rejoin.notified() => quiet = quiet.min(QUIET_ASKS - 1),
         }
-        pause = (pause * 2).min(LOOK_EVERY);
+        let longest = if quiet < QUIET_ASKS {
+            ASK_EVERY
+        } else {
+            LOOK_EVERY
+        };
+        pause = (pause * 2).min(longest);
     }
 }
 
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -11,6 +11,36 @@
 use crate::clock::Clock;
 use crate::history::History;
 
+/// Time after which another member is asked for a newer configuration.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+
+/// Since when something is so of the revision in force.
+#[derive(Debug, Default)]
+pub struct Behind {
+    since: Option<(Moment, u64)>,
+}
+
+impl Behind {
+    /// Time for which it has been so of this revision.
+    pub fn since(&mut self, revision: u64, now: Moment) -> Duration {
+        let since = self.since.filter(|(_, then)| *then == revision);
+        let (since, _) = *self.since.insert(since.unwrap_or((now, revision)));
+        now.since(since)
+    }
+
+    /// Whether a member may be asked for what follows this revision; none was
+    /// in the last while.
+    pub fn may_ask(&mut self, revision: u64, now: Moment) -> bool {
+        let lately =
+            |(asked, then): &(Moment, u64)| *then == revision && now.since(*asked) < ASK_AGAIN;
+        if self.since.as_ref().is_some_and(lately) {
+            return false;
+        }
+        self.since = Some((now, revision));
+        true
+    }
+}
+
 /// The configuration in force, and when it was last known to be the newest.
 #[derive(Debug)]
 pub struct Configuration {
@@ -25,6 +55,10 @@
     pub written: Mutex<Option<Arc<str>>>,
     /// Member that has a newer configuration.
     pub newer: Mutex<Option<Arc<str>>>,
+    /// Since when a newer configuration is known of.
+    pub behind: Mutex<Behind>,
+    /// When a member was asked for it.
+    pub asked: Mutex<Behind>,
     /// Wakes the actor that follows the configuration.
     pub wake: Notify,
 }
@@ -39,6 +73,8 @@
             history: History::default(),
             written: Mutex::default(),
             newer: Mutex::default(),
+            behind: Mutex::default(),
+            asked: Mutex::default(),
             wake: Notify::new(),
         }
     }
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -300,9 +300,11 @@
 async fn admit(node: &Arc<Node>, root: &Root) -> Result<Rank, Failure> {
     let priority = root.access.route.priority;
     let rank = admit_rank(node, &root.access, root.key, priority)?;
-    if !quota::take(node, &root.account, root.key).await {
-        return Err(Failure::new(Code::QuotaExceeded, root.account.to_string()));
-    }
+    let taken = quota::take(node, &root.account, root.key).await;
+    taken.map_err(|denied| {
+        let detail = format!("account {} tokens {denied:?}", root.account);
+        Failure::new(Code::QuotaExceeded, detail)
+    })?;
     Ok(rank)
 }
 
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -14,6 +14,7 @@
 use cardamomshed_wire::Request;
 
 use super::{head, ingress, problem};
+use crate::actor::quota;
 use crate::context::{self, Context};
 use crate::dispatch::dispatch;
 use crate::node::Node;
@@ -199,11 +200,12 @@
         );
         return Err(Failure::new(Code::AdmissionShed, detail));
     }
-    if inbound.limited
-        && !crate::actor::quota::take(node, &inbound.account, inbound.account_key).await
-    {
-        let detail = format!("account {} route {}", inbound.account, route.name);
-        return Err(Failure::new(Code::QuotaExceeded, detail));
+    if inbound.limited {
+        let taken = quota::take(node, &inbound.account, inbound.account_key).await;
+        taken.map_err(|denied| {
+            let detail = format!("account {} tokens {denied:?}", inbound.account);
+            Failure::new(Code::QuotaExceeded, detail)
+        })?;
     }
     Ok(())
 }
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -111,7 +111,7 @@
             address: chosen.profile.peer,
         }
     };
-    let digests = Vec::new();
+    let digests = lock(&node.members.fleet).group_digests();
     node.links.send(&peer, Frame::AskMembers { digests });
 }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod call_context;
 mod call_referral;
 mod caller_tls;
+mod config_source;
 mod exchange_shapes;
 mod idempotency_claims;
 mod import_order;
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -8,15 +8,18 @@
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use cardamomshed_daemon::Options;
+use cardamomshed_daemon::actor::quota;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_note::{Length, Settings, Sidecar};
 use cardamomshed_platform::header;
 use cardamomshed_policy::member::Record;
+use cardamomshed_policy::quota::Spend;
 use cardamomshed_standin::client::{Reply, Request, eventually as eventually_holds};
 use cardamomshed_standin::fleet::{Place, Running, settings};
 use cardamomshed_standin::platform::{Capacity, Faults, Platform};
 
 use cardamomshed_standin::thread::Thread;
+use cardamomshed_wire::Grant;
 use serde_json::{Value, json};
 
 /// Longest time that anything here may take to come about.
@@ -420,3 +423,33 @@
     fleet.settle();
     assert_eq!(fleet.get("/a/").key("key-two").send().status, 200);
 }
+
+#[test]
+fn stand_in_without_tokens() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    fleet.settle();
+    let node = &fleet.first.node;
+    let account: Arc<str> = "t-1".into();
+    let answer = |turn, lends| Grant {
+        account: Arc::clone(&account),
+        wanted: 1,
+        tokens: 0,
+        asked_us: 0,
+        validity_us: 0,
+        turn,
+        lends,
+    };
+    let spend = || {
+        let now = node.clock.now();
+        let key = node.names.account(&account);
+        node.quota.wallet.lock().expect("whole").spend(key, now)
+    };
+    // The second lender on the list holds one member's part of the account,
+    // and the first may only be slow to answer.
+    quota::receive(node, &answer(2, true));
+    assert_eq!(spend(), Spend::Wait);
+    quota::receive(node, &answer(1, true));
+    assert_eq!(spend(), Spend::Dry);
+}
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -184,10 +184,21 @@
         others.count() + 1
     }
 
-    /// Changes this daemon's own profile and tells others at once.
+    /// Changes this daemon's own profile and tells others at once. Every
+    /// member of the own failure domain hears directly of a change of lender
+    /// slots, so that two do not hold one slot for long.
     pub fn set_profile(&mut self, profile: Profile, random: &mut impl Rng) -> Output {
+        let lends_changed = profile.lends != self.own.profile.lends;
         self.own.profile = profile;
-        self.announce(random)
+        let mut output = self.announce(random);
+        if lends_changed {
+            let packet = Packet {
+                records: vec![self.own.clone()],
+                ..self.status(Payload::Push)
+            };
+            output.sends.extend(self.to_domain(&packet));
+        }
+        output
     }
 
     /// Announces that this daemon has left.
@@ -215,24 +226,24 @@
     /// and when it was known to be the newest.
     pub fn tell_domain(&mut self, now: Moment) -> Output {
         self.now = self.now.max(now);
-        let near = |member: &&Member| {
+        let packet = self.status(Payload::Push);
+        Output {
+            sends: self.to_domain(&packet),
+            ..Output::default()
+        }
+    }
+
+    /// A packet for every member of the own failure domain.
+    fn to_domain(&self, packet: &Packet) -> Vec<Send> {
+        let near = self.members.values().filter(|member| {
             member.record.state.takes_part()
                 && member.record.profile.domain == self.own.profile.domain
-        };
-        let addresses = self.members.values().filter(near);
-        let addresses = addresses.map(|member| member.record.profile.gossip);
-        let packet = Packet {
-            records: Vec::new(),
-            ..self.status(Payload::Push)
-        };
-        let sends = addresses.map(|to| Send {
-            to,
+        });
+        let sends = near.map(|member| Send {
+            to: member.record.profile.gossip,
             packet: packet.clone(),
         });
-        Output {
-            sends: sends.collect(),
-            ..Output::default()
-        }
+        sends.collect()
     }
 
     /// Takes in records from the platform's rows or from a full exchange.
--- a/crates/policy/tests/all/member_spread.rs
+++ b/crates/policy/tests/all/member_spread.rs
@@ -245,3 +245,18 @@
         "{per_member} packets a second and member"
     );
 }
+
+#[test]
+fn lender_told_at_once() {
+    let mut network = Network::new(30);
+    network.run(Duration::from_secs(5));
+    let mut profile = network.fleets[4].own().profile.clone();
+    profile.lends = vec![0];
+    let output = network.fleets[4].set_profile(profile, &mut network.random);
+    let told = output.sends.iter().filter(|send| {
+        let own = |record: &cardamomshed_policy::member::Record| *record.name == *name(4);
+        send.packet.records.iter().any(own)
+    });
+    let told = told.map(|send| send.to).collect::<HashSet<_>>();
+    assert_eq!(told.len(), 29, "the whole failure domain hears of it");
+}
