--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -75,4 +75,5 @@
     ShareLeased = 420, "quota share leased";
     ShareLapsed = 421, "quota share lapsed";
     ShareReturned = 422, "quota share returned";
+    ShareResized = 423, "part of each account's bound that this lender hands out";
 }
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cardamomshed_code::Event;
@@ -140,6 +141,7 @@
     if now.since(Moment::ZERO) < OVERLAP {
         whole = (f64::from(whole) * OVERLAP_SHARE) as u32;
     }
+    log_whole(node, whole, live, known);
     let little = (MILLION / known * STAND_IN_MEMBERS).min(whole);
     let lookup = node.lookup();
     let mut kept = HashSet::new();
@@ -162,6 +164,19 @@
     }
 }
 
+/// Logs the part of each account that the first lender hands out, when it
+/// changed.
+fn log_whole(node: &Node, whole: u32, live: u32, known: u32) {
+    let lends = !lock(&node.quota.lenders).is_empty();
+    let before = node.quota.whole.swap(whole, Ordering::Relaxed);
+    if lends && before != whole {
+        node.note_event(
+            Event::ShareResized,
+            format_args!("millionths={whole} live={live} known={known}"),
+        );
+    }
+}
+
 /// Members that answer, and all that are remembered, this one among both.
 fn fleet_size(node: &Node) -> (u32, u32) {
     let fleet = lock(&node.members.fleet);
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
 
 use cardamomshed_policy::quota::{Lender, Wallet};
 use tokio::sync::Notify;
@@ -17,6 +18,8 @@
     pub wallet: Mutex<Wallet>,
     /// Quota shares held, by lender slot.
     pub lenders: Mutex<BTreeMap<u16, Lender>>,
+    /// Millionths of an account's bound that its first lender hands out.
+    pub whole: AtomicU32,
     /// Wakes requests that wait for quota tokens.
     pub arrived: Notify,
     /// Wakes the actor that holds lender slots.
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -108,6 +108,8 @@
     record: Record,
     /// When its state changed last.
     since: Moment,
+    /// When it was asked itself whether it lives, while it is suspect.
+    asked: Option<Moment>,
 }
 
 /// The fleet as one daemon sees it.
@@ -320,6 +322,7 @@
     pub fn tick(&mut self, random: &mut impl Rng, now: Moment) -> Output {
         let mut output = Output::default();
         self.now = now;
+        self.ask_suspects(now, &mut output);
         self.expire(now, &mut output);
         self.ask_others(random, now, &mut output);
         if now >= self.next_probe {
@@ -422,6 +425,7 @@
                 let before = member.record.state;
                 member.record = record.clone();
                 member.since = now;
+                member.asked = None;
                 Some(before)
             }
             None => {
@@ -429,6 +433,7 @@
                 let member = Member {
                     record: record.clone(),
                     since: now,
+                    asked: None,
                 };
                 self.members.insert(name, member);
                 None
@@ -514,7 +519,11 @@
     fn packet(&mut self, payload: Payload) -> Packet {
         let names = self.spread.take(self.config.records, self.members.len());
         let mut records = Vec::with_capacity(names.len() + 1);
-        if matches!(payload, Payload::Push | Payload::Ping { .. }) {
+        let own = matches!(
+            payload,
+            Payload::Push | Payload::Ping { .. } | Payload::Ack { .. }
+        );
+        if own {
             records.push(self.own.clone());
         }
         for name in names {
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -6,12 +6,17 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
-use super::{Fleet, Output, Payload, Send, State};
+use super::{Fleet, Output, Packet, Payload, Send, State};
 use crate::moment::Moment;
 
 /// Probes between two probes of a failed member.
 const FAILED_PROBE_EVERY: u32 = 10;
 
+/// Times that a suspect is asked itself.
+const ASKS: u32 = 2;
+/// Suspects that are asked at one tick.
+const MAX_ASKED: usize = 16;
+
 /// The probe of the current period.
 #[derive(Clone, Debug)]
 pub(super) struct Probe {
@@ -31,6 +36,33 @@
 }
 
 impl Fleet {
+    /// Asks suspects themselves before they are taken for failed: after many
+    /// changes at once what they say against it takes long to spread.
+    pub(super) fn ask_suspects(&mut self, now: Moment, output: &mut Output) {
+        let pause = self.config.direct * 2;
+        let from = self.config.suspicion.saturating_sub(pause * ASKS);
+        let due = self.members.values_mut().filter(|member| {
+            member.record.state == State::Suspect
+                && now.since(member.since) >= from
+                && member.asked.is_none_or(|asked| now.since(asked) >= pause)
+        });
+        let mut asked = Vec::new();
+        for member in due.take(MAX_ASKED) {
+            member.asked = Some(now);
+            asked.push(member.record.clone());
+        }
+        for record in asked {
+            self.sequence += 1;
+            let sequence = self.sequence;
+            let to = record.profile.gossip;
+            let packet = Packet {
+                records: vec![self.own.clone(), record],
+                ..self.status(Payload::Ping { sequence })
+            };
+            output.sends.push(Send { to, packet });
+        }
+    }
+
     pub(super) fn ask_others(&mut self, random: &mut impl Rng, now: Moment, output: &mut Output) {
         let Some(mut probe) = self.probe.clone() else {
             return;
--- a/crates/policy/tests/all/member_spread.rs
+++ b/crates/policy/tests/all/member_spread.rs
@@ -293,3 +293,30 @@
         );
     }
 }
+
+#[test]
+fn suspect_asked_itself() {
+    let start = |place| Fleet::new(Config::default(), name(place), 1, profile(place));
+    let (mut fleet, mut suspect) = (start(0), start(1));
+    let mut random = random();
+    // Many others, so that its turn to be probed does not come in time.
+    let others = (2..200).map(|place| start(place).own().clone());
+    fleet.learn(others.collect(), Moment::ZERO);
+    let rumour = Record {
+        state: State::Suspect,
+        ..suspect.own().clone()
+    };
+    fleet.learn(vec![rumour], Moment::ZERO);
+    let mut now = Moment::ZERO;
+    while now < Moment::ZERO + Config::default().suspicion + STEP {
+        now = now + STEP;
+        let asked = fleet.tick(&mut random, now).sends.into_iter();
+        for send in asked.filter(|send| send.to == address(1)) {
+            for answer in suspect.receive(send.packet, address(0), now).sends {
+                fleet.receive(answer.packet, address(1), now);
+            }
+        }
+    }
+    let record = fleet.get(&name(1)).expect("a member");
+    assert_eq!(record.state, State::Alive);
+}
