--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -17,7 +17,8 @@
 use cardamomshed_policy::quota::{Lease, MILLION};
 
 use super::bound::bound;
-use crate::members::{members, order, publish, rank};
+use crate::directory::order;
+use crate::members::{members, publish, rank};
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -4,10 +4,11 @@
 //! of the fleet, so the slots are indexed when a member's record changes.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex};
 
 use cardamomshed_policy::member::{Record, State};
-use cardamomshed_policy::quota::{Slot, order};
+use cardamomshed_policy::quota::{Slot, order as slot_order};
 
 use crate::service::Peer;
 use crate::sync::lock;
@@ -25,8 +26,9 @@
 
 #[derive(Debug, Default)]
 struct Index {
-    /// Holder of each slot.
-    holders: HashMap<Slot, Lender>,
+    /// Holders of each slot by name; several for a short time, while they
+    /// settle who keeps it. None of the maps is empty.
+    holders: HashMap<Slot, HashMap<Arc<str>, Lender>>,
     /// Slots of each daemon, the reverse of `holders`.
     slots: HashMap<Arc<str>, Vec<Slot>>,
 }
@@ -42,8 +44,11 @@
     pub fn update(&self, record: &Record) {
         let mut index = lock(&self.index);
         for slot in index.slots.remove(&record.name).unwrap_or_default() {
-            let own = |lender: &Lender| lender.peer.node == record.name;
-            if index.holders.get(&slot).is_some_and(own) {
+            let Some(holders) = index.holders.get_mut(&slot) else {
+                continue;
+            };
+            holders.remove(&record.name);
+            if holders.is_empty() {
                 index.holders.remove(&slot);
             }
         }
@@ -65,7 +70,8 @@
         });
         let slots = slots.collect::<Vec<_>>();
         for slot in &slots {
-            index.holders.insert(slot.clone(), lender.clone());
+            let holders = index.holders.entry(slot.clone()).or_default();
+            holders.insert(Arc::clone(&record.name), lender.clone());
         }
         index.slots.insert(Arc::clone(&record.name), slots);
     }
@@ -81,9 +87,9 @@
         let index = lock(&self.index);
         let held = index.holders.iter();
         let mut held = held
-            .map(|(slot, lender)| (slot.clone(), lender.clone()))
+            .filter_map(|(slot, holders)| Some((slot.clone(), keeper(holders)?.clone())))
             .collect::<Vec<_>>();
-        held.sort_by_cached_key(|(slot, _)| order(account, slot));
+        held.sort_by_cached_key(|(slot, _)| slot_order(account, slot));
         held
     }
 
@@ -91,6 +97,22 @@
     pub fn lenders(&self, slots: &[Slot]) -> Vec<Lender> {
         let index = lock(&self.index);
         let held = slots.iter().filter_map(|slot| index.holders.get(slot));
+        let held = held.filter_map(keeper);
         held.cloned().collect()
     }
 }
+
+/// Place of a daemon's name in the order of the members of a failure domain,
+/// the same at each of them.
+pub fn order(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Of several holders of a slot, the one that keeps it.
+fn keeper(holders: &HashMap<Arc<str>, Lender>) -> Option<&Lender> {
+    holders
+        .values()
+        .min_by_key(|holder| order(&holder.peer.node))
+}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -1,13 +1,13 @@
 //! What the daemon tells the other members of the fleet, and its place among
 //! them. The policy decides; the functions here carry out.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
 use cardamomshed_policy::member::{Change, Fleet, Output, Record, State};
 use cardamomshed_wire::Frame;
 
+use crate::directory::order;
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -130,13 +130,6 @@
     }
 }
 
-/// Place of a member's name in the order.
-pub fn order(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Live members of the own failure domain, without this one.
 fn near(fleet: &Fleet) -> impl Iterator<Item = &Record> {
     let domain = &fleet.own().profile.domain;
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod idempotency_claims;
 mod import_order;
 mod key_checks;
+mod lender_directory;
 mod link_resume;
 mod link_silence;
 mod note_follow;
