--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -32,6 +32,10 @@
 /// Time for which no lender is asked after all were without tokens.
 const DRY: Duration = Duration::from_millis(40);
 
+/// Time without a look of this actor after which the process was paused, and
+/// others may have taken its slots over.
+const MAX_GAP: Duration = Duration::from_millis(1_200);
+
 /// Why a request got no token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denied {
@@ -47,6 +51,7 @@
 ///
 /// [`Denied`] where the request must not run.
 pub async fn take(node: &Arc<Node>, name: &Arc<str>, account: AccountKey) -> Result<(), Denied> {
+    check_pause(node);
     let now = node.clock.now();
     let arrived_at = Instant::now();
     lock(&node.quota.wallet).count(account, now);
@@ -73,6 +78,39 @@
     }
 }
 
+/// Gives slots and tokens up where this process, or its VM, was paused: the
+/// members took it for suspect, and another lends in its place.
+fn check_pause(node: &Arc<Node>) {
+    if node.settings.sidecar.is_none() {
+        return;
+    }
+    let now = node.configuration.lease_now();
+    let gap = {
+        let mut looked = lock(&node.quota.looked);
+        let gap = now.since(*looked);
+        if gap <= MAX_GAP {
+            return;
+        }
+        *looked = now;
+        gap
+    };
+    *lock(&node.quota.resumed) = Some(node.clock.now());
+    lock(&node.quota.wallet).drop_grants();
+    let slots = std::mem::take(&mut *lock(&node.quota.lenders));
+    let slots = slots.into_keys().collect::<Vec<_>>();
+    node.note_event(
+        Event::ShareLapsed,
+        format_args!("slots={slots:?} paused_ms={}", gap.as_millis()),
+    );
+    publish(node);
+}
+
+/// Whether tokens that were asked for then may still be valid: not where this
+/// process was paused since.
+fn is_current(node: &Node, asked: Moment) -> bool {
+    lock(&node.quota.resumed).is_none_or(|resumed| asked >= resumed)
+}
+
 /// Asks a lender for tokens if the wallet is low.
 fn ask(node: &Arc<Node>, name: &Arc<str>, account: AccountKey, waiting: bool) {
     let now = node.clock.now();
@@ -156,16 +194,19 @@
 
 /// Takes in a lender's answer.
 pub fn receive(node: &Arc<Node>, grant: &Grant) {
+    check_pause(node);
     if grant.turn <= 1 {
         let account = node.names.account(&grant.account);
         lock(&node.quota.wallet).heard_first(account);
     }
+    let asked = Moment::from_micros(grant.asked_us);
     if grant.tokens > 0 {
-        take_in(node, grant);
+        if is_current(node, asked) {
+            take_in(node, grant);
+        }
         return;
     }
     let now = node.clock.now();
-    let asked = Moment::from_micros(grant.asked_us);
     if node.settings.sidecar.is_some() {
         take_refusal(node, grant);
         return;
@@ -194,7 +235,8 @@
 }
 
 /// Answers another daemon's ask from the shares held here.
-pub fn lend(node: &Node, ask: Grant) -> Grant {
+pub fn lend(node: &Arc<Node>, ask: Grant) -> Grant {
+    check_pause(node);
     let account = node.names.account(&ask.account);
     let now = node.clock.now();
     let mut given = 0;
@@ -217,6 +259,8 @@
     let mut renewed = node.clock.now();
     let mut held_by_rank = ranked::Holding::default();
     loop {
+        check_pause(&node);
+        *lock(&node.quota.looked) = node.configuration.lease_now();
         set_shares(&node);
         let now = node.clock.now();
         lock(&node.quota.wallet).forget_idle(now);
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -38,6 +38,8 @@
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(100);
 /// Time after the start in which a daemon learns of the members.
 const SETTLED_AFTER: Duration = Duration::from_millis(300);
+/// Time after a pause of this process in which it hears who lends now.
+const BARRED_FOR: Duration = Duration::from_secs(2);
 /// Time after which a larger share comes into force. One lender has an account
 /// whole, so that nobody else counts on the earlier division.
 const RAISE_AFTER: Duration = Duration::ZERO;
@@ -67,7 +69,9 @@
             let held = lock(&node.quota.lenders).contains_key(&(number as u16));
             let first = number % live == rank;
             let free = first && !held_elsewhere(node, number as u16);
-            let settled = now.since(Moment::ZERO) >= SETTLED_AFTER;
+            let resumed = *lock(&node.quota.resumed);
+            let settled = now.since(Moment::ZERO) >= SETTLED_AFTER
+                && resumed.is_none_or(|resumed| now.since(resumed) >= BARRED_FOR);
             let entitled = !node.life.is_leaving()
                 && settled
                 && if held {
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -12,6 +12,7 @@
 use cardamomshed_daemon::node::Node;
 use cardamomshed_note::{Length, Settings, Sidecar};
 use cardamomshed_platform::header;
+use cardamomshed_policy::Moment;
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::quota::Spend;
 use cardamomshed_standin::client::{Reply, Request, eventually as eventually_holds};
@@ -307,10 +308,17 @@
     // The first daemon takes the other for the lender, as it does while two
     // that started together settle who lends.
     let directory = &fleet.first.node.quota.directory;
+    let without = |record: &Record| {
+        let mut record = record.clone();
+        record.profile.lends.clear();
+        record
+    };
+    directory.update(&without(&lender));
     directory.update(&former);
     let request = fleet.get("/a/").key("key-one");
     let asked = std::thread::spawn(move || request.send());
     std::thread::sleep(Duration::from_millis(250));
+    directory.update(&without(&former));
     directory.update(&lender);
     assert_eq!(asked.join().expect("an answer").status, 200);
 }
@@ -424,6 +432,56 @@
     assert_eq!(fleet.get("/a/").key("key-two").send().status, 200);
 }
 
+#[test]
+fn paused_lender_lends_nothing() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    fleet.settle();
+    let holds = |node: &Node| !node.quota.lenders.lock().expect("whole").is_empty();
+    let nodes = [&fleet.first.node, &fleet.second.node];
+    let lender = nodes
+        .into_iter()
+        .find(|node| holds(node))
+        .expect("a lender");
+    let ask = || Grant {
+        account: "t-1".into(),
+        wanted: 1,
+        tokens: 0,
+        asked_us: lender.clock.now().as_micros(),
+        validity_us: 100_000,
+        turn: 1,
+        lends: false,
+    };
+    eventually_holds("tokens to lend", || quota::lend(lender, ask()).tokens > 0);
+    let up = Moment::ZERO + Duration::from_secs(2);
+    eventually_holds("some time since the start", || lender.clock.now() > up);
+    // The process went on just now, after longer than it takes the others to
+    // suspect it; its own timers have not run yet.
+    *lender.quota.looked.lock().expect("whole") = Moment::ZERO;
+    let given = quota::lend(lender, ask());
+    assert_eq!((given.tokens, given.lends), (0, false));
+    assert!(!holds(lender));
+    // What it was granted before it was paused is worth nothing either.
+    let late = Grant {
+        tokens: 5,
+        asked_us: 1,
+        validity_us: 3_600_000_000,
+        lends: true,
+        ..ask()
+    };
+    quota::receive(lender, &late);
+    let key = lender.names.account(&Arc::from("t-1"));
+    let spend = lender
+        .quota
+        .wallet
+        .lock()
+        .expect("whole")
+        .spend(key, lender.clock.now());
+    assert_eq!(spend, Spend::Wait);
+    eventually_holds("a lender again", || nodes.iter().any(|node| holds(node)));
+}
+
 #[test]
 fn stand_in_without_tokens() {
     let mut fleet = Deployment::start();
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -166,6 +166,14 @@
             .is_some_and(|entry| entry.turned_away)
     }
 
+    /// Drops every token, since their validity cannot be told any more.
+    pub fn drop_grants(&mut self) {
+        for entry in self.accounts.values_mut() {
+            entry.grants.clear();
+            entry.asked = None;
+        }
+    }
+
     /// Notes that the last ask was not sent.
     pub fn withdraw_ask(&mut self, account: AccountKey) {
         self.accounts.entry(account).or_default().asked = None;
