--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -1,4 +1,4 @@
-//! Quota: leases on lender slots, and prepaid tokens for this ingress.
+//! Quota: lender slots held here, and prepaid tokens for this ingress.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -251,7 +251,7 @@
     }
 }
 
-/// Keeps leases until the task is dropped.
+/// Holds lender slots until the task is dropped.
 pub(super) async fn run(node: Arc<Node>) {
     let client = node.store();
     let length = node.current().timing.lease.get();
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -14,14 +14,15 @@
 /// Time after which another member is asked for a newer configuration.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
-/// Since when something is so of the revision in force.
+/// Since when a condition holds for the revision in force; a new revision
+/// starts it over.
 #[derive(Debug, Default)]
 pub struct Behind {
     since: Option<(Moment, u64)>,
 }
 
 impl Behind {
-    /// Time for which it has been so of this revision.
+    /// Time for which the condition has held for this revision.
     pub fn since(&mut self, revision: u64, now: Moment) -> Duration {
         let since = self.since.filter(|(_, then)| *then == revision);
         let (since, _) = *self.since.insert(since.unwrap_or((now, revision)));
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -223,17 +223,20 @@
 
 /// Whether a gate turned the call away before it reached a target.
 const fn is_turned_away(reply: &Reply) -> bool {
-    match reply {
-        Reply::Answer(_) => false,
-        Reply::Refused(refused) => matches!(
-            refused.code,
+    let Reply::Refused(refused) = reply else {
+        return false;
+    };
+    matches!(
+        (refused.ran, refused.code),
+        (
+            Ran::No,
             Code::QueueFull
                 | Code::DeadlineUnmet
                 | Code::TargetStalled
                 | Code::Leaving
                 | Code::NoTarget
-        ),
-    }
+        )
+    )
 }
 
 /// Whether the reply leaves another attempt open, and pays for it.
