--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod process_signals;
 mod quota_fleet;
 mod request_heads;
+mod signed_target;
 mod whole_bodies;
 
 use std::time::Duration;
--- a/crates/daemon/tests/all/platform_path.rs
+++ b/crates/daemon/tests/all/platform_path.rs
@@ -1,12 +1,11 @@
 //! Daemons in the platform's form: configuration from the operators' row,
 //! targets by heartbeat, requests from one daemon to the target beside another.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::actor::quota;
 use cardamomshed_daemon::node::Node;
@@ -19,91 +18,14 @@
 use cardamomshed_standin::fleet::{Place, Running, settings};
 use cardamomshed_standin::platform::{Capacity, Faults, Platform};
 
-use cardamomshed_standin::thread::Thread;
 use cardamomshed_wire::Grant;
 use serde_json::{Value, json};
 
+use crate::signed_target::{Seen, target};
+
 /// Longest time that anything here may take to come about.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// What the target saw of the last request, and how many ran.
-#[derive(Debug, Default)]
-struct Seen {
-    runs: AtomicUsize,
-    /// Whether the health check finds the target healthy.
-    health: AtomicBool,
-    headers: Mutex<Vec<(String, String)>>,
-}
-
-impl Seen {
-    fn header(&self, name: &str) -> Option<String> {
-        let headers = self.headers.lock().expect("not poisoned");
-        let found = headers.iter().find(|(known, _)| known == name);
-        found.map(|(_, value)| value.clone())
-    }
-}
-
-/// A target that signs its answers.
-fn target() -> (Thread, SocketAddr, Arc<Seen>) {
-    let seen = Arc::new(Seen::default());
-    let data = web::Data::from(Arc::clone(&seen));
-    let (thread, address) = Thread::start(
-        "target",
-        async move || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-            let address = listener.local_addr().expect("a bound port");
-            let server = HttpServer::new(move || {
-                App::new()
-                    .app_data(data.clone())
-                    .default_service(web::to(answer))
-            });
-            let server = server
-                .workers(1)
-                .disable_signals()
-                .listen(listener)
-                .expect("a listener");
-            let server = server.run();
-            let handle = server.handle();
-            actix_rt::spawn(server);
-            (address, handle)
-        },
-        async |handle: actix_web::dev::ServerHandle| handle.stop(false).await,
-    );
-    (thread, address, seen)
-}
-
-async fn answer(seen: web::Data<Seen>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
-    if request.path() == "/health" {
-        if !seen.health.load(Ordering::Relaxed) {
-            return HttpResponse::ServiceUnavailable().finish();
-        }
-        return HttpResponse::Ok()
-            .insert_header((header::INSTANCE, "i-1"))
-            .insert_header((header::LOAD, "0,0,8"))
-            .finish();
-    }
-    seen.runs.fetch_add(1, Ordering::Relaxed);
-    let fields = request.headers().iter();
-    let fields = fields.map(|(name, value)| {
-        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
-        (name.as_str().to_owned(), value)
-    });
-    *seen.headers.lock().expect("not poisoned") = fields.collect();
-    let id = request.headers().get(header::ATTEMPT).cloned();
-    let mut response = HttpResponse::Ok();
-    if let Some(id) = id {
-        response.insert_header((header::ATTEMPT, id));
-    }
-    response
-        .insert_header((header::SIGNATURE, "3e1b.07"))
-        .body(format!(
-            "{} {} {}",
-            request.method(),
-            request.uri(),
-            body.len()
-        ))
-}
-
 fn sidecar(node: &str, service: &str, target: SocketAddr, platform: &Platform) -> Settings {
     let place = Place {
         node: node.to_owned(),
@@ -149,7 +71,7 @@
     seen: Arc<Seen>,
     target: SocketAddr,
     sequence: u64,
-    _target: Thread,
+    _target: cardamomshed_standin::thread::Thread,
 }
 
 impl Deployment {
