One wall clock, one ask for members; an unreadable departure is logged

Found reading the whole change: ask_members had become a twin of ask_member, and the wall clock was read by two functions of the same body. A row of a leaving target that cannot be read was passed over without a line. Daemon tests: 77 passed; clippy clean.

--- a/crates/daemon/src/actor/keeper.rs
+++ b/crates/daemon/src/actor/keeper.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::beside::Announcement;
+use crate::clock::wall_clock_ms;
 use crate::departure::Departure;
 use crate::exchange::{Outgoing, Pool};
 use crate::http::announce;
@@ -73,7 +74,7 @@
     let row = Leaving {
         instance: Arc::clone(&incarnation.instance),
         born_ms: incarnation.born_ms,
-        at_ms: node.wall_clock_ms(),
+        at_ms: wall_clock_ms(),
     };
     client.put(TABLE, &node.name, Expect::Any, &row).await?;
     Ok(())
@@ -107,7 +108,7 @@
         Ok(alive) => adopt(node, &alive),
         Err(detail) => node.note_event(Event::TargetUnknown, format_args!("{detail}")),
     }
-    if let Err(failure) = remove_stale(node, client).await {
+    if let Err(failure) = remove_stale(client).await {
         node.note_event(
             Event::PlatformLost,
             format_args!("leaving targets: {failure}"),
@@ -120,8 +121,12 @@
     let Some(row) = client.get(TABLE, &node.name).await? else {
         return Ok(());
     };
-    let Ok(leaving) = serde_json::from_value::<Leaving>(row.value) else {
-        return Ok(());
+    let leaving = match serde_json::from_value::<Leaving>(row.value) {
+        Ok(leaving) => leaving,
+        Err(error) => {
+            node.note_event(Event::DepartureNotKept, format_args!("unreadable: {error}"));
+            return Ok(());
+        }
     };
     let known = lock(&node.registration).deregister(&leaving.instance, Some(leaving.born_ms));
     if known {
@@ -136,10 +141,8 @@
 }
 
 /// Removes rows of targets that ended long ago.
-async fn remove_stale(node: &Node, client: &Client) -> Result<(), Failure> {
-    let oldest = node
-        .wall_clock_ms()
-        .saturating_sub(STALE_AFTER.as_millis() as u64);
+async fn remove_stale(client: &Client) -> Result<(), Failure> {
+    let oldest = wall_clock_ms().saturating_sub(STALE_AFTER.as_millis() as u64);
     let rows = client.list(TABLE, "", LOOK_THROUGH).await?;
     let stale = rows.into_iter().filter(|row| {
         serde_json::from_value::<Leaving>(row.value.clone())
--- a/crates/daemon/src/claim/row.rs
+++ b/crates/daemon/src/claim/row.rs
@@ -1,14 +1,12 @@
 //! Rows of claimed idempotency keys.
 
-use std::time::SystemTime;
-
 use bytes::Bytes;
 use cardamomshed_note::Digest;
 use cardamomshed_policy::admission::OPEN;
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, wall_clock_ms};
 use crate::context::Context;
 use crate::parts::Parts;
 use crate::reply::Answer;
@@ -139,8 +137,3 @@
         }
     }
 }
-
-fn wall_clock_ms() -> u64 {
-    let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-    since.as_millis() as u64
-}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,6 +1,6 @@
 //! The runtime's clock as the policies see it.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use cardamomshed_policy::Moment;
 use rustix::time::{ClockId, clock_gettime};
@@ -58,3 +58,14 @@
     }
     difference
 }
+
+/// Wall clock in microseconds since the Unix epoch.
+pub fn wall_clock_us() -> u64 {
+    let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Wall clock in milliseconds since the Unix epoch.
+pub fn wall_clock_ms() -> u64 {
+    wall_clock_us() / 1_000
+}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -94,9 +94,9 @@
     post(node, output);
 }
 
-/// Asks any member for every member that it knows.
+/// Asks any member for the members that differ.
 pub fn ask_members(node: &Arc<Node>) {
-    let peer = {
+    let chosen = {
         let fleet = lock(&node.members.fleet);
         let live = fleet
             .members()
@@ -105,14 +105,9 @@
         if live.is_empty() {
             return;
         }
-        let chosen = live[rand::random_range(0..live.len())];
-        Peer {
-            node: Arc::clone(&chosen.name),
-            address: chosen.profile.peer,
-        }
+        Arc::clone(&live[rand::random_range(0..live.len())].name)
     };
-    let digests = lock(&node.members.fleet).group_digests();
-    node.links.send(&peer, Frame::AskMembers { digests });
+    ask_member(node, &chosen);
 }
 
 /// Asks a member that knows others for those that differ.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
-use std::time::SystemTime;
 
 use cardamomshed_code::Event;
 use cardamomshed_note::{Lookup, Names, Settings};
@@ -17,7 +16,7 @@
 
 use crate::beside::Beside;
 use crate::claim::ask::Ask;
-use crate::clock::Clock;
+use crate::clock::{Clock, wall_clock_us};
 use crate::configuration::Configuration;
 use crate::context::Contexts;
 use crate::departure::Departure;
@@ -212,11 +211,6 @@
         self.configuration.lookup()
     }
 
-    /// Wall clock in milliseconds since the Unix epoch.
-    pub fn wall_clock_ms(&self) -> u64 {
-        wall_clock_us() / 1_000
-    }
-
     /// Logs a decision about a request and keeps it for `explain`.
     pub fn decide(&self, event: Event, request: Request, detail: fmt::Arguments<'_>) {
         let detail = detail.to_string();
@@ -258,8 +252,3 @@
     };
     Fleet::new(gossip, Arc::clone(name), epoch_us / 1_000, profile)
 }
-
-fn wall_clock_us() -> u64 {
-    let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
