Date confirmations on the clock of the daemon that made them

A daemon frozen for longer than the bound on withdrawn keys ran a request with a withdrawn key just after it woke. Cause: a gossip packet said how long ago its sender's configuration had been confirmed, and the receiver counted that age from when it read the packet. One that lay in the socket buffer during the freeze, or that was delayed on the way, renewed the lease.

A packet now carries the moment of the confirmation on its sender's clock. The acknowledgement of a ping relates that clock to the receiver's: it read what the acknowledgement says no earlier than the ping was sent, so a moment is never dated late, whatever delays a packet. The daemon has one clock, which counts suspension of the VM; deadlines, quota tokens and slots therefore expire in a freeze too. After a pause a member probes its suspects again before it declares them failed, and a pause from 0.95 s on (was 1.2 s), shorter than the first time at which a successor can take a lender slot, drops slots and tokens.

Ruled out: the store's feed (its confirmations count from before the question).

--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -88,7 +88,7 @@
     }
 
     async fn read(&mut self) -> Result<(), Failure> {
-        let sent = self.node.configuration.lease_now();
+        let sent = self.node.clock.now();
         let Some(version) = self.version else {
             let (row, version) = self
                 .client
@@ -96,7 +96,7 @@
                 .await?;
             if let Some(row) = row {
                 install_value(&self.node, row.value);
-                self.node.configuration.confirm_on_lease_clock(sent);
+                self.node.configuration.confirm_at(sent);
             }
             self.version = Some(version);
             return Ok(());
@@ -111,15 +111,14 @@
                 }
                 self.version = Some(feed.version);
                 // An empty answer reflects the state at the end of the wait.
-                let waited = self.node.configuration.lease_now().since(sent) >= FEED_WAIT;
+                let waited = self.node.clock.now().since(sent) >= FEED_WAIT;
                 let confirmed = if is_unchanged && waited {
                     sent + FEED_WAIT
                 } else {
                     sent
                 };
-                self.node
-                    .configuration
-                    .confirm_on_lease_clock(confirmed.before(FEED_LAG));
+                let confirmed = confirmed.before(FEED_LAG);
+                self.node.configuration.confirm_at(confirmed);
             }
             Changes::Compacted => self.version = None,
         }
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -34,8 +34,9 @@
 const EXHAUSTED_BACKOFF: Duration = Duration::from_millis(40);
 
 /// Gap between two runs of this actor's loop that indicates a pause of the
-/// process, during which other members may have taken over its slots.
-const MAX_POLL_GAP: Duration = Duration::from_millis(1_200);
+/// process. Other members take over its slots no earlier than one probe interval,
+/// by default a second, after the start of a pause.
+const MAX_POLL_GAP: Duration = Duration::from_millis(950);
 
 /// Why a request got no token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,7 +88,7 @@
     if node.settings.sidecar.is_none() {
         return;
     }
-    let now = node.configuration.lease_now();
+    let now = node.clock.now();
     let gap = {
         let mut last_poll = lock(&node.quota.last_poll);
         let gap = now.since(*last_poll);
@@ -97,7 +98,7 @@
         *last_poll = now;
         gap
     };
-    *lock(&node.quota.resumed_at) = Some(node.clock.now());
+    *lock(&node.quota.resumed_at) = Some(now);
     lock(&node.quota.wallet).clear_grants();
     let slots = std::mem::take(&mut *lock(&node.quota.lenders));
     let slots = slots.into_keys().collect::<Vec<_>>();
@@ -269,7 +270,7 @@
     let mut entitlement = ranked::Entitlement::default();
     loop {
         check_pause(&node);
-        *lock(&node.quota.last_poll) = node.configuration.lease_now();
+        *lock(&node.quota.last_poll) = node.clock.now();
         update_shares(&node);
         let now = node.clock.now();
         lock(&node.quota.wallet).evict_idle(now);
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -6,7 +6,9 @@
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
-/// Moments since the clock was started, on the runtime's monotonic clock.
+/// Moments since the clock was started: the runtime's monotonic clock, plus the
+/// time for which the VM was suspended, which that clock does not count. Leases,
+/// deadlines and tokens therefore expire during a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
@@ -25,12 +27,7 @@
 
     /// The current moment.
     pub fn now(&self) -> Moment {
-        Moment::ZERO + self.origin.elapsed()
-    }
-
-    /// Converts a moment for use with the runtime's timers.
-    pub fn instant(&self, moment: Moment) -> Instant {
-        self.origin + moment.since(Moment::ZERO)
+        Moment::ZERO + self.origin.elapsed() + self.suspended()
     }
 
     /// Time from now to `moment`, zero if it has passed.
@@ -38,9 +35,8 @@
         moment.since(self.now())
     }
 
-    /// Time for which the VM has been suspended since the origin. The monotonic
-    /// clock does not count it.
-    pub fn suspended(&self) -> Duration {
+    /// Time for which the VM has been suspended since the origin.
+    fn suspended(&self) -> Duration {
         suspended_since_boot().saturating_sub(self.suspended_at_origin)
     }
 }
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -47,7 +47,7 @@
 pub struct Configuration {
     clock: Clock,
     lookup: RwLock<Arc<Lookup>>,
-    /// Moment of the last confirmation in microseconds, on the lease clock.
+    /// Moment of the last confirmation, in microseconds.
     confirmed_us: AtomicU64,
     /// Recent release notes.
     pub history: History,
@@ -97,39 +97,25 @@
         newer
     }
 
-    /// The current moment of the lease clock. Unlike the decision clock, it includes
-    /// the time for which this VM was suspended.
-    pub fn lease_now(&self) -> Moment {
-        self.clock.now() + self.clock.suspended()
-    }
-
     /// Records that the configuration is the newest now.
     pub fn confirm(&self) {
-        self.confirm_on_lease_clock(self.lease_now());
+        self.confirm_at(self.clock.now());
     }
 
-    /// Records that it was the newest at `moment` on the decision clock.
+    /// Records that it was the newest at `moment`. An earlier moment than the
+    /// recorded one is ignored.
     pub fn confirm_at(&self, moment: Moment) {
-        self.confirm_on_lease_clock(moment + self.clock.suspended());
-    }
-
-    /// Records that it was the newest at `moment` on the lease clock. An earlier
-    /// moment than the recorded one is ignored.
-    pub fn confirm_on_lease_clock(&self, moment: Moment) {
         self.confirmed_us
             .fetch_max(moment.as_micros(), Ordering::Relaxed);
     }
 
-    /// Moment of the last confirmation, on the decision clock.
+    /// Moment of the last confirmation.
     pub fn confirmed(&self) -> Moment {
-        let confirmed = Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed));
-        confirmed.before(self.clock.suspended())
+        Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed))
     }
 
-    /// Time since the last confirmation, including time for which this VM was
-    /// suspended.
+    /// Time since the last confirmation.
     pub fn unconfirmed_for(&self) -> Duration {
-        let confirmed = Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed));
-        self.lease_now().since(confirmed)
+        self.clock.now().since(self.confirmed())
     }
 }
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -21,8 +21,8 @@
     pub lenders: Mutex<BTreeMap<u16, Lender>>,
     /// Share of an account's bound that its first lender has, in millionths.
     pub primary_share: AtomicU32,
-    /// Last run of the quota actor's loop, on the lease clock. A long gap since then
-    /// indicates that this process was paused.
+    /// Last run of the quota actor's loop. A long gap since then indicates that this
+    /// process was paused.
     pub last_poll: Mutex<Moment>,
     /// When the last pause of this process was detected.
     pub resumed_at: Mutex<Option<Moment>>,
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod caller_tls;
 mod config_requests;
 mod exchange_framing;
+mod frozen_daemon;
 mod idempotency_claims;
 mod import_order;
 mod key_checks;
--- a/crates/daemon/tests/all/platform_sidecar.rs
+++ b/crates/daemon/tests/all/platform_sidecar.rs
@@ -27,7 +27,12 @@
 /// Longest wait for an expected status.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-fn sidecar(node: &str, service: &str, target: SocketAddr, platform: &Platform) -> Settings {
+pub(crate) fn sidecar(
+    node: &str,
+    service: &str,
+    target: SocketAddr,
+    platform: &Platform,
+) -> Settings {
     let place = Location {
         node: node.to_owned(),
         domain: "a".to_owned(),
@@ -49,7 +54,7 @@
     settings
 }
 
-fn config(version: u64, key: &str) -> Value {
+pub(crate) fn config(version: u64, key: &str) -> Value {
     json!({
         "version": version,
         "routes": {
@@ -65,18 +70,18 @@
 }
 
 /// Two daemons, the second with a target.
-struct Deployment {
-    platform: Platform,
+pub(crate) struct Deployment {
+    pub(crate) platform: Platform,
     first: Member,
-    second: Member,
-    observed: Arc<Observation>,
+    pub(crate) second: Member,
+    pub(crate) observed: Arc<Observation>,
     target: SocketAddr,
     sequence: u64,
     _target: cardamomshed_standin::thread::Thread,
 }
 
 impl Deployment {
-    fn start() -> Self {
+    pub(crate) fn start() -> Self {
         let platform = Platform::start(Capacity::default());
         let (thread, target, observed) = target();
         let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -94,14 +99,14 @@
         }
     }
 
-    fn get(&self, path: &str) -> Request {
+    pub(crate) fn get(&self, path: &str) -> Request {
         Request::get(self.first.node.settings.callers, path)
             .header("host", "h.example")
             .header(header::ATTEMPT, "9c41d07be2a35f68")
             .header(header::DEADLINE, "1500")
     }
 
-    fn heartbeat(&mut self, state: &str) -> Reply {
+    pub(crate) fn heartbeat(&mut self, state: &str) -> Reply {
         self.sequence += 1;
         let body = json!({
             "service": "s-two", "address": self.target, "zone": "a", "version": "v1",
@@ -136,20 +141,20 @@
 
     /// Stops the daemon of the target and starts a new one, which keeps none
     /// of its state.
-    fn restart_second(&mut self) {
+    pub(crate) fn restart_second(&mut self) {
         self.second.leave();
         let settings = sidecar("n-2", "s-two", self.target, &self.platform);
         self.second = Member::start(settings, Options::default());
     }
 
-    fn configure(&self, version: u64, key: &str) {
+    pub(crate) fn configure(&self, version: u64, key: &str) {
         self.platform.write("op", "config", &config(version, key));
     }
 }
 
 /// Repeats a request until its response has this status, and returns that
 /// response.
-fn eventually_status(status: u16, mut request: impl FnMut() -> Reply) -> Reply {
+pub(crate) fn eventually_status(status: u16, mut request: impl FnMut() -> Reply) -> Reply {
     let until = Instant::now() + TIMEOUT;
     loop {
         let reply = request();
--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -24,7 +24,7 @@
     target: Target,
 }
 
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("a bound port").port()
 }
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -8,6 +8,7 @@
 //! without an external store.
 
 mod broadcast;
+mod offset;
 mod packet;
 mod probe;
 mod record;
@@ -17,6 +18,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use offset::Offset;
 use rand::Rng;
 
 pub use packet::{Packet, Payload};
@@ -65,6 +67,8 @@
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_secs(3);
 /// Number of groups, by hash of the name, whose digests an exchange compares.
 const DIGEST_GROUPS: usize = 64;
+/// Bits of a ping's sequence number that count the pings of one process.
+const SEQUENCE_BITS: u32 = 22;
 
 /// Outgoing packet.
 #[derive(Clone, Debug)]
@@ -93,7 +97,8 @@
     pub changes: Vec<Change>,
     /// Name of a member that advertises a newer release note than the local one.
     pub newer_note: Option<Arc<str>>,
-    /// When a member with the same release note last knew it to be the newest.
+    /// When a member with the same release note last knew it to be the newest, on
+    /// the local clock. `None` as well if the member's clock is not known yet.
     pub confirmed: Option<Moment>,
     /// Member whose digest keeps differing. The caller requests records from it.
     pub diverged: Option<Arc<str>>,
@@ -106,6 +111,10 @@
     changed_at: Moment,
     /// When it was last probed directly because it is suspect.
     probed_at: Option<Moment>,
+    /// Relation of its clock to the local one, once it acknowledged a ping.
+    offset: Option<Offset>,
+    /// When it was last pinged to measure its clock.
+    calibrated_at: Option<Moment>,
 }
 
 /// Local view of the fleet.
@@ -123,7 +132,15 @@
     probe_order: Vec<Arc<str>>,
     probe: Option<Probe>,
     relays: Vec<Relay>,
+    /// Identity of this process.
+    process: u64,
+    /// Sequence number of the last ping. Those of two processes with one name
+    /// differ, since their numbers start at the process's identity.
     sequence: u64,
+    /// Times at which recent pings were sent, by sequence number.
+    pings: IndexMap<u64, Moment>,
+    /// Time of the last tick.
+    ticked_at: Moment,
     probe_count: u32,
     next_probe_at: Moment,
     queue: Updates,
@@ -157,7 +174,10 @@
             probe_order: Vec::new(),
             probe: None,
             relays: Vec::new(),
-            sequence: 0,
+            process: incarnation,
+            sequence: incarnation << SEQUENCE_BITS,
+            pings: IndexMap::new(),
+            ticked_at: Moment::ZERO,
             probe_count: 0,
             next_probe_at: Moment::ZERO,
             queue: Updates::default(),
@@ -260,6 +280,10 @@
     pub fn tick(&mut self, random: &mut impl Rng, now: Moment) -> Output {
         let mut output = Output::default();
         self.now = now;
+        if now.since(self.ticked_at) > self.config.probe_interval {
+            self.resume(now);
+        }
+        self.ticked_at = now;
         self.probe_suspects(now, &mut output);
         self.expire(now, &mut output);
         self.probe_indirectly(random, now, &mut output);
@@ -275,24 +299,24 @@
     pub fn receive(&mut self, packet: Packet, from: std::net::SocketAddr, now: Moment) -> Output {
         let mut output = Output::default();
         self.compare(&packet, now, &mut output);
-        let records = match packet.payload {
-            Payload::Broadcast => packet.records.clone(),
-            _ => Vec::new(),
-        };
-        for record in packet.records {
-            self.merge(record, now, &mut output);
+        for record in &packet.records {
+            self.merge(record.clone(), now, &mut output);
         }
         self.now = now;
+        if let Payload::Ack { sequence, clock_us } = packet.payload {
+            self.record_offset(&packet, sequence, clock_us);
+        }
         if packet.revision > self.revision {
             output.newer_note = Some(Arc::clone(&packet.sender));
         } else if packet.revision == self.revision {
-            let age = Duration::from_millis(u64::from(packet.confirmed_ms));
-            let seen = now.since(Moment::ZERO).saturating_sub(age);
-            output.confirmed = Some(Moment::ZERO + seen);
+            self.merge_confirmation(&packet, now, &mut output);
         }
         match packet.payload {
             Payload::Ping { sequence } => {
-                let answer = self.packet(Payload::Ack { sequence });
+                let answer = self.packet(Payload::Ack {
+                    sequence,
+                    clock_us: now.as_micros(),
+                });
                 output.sends.push(Send {
                     to: from,
                     packet: answer,
@@ -301,17 +325,51 @@
             Payload::PingRequest { sequence, about } => {
                 self.relay(sequence, &about, from, now, &mut output);
             }
-            Payload::Ack { sequence } => {
-                self.acknowledge(sequence, &mut output);
+            Payload::Ack { sequence, .. } => {
+                self.acknowledge(sequence, now, &mut output);
             }
             Payload::Push => {}
             Payload::Broadcast => {
-                output.sends.extend(self.forward(&packet.sender, &records));
+                output.sends.extend(self.forward(&packet));
             }
         }
         output
     }
 
+    /// Takes over the confirmation of a member with the same release note. The
+    /// packet may have been delayed, or queued while this process was paused, so
+    /// only the sender's clock dates it.
+    fn merge_confirmation(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
+        let member = self.members.get(&packet.sender);
+        let offset = member
+            .and_then(|member| member.offset)
+            .filter(|offset| offset.process == packet.process);
+        if let Some(offset) = offset {
+            let confirmed = offset.local_moment(Moment::from_micros(packet.confirmed_us));
+            // A remote clock that runs too fast must not confirm the future.
+            let confirmed = confirmed.min(now);
+            self.confirmed = self.confirmed.max(confirmed);
+            output.confirmed = Some(confirmed);
+        }
+        if matches!(packet.payload, Payload::Broadcast | Payload::Push) {
+            self.calibrate(packet, now, output);
+        }
+    }
+
+    /// Restarts probe and suspicions after a pause of this process, in which
+    /// others could not reach it.
+    fn resume(&mut self, now: Moment) {
+        self.probe = None;
+        self.relays.clear();
+        self.next_probe_at = now;
+        for member in self.members.values_mut() {
+            if member.record.state == State::Suspect {
+                member.changed_at = now;
+                member.probed_at = None;
+            }
+        }
+    }
+
     /// XOR of the digests of all active members, including this one.
     fn full_digest(&self) -> u64 {
         self.others_digest ^ self.own.digest()
@@ -372,6 +430,8 @@
                     record: record.clone(),
                     changed_at: now,
                     probed_at: None,
+                    offset: None,
+                    calibrated_at: None,
                 };
                 self.members.insert(name, member);
                 None
@@ -423,8 +483,9 @@
         self.members.retain(|_, member| {
             member.record.state.is_active() || now.since(member.changed_at) < config.retention
         });
-        self.relays
-            .retain(|relay| now.since(relay.started_at) < config.probe_interval * 2);
+        let is_recent = |sent: Moment| now.since(sent) < config.probe_interval * 2;
+        self.relays.retain(|relay| is_recent(relay.started_at));
+        self.pings.retain(|_, sent| is_recent(*sent));
     }
 
     /// Gossip addresses of up to `count` random active members.
@@ -485,7 +546,8 @@
         Packet {
             sender: Arc::clone(&self.own.name),
             revision: self.revision,
-            confirmed_ms: self.now.since(self.confirmed).as_millis() as u32,
+            process: self.process,
+            confirmed_us: self.confirmed.as_micros(),
             digest: self.full_digest(),
             payload,
             records: Vec::new(),
--- a/crates/policy/src/member/broadcast.rs
+++ b/crates/policy/src/member/broadcast.rs
@@ -36,10 +36,10 @@
         sends.collect()
     }
 
-    /// Packets that forward a broadcast of `sender` to this member's part of the
-    /// failure domain. Empty if this member is not a direct receiver.
-    pub(super) fn forward(&self, sender: &str, records: &[Record]) -> Vec<Send> {
-        let peers = self.domain_members_except(sender);
+    /// Packets that forward a broadcast to this member's part of the failure
+    /// domain. Empty if this member is not a direct receiver.
+    pub(super) fn forward(&self, broadcast: &Packet) -> Vec<Send> {
+        let peers = self.domain_members_except(&broadcast.sender);
         let own_index = peers
             .iter()
             .position(|record| record.name == self.own.name)
@@ -48,7 +48,7 @@
             return Vec::new();
         };
         let packet = Packet {
-            records: records.to_vec(),
+            records: broadcast.records.clone(),
             ..self.status(Payload::Push)
         };
         let receivers = peers
--- a/crates/policy/src/member/packet.rs
+++ b/crates/policy/src/member/packet.rs
@@ -16,9 +16,13 @@
     /// Revision of the newest release note in force at the sender.
     #[serde(rename = "h")]
     pub revision: u64,
-    /// Milliseconds since the sender last knew that release note to be the newest.
+    /// Identity of the sender's process, on whose clock moments are given.
+    #[serde(rename = "b")]
+    pub process: u64,
+    /// When the sender last knew that release note to be the newest, in
+    /// microseconds on its clock.
     #[serde(rename = "c")]
-    pub confirmed_ms: u32,
+    pub confirmed_us: u64,
     /// Digest of the members that are active in the sender's view, itself
     /// included.
     #[serde(rename = "d")]
@@ -62,6 +66,9 @@
         /// Sequence number of the ping.
         #[serde(rename = "q")]
         sequence: u64,
+        /// Clock of the sender when it received the ping, in microseconds.
+        #[serde(rename = "t")]
+        clock_us: u64,
     },
     /// Carries records without a request.
     #[serde(rename = "u")]
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -1,11 +1,16 @@
 //! Direct and indirect probes, and probes of failed members.
+//!
+//! The acknowledgement of a probe also relates the clocks of the two processes,
+//! see [`Offset`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+use super::offset::Offset;
 use super::{Fleet, Output, Packet, Payload, Send, State};
 use crate::moment::Moment;
 
@@ -17,6 +22,14 @@
 /// Largest number of suspects probed in one tick.
 const MAX_SUSPECTS_PER_TICK: usize = 16;
 
+/// Age of the own confirmation from which those of others are of use.
+const MIN_UNCONFIRMED: Duration = Duration::from_secs(1);
+/// Age at which the offset to another clock is measured again, since drift
+/// loosens its bound.
+const MAX_OFFSET_AGE: Duration = Duration::from_secs(30);
+/// Shortest interval between two pings of one member to measure its clock.
+const MIN_CALIBRATION_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Probe of the current interval.
 #[derive(Clone, Debug)]
 pub(super) struct Probe {
@@ -57,8 +70,7 @@
             suspects.push(member.record.clone());
         }
         for record in suspects {
-            self.sequence += 1;
-            let sequence = self.sequence;
+            let sequence = self.next_ping(now);
             let to = record.profile.gossip;
             let packet = Packet {
                 records: vec![self.own.clone(), record],
@@ -122,8 +134,7 @@
         // The packet carries the local record of the probed member, so that a
         // member that is suspect or failed here can refute it.
         self.queue.add(Arc::clone(&subject));
-        self.sequence += 1;
-        let sequence = self.sequence;
+        let sequence = self.next_ping(now);
         self.probe = Some(Probe {
             sequence,
             subject,
@@ -179,8 +190,7 @@
         let Some(to) = self.get(about).map(|record| record.profile.gossip) else {
             return;
         };
-        self.sequence += 1;
-        let sequence = self.sequence;
+        let sequence = self.next_ping(now);
         self.relays.push(Relay {
             sequence,
             origin,
@@ -191,7 +201,59 @@
         output.sends.push(Send { to, packet });
     }
 
-    pub(super) fn acknowledge(&mut self, sequence: u64, output: &mut Output) {
+    /// Sequence number of a ping that is sent now.
+    fn next_ping(&mut self, now: Moment) -> u64 {
+        self.sequence += 1;
+        self.pings.insert(self.sequence, now);
+        self.sequence
+    }
+
+    /// Pings the sender of a packet to relate its clock to the local one, unless that was done
+    /// recently or the ping would confirm nothing new.
+    pub(super) fn calibrate(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
+        if now.since(self.confirmed) < MIN_UNCONFIRMED {
+            return;
+        }
+        let Some(member) = self.members.get_mut(&packet.sender) else {
+            return;
+        };
+        let is_current = member.offset.is_some_and(|offset| {
+            offset.process == packet.process && now.since(offset.local) < MAX_OFFSET_AGE
+        });
+        let is_recent = member
+            .calibrated_at
+            .is_some_and(|at| now.since(at) < MIN_CALIBRATION_INTERVAL);
+        if is_current || is_recent {
+            return;
+        }
+        member.calibrated_at = Some(now);
+        let to = member.record.profile.gossip;
+        let sequence = self.next_ping(now);
+        let packet = self.status(Payload::Ping { sequence });
+        output.sends.push(Send { to, packet });
+    }
+
+    /// Relates the clock of the sender of an acknowledgement to the local one.
+    /// An acknowledgement of an unknown ping, such as one of an earlier process
+    /// with this name, is ignored.
+    pub(super) fn record_offset(&mut self, packet: &Packet, sequence: u64, clock_us: u64) {
+        let Some(sent) = self.pings.swap_remove(&sequence) else {
+            return;
+        };
+        let Some(member) = self.members.get_mut(&packet.sender) else {
+            return;
+        };
+        let offset = Offset {
+            process: packet.process,
+            local: sent,
+            remote: Moment::from_micros(clock_us),
+        };
+        if member.offset.is_none_or(|known| offset.is_tighter(&known)) {
+            member.offset = Some(offset);
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, sequence: u64, now: Moment, output: &mut Output) {
         if let Some(index) = self
             .relays
             .iter()
@@ -200,6 +262,7 @@
             let relay = self.relays.swap_remove(index);
             let packet = self.packet(Payload::Ack {
                 sequence: relay.origin_sequence,
+                clock_us: now.as_micros(),
             });
             output.sends.push(Send {
                 to: relay.origin,
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
+mod member_confirmation;
 mod member_gossip;
 mod price_fanout;
 mod quota_bound;
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -121,7 +121,10 @@
         _ => 0,
     };
     member::Packet {
-        payload: member::Payload::Ack { sequence },
+        payload: member::Payload::Ack {
+            sequence,
+            clock_us: 0,
+        },
         records: Vec::new(),
         ..packet.clone()
     }
@@ -131,7 +134,8 @@
     member::Packet {
         sender: "service-0001-00001".into(),
         revision: 1_000_000,
-        confirmed_ms: 500,
+        process: 1,
+        confirmed_us: 500_000,
         digest: u64::MAX,
         payload: member::Payload::Ping { sequence: 100_000 },
         records: (0..records).map(record).collect(),
--- a/crates/wire/tests/all/gossip_seal.rs
+++ b/crates/wire/tests/all/gossip_seal.rs
@@ -9,7 +9,8 @@
     Packet {
         sender: "node".into(),
         revision: 3,
-        confirmed_ms: 10,
+        process: 7,
+        confirmed_us: 10_000,
         digest: 9,
         payload: Payload::Ping { sequence: 8 },
         records: Vec::new(),
