Repeat what a daemon reads after a restart beside a living target

Both are repeated now with growing pauses. Until the departure was read, for 2.5 s at most, a heartbeat of a target that accepts calls is deferred, since a late one readmitted a target that had left. A seed row under the daemon's own name with its earlier address is replaced; it counted as held.

--- a/crates/daemon/src/actor/leaving.rs
+++ b/crates/daemon/src/actor/leaving.rs
@@ -11,6 +11,7 @@
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_platform::health::{self, Report};
 use cardamomshed_platform::{Client, Condition, Operation};
+use cardamomshed_policy::Moment;
 use cardamomshed_policy::registration::Incarnation;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -34,6 +35,15 @@
 /// Time after the start within which the target's identity is requested. After
 /// it, the target's heartbeats have reported the identity.
 const ADOPTION_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time after the start for which heartbeats are deferred because the
+/// departures in the store cannot be read. It is the time for which a target
+/// that announced its departure goes on serving.
+const MAX_DEFERRAL: Duration = Duration::from_millis(2_500);
+/// Delay before the second attempt to read the departure or to check the target's
+/// health; doubled after each attempt.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Upper bound of that delay.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time limit for the target's answer to the health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest answer to a health check, in bytes.
@@ -59,6 +69,8 @@
         .as_ref()
         .is_none_or(|sidecar| sidecar.first_start);
     if !first_start {
+        let deadline = node.clock.now() + MAX_DEFERRAL;
+        lock(&node.registration).defer_until(deadline);
         let (node, client) = (Arc::clone(&node), client.clone());
         actix_rt::spawn(async move { recover_target(&node, &client).await });
     }
@@ -87,40 +99,61 @@
 /// Restores a departure stored before this start, then identifies the target by
 /// its health check and removes stale rows.
 async fn recover_target(node: &Arc<Node>, client: &Client) {
-    match restore_departure(node, client).await {
-        Ok(()) => {}
-        Err(failure) => {
-            // A leaving target would get calls if it were adopted without
-            // reading the row.
-            node.log_event(
-                Event::PlatformUnreachable,
-                format_args!("leaving targets: {failure}"),
-            );
-            return;
-        }
+    let deadline = node.clock.now() + ADOPTION_TIMEOUT;
+    if !read_departure(node, client, deadline).await {
+        return;
     }
-    let deadline = tokio::time::Instant::now() + ADOPTION_TIMEOUT;
+    lock(&node.registration).end_deferral();
     while node.lookup().config.revision == 0 {
-        if tokio::time::Instant::now() >= deadline {
+        if node.clock.now() >= deadline {
             return;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    if node.local_target.announcement().is_some() {
-        return;
+    identify_target(node, deadline).await;
+    if let Err(failure) = remove_stale(client).await {
+        log_unreachable(node, &failure);
     }
-    match check_health(node).await {
-        Ok(report) => adopt(node, &report),
-        Err(detail) => node.log_event(Event::TargetUnidentified, format_args!("{detail}")),
+}
+
+/// Restores the stored departure. Repeats a failed read until `deadline`, since a
+/// leaving target would get calls if it were adopted without it. Returns whether
+/// the read succeeded.
+async fn read_departure(node: &Arc<Node>, client: &Client, deadline: Moment) -> bool {
+    let mut delay = FIRST_RETRY_DELAY;
+    loop {
+        let Err(failure) = restore_departure(node, client).await else {
+            return true;
+        };
+        log_unreachable(node, &failure);
+        if node.clock.now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
-    if let Err(failure) = remove_stale(client).await {
-        node.log_event(
-            Event::PlatformUnreachable,
-            format_args!("leaving targets: {failure}"),
-        );
+}
+
+/// Requests the target's identity until it is known, at most until `deadline`.
+async fn identify_target(node: &Arc<Node>, deadline: Moment) {
+    let mut delay = FIRST_RETRY_DELAY;
+    while node.local_target.announcement().is_none() && node.clock.now() < deadline {
+        match check_health(node).await {
+            Ok(report) => return adopt(node, &report),
+            Err(detail) => node.log_event(Event::TargetUnidentified, format_args!("{detail}")),
+        }
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
 }
 
+fn log_unreachable(node: &Node, failure: &Failure) {
+    node.log_event(
+        Event::PlatformUnreachable,
+        format_args!("leaving targets: {failure}"),
+    );
+}
+
 /// Marks the target as leaving if the store has a row of its departure.
 async fn restore_departure(node: &Arc<Node>, client: &Client) -> Result<(), Failure> {
     let Some(row) = client.get(TABLE, &node.name).await? else {
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -1,5 +1,6 @@
 //! Member discovery through a few seed rows in the platform's table service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,7 +86,8 @@
 }
 
 /// Writes this daemon's record to a seed row of its failure domain that is free or
-/// whose daemon is no longer live, unless it has a row already.
+/// whose daemon is no longer live, unless it has a row already. A row of its own
+/// with another address is replaced.
 async fn claim_row(node: &Arc<Node>, client: &Client, rows: &[Row]) -> Result<(), Failure> {
     let own = lock(&node.members.fleet).own().clone();
     let domain = &own.profile.domain;
@@ -102,17 +104,19 @@
             .and_then(|name| name.as_str())
             .map(str::to_owned)
     };
-    let holds = |row: &&Row| name_of(row).as_deref() == Some(&*own.name);
-    if holders
+    let is_own = |row: &Row| name_of(row).as_deref() == Some(&*own.name);
+    let held = holders
         .iter()
-        .filter_map(|(_, row)| row.as_ref())
-        .any(holds)
-    {
+        .find_map(|(_, row)| row.filter(|row| is_own(row)));
+    if held.is_some_and(|row| address_of(row) == Some(own.profile.gossip)) {
         return Ok(());
     }
     let may_replace = node.clock.now().as_micros() > POLL_INTERVAL.as_micros() as u64;
     for (key, row) in holders {
         let expect = match row {
+            // The row of an earlier process with this name, at another address.
+            Some(row) if is_own(row) => Condition::Version(row.version),
+            _ if held.is_some() => continue,
             None => Condition::Absent,
             Some(row) if may_replace && !is_live(node, name_of(row).as_deref()) => {
                 Condition::Version(row.version)
@@ -129,6 +133,12 @@
     Ok(())
 }
 
+/// Gossip address in a row, `None` if it is not a valid record.
+fn address_of(row: &Row) -> Option<SocketAddr> {
+    let record = serde_json::from_value::<Record>(row.value.clone()).ok()?;
+    Some(record.profile.gossip)
+}
+
 fn is_live(node: &Node, name: Option<&str>) -> bool {
     let fleet = lock(&node.members.fleet);
     name.and_then(|name| fleet.get(name))
--- a/crates/daemon/src/http/control.rs
+++ b/crates/daemon/src/http/control.rs
@@ -23,6 +23,11 @@
 /// Longest time for which the acknowledgement to a leaving target is delayed
 /// until the departure is stored. A target waits one second for it.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which a heartbeat waits while it is deferred. A target waits
+/// one second for the acknowledgement.
+const MAX_DEFERRAL_WAIT: Duration = Duration::from_millis(700);
+/// Interval at which it is processed again meanwhile.
+const DEFERRAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Handles a heartbeat of the local target. One with another service or address
 /// is rejected with 400.
@@ -52,8 +57,7 @@
         born_ms: heartbeat.started_ms,
     };
     let draining = heartbeat.state == State::Draining;
-    let verdict = lock(&node.registration).heartbeat(&incarnation, heartbeat.sequence, draining);
-    match verdict {
+    match register(&node, &incarnation, heartbeat.sequence, draining).await {
         Verdict::New { leaving } | Verdict::Current { leaving } => {
             let announcement = announcement(&node, &heartbeat, &incarnation, leaving);
             let was_leaving = node.local_target.is_leaving();
@@ -62,11 +66,29 @@
                 store_departure(&node, incarnation).await;
             }
         }
-        Verdict::Stale => {}
+        Verdict::Stale | Verdict::Deferred => {}
     }
     acknowledge()
 }
 
+/// Processes a heartbeat; waits a limited time while it is deferred.
+async fn register(
+    node: &Node,
+    incarnation: &Incarnation,
+    sequence: u64,
+    draining: bool,
+) -> Verdict {
+    let deadline = node.clock.now() + MAX_DEFERRAL_WAIT;
+    loop {
+        let now = node.clock.now();
+        let verdict = lock(&node.registration).heartbeat(incarnation, sequence, draining, now);
+        if verdict != Verdict::Deferred || now >= deadline {
+            return verdict;
+        }
+        tokio::time::sleep(DEFERRAL_POLL_INTERVAL).await;
+    }
+}
+
 /// Persists the departure of a target, so that it survives a restart of the daemon.
 /// Waits until it is stored, at most [`STORE_TIMEOUT`].
 async fn store_departure(node: &Node, incarnation: Incarnation) {
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod quota_fleet;
 mod request_heads;
 mod signed_target;
+mod target_recovery;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/daemon/tests/all/target_recovery.rs
@@ -0,0 +1,103 @@
+//! A daemon that restarts beside a living target, while the store or the target
+//! does not answer at first.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cardamomshed_standin::client::eventually;
+use cardamomshed_standin::platform::Faults;
+
+use crate::platform_sidecar::{Deployment, eventually_status};
+
+/// Faults of a store that is down.
+const DOWN: Faults = Faults {
+    down: true,
+    delay: Duration::ZERO,
+    lose_answers: 0.0,
+};
+
+/// A deployment that serves requests.
+fn serving() -> Deployment {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually_status(200, || fleet.get("/open/").send());
+    fleet
+}
+
+#[test]
+fn store_outage_retried() {
+    let mut fleet = serving();
+    fleet.observed.health.store(true, Ordering::Relaxed);
+    fleet.platform.set_faults(DOWN);
+    fleet.restart_second();
+    std::thread::sleep(Duration::from_millis(700));
+    fleet.platform.set_faults(Faults::default());
+    eventually_status(200, || fleet.get("/open/").send());
+}
+
+#[test]
+fn failed_check_retried() {
+    let mut fleet = serving();
+    fleet.observed.health.store(false, Ordering::Relaxed);
+    fleet.restart_second();
+    let node = &fleet.second.node;
+    eventually("a configuration", || node.lookup().config.revision > 0);
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.observed.health.store(true, Ordering::Relaxed);
+    eventually_status(200, || fleet.get("/open/").send());
+}
+
+#[test]
+fn late_heartbeat_deferred() {
+    let mut fleet = serving();
+    assert_eq!(fleet.heartbeat("draining").status, 200);
+    fleet.platform.set_faults(DOWN);
+    fleet.restart_second();
+    let runs = fleet.observed.runs.load(Ordering::Relaxed);
+    // A heartbeat from before the target drained arrives before the store does.
+    assert_eq!(fleet.heartbeat("ready").status, 200);
+    for _ in 0..10 {
+        assert_eq!(fleet.get("/open/").send().status, 503);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    fleet.platform.set_faults(Faults::default());
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.heartbeat("ready");
+    let target = &fleet.second.node.local_target;
+    assert!(target.announcement().is_none() || target.is_leaving());
+    assert_eq!(fleet.get("/open/").send().status, 503);
+    assert_eq!(fleet.observed.runs.load(Ordering::Relaxed), runs);
+}
+
+#[test]
+fn unread_departure_expires() {
+    let mut fleet = serving();
+    fleet.platform.set_faults(DOWN);
+    fleet.restart_second();
+    // With the store away for long, heartbeats alone register the target.
+    let node = std::sync::Arc::clone(&fleet.second.node);
+    eventually("the target is registered", || {
+        fleet.heartbeat("ready");
+        std::thread::sleep(Duration::from_millis(100));
+        node.local_target.announcement().is_some()
+    });
+}
+
+#[test]
+fn seed_row_replaced() {
+    let mut fleet = serving();
+    let peer_of = |fleet: &Deployment| {
+        let rows = (0..3).filter_map(|number| fleet.platform.peek("seeds", &format!("a-{number}")));
+        let own = rows
+            .into_iter()
+            .find(|row| row["n"].as_str() == Some("n-2"));
+        own.and_then(|row| row["p"]["p"].as_str().map(str::to_owned))
+    };
+    eventually("a seed row", || peer_of(&fleet).is_some());
+    fleet.restart_second();
+    let address = fleet.second.node.settings.peers.to_string();
+    eventually("the row names the new address", || {
+        peer_of(&fleet).as_deref() == Some(&address)
+    });
+}
--- a/crates/policy/src/registration.rs
+++ b/crates/policy/src/registration.rs
@@ -1,12 +1,14 @@
 //! Registration of the local target.
 //!
 //! Determines the current incarnation of the target beside a daemon from
-//! heartbeats that may be late, repeated or sent by an incarnation that has
+//! heartbeats that may be late, repeated or sent by an incarnation that has been
 //! replaced.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use crate::moment::Moment;
+
 /// Replaced incarnations that are kept to reject their late heartbeats.
 const MAX_REPLACED: usize = 32;
 
@@ -35,6 +37,9 @@
     },
     /// Superseded by a later heartbeat, or from an older or replaced incarnation.
     Stale,
+    /// Reports a target that accepts calls, while it is not known whether that
+    /// target announced its departure to an earlier process.
+    Deferred,
 }
 
 #[derive(Clone, Debug)]
@@ -54,9 +59,24 @@
     current: Option<Entry>,
     /// Replaced incarnations, oldest first.
     replaced: VecDeque<Incarnation>,
+    /// Time until which heartbeats are deferred because the stored departure has
+    /// not been read yet.
+    deferred_until: Option<Moment>,
 }
 
 impl Registration {
+    /// Defers heartbeats of targets that accept calls until the stored departure
+    /// was read, at most until `deadline`. A late heartbeat would otherwise readmit
+    /// a target whose departure an earlier process acknowledged.
+    pub const fn defer_until(&mut self, deadline: Moment) {
+        self.deferred_until = Some(deadline);
+    }
+
+    /// Ends the deferral, once the stored departure was read.
+    pub const fn end_deferral(&mut self) {
+        self.deferred_until = None;
+    }
+
     /// Processes a heartbeat. `sequence` increases with each heartbeat of one
     /// incarnation.
     pub fn heartbeat(
@@ -64,7 +84,12 @@
         incarnation: &Incarnation,
         sequence: u64,
         draining: bool,
+        now: Moment,
     ) -> Verdict {
+        let is_deferred = self.deferred_until.is_some_and(|until| now < until);
+        if is_deferred && !draining {
+            return Verdict::Deferred;
+        }
         if let Some(entry) = &mut self.current
             && entry.start_unknown
             && entry.incarnation.instance == incarnation.instance
--- a/crates/policy/tests/all/registration_order.rs
+++ b/crates/policy/tests/all/registration_order.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use cardamomshed_policy::Moment;
 use cardamomshed_policy::registration::{Incarnation, Registration, Verdict};
 
 use crate::check;
@@ -18,24 +19,27 @@
 fn leaving_is_permanent() {
     let mut registration = Registration::default();
     let first = incarnation("i-1", 10);
-    let verdict = registration.heartbeat(&first, 1, false);
+    let verdict = registration.heartbeat(&first, 1, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::New { leaving: false });
-    let verdict = registration.heartbeat(&first, 2, true);
+    let verdict = registration.heartbeat(&first, 2, true, Moment::ZERO);
     assert_eq!(verdict, Verdict::Current { leaving: true });
-    assert_eq!(registration.heartbeat(&first, 1, false), Verdict::Stale);
-    let verdict = registration.heartbeat(&first, 3, false);
+    assert_eq!(
+        registration.heartbeat(&first, 1, false, Moment::ZERO),
+        Verdict::Stale
+    );
+    let verdict = registration.heartbeat(&first, 3, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::Current { leaving: true });
 }
 
 #[test]
 fn restart_keeps_instance() {
     let mut registration = Registration::default();
-    registration.heartbeat(&incarnation("i-1", 10), 90, true);
+    registration.heartbeat(&incarnation("i-1", 10), 90, true, Moment::ZERO);
     // The new incarnation restarts its sequence and accepts calls.
-    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false);
+    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::New { leaving: false });
     assert_eq!(
-        registration.heartbeat(&incarnation("i-1", 10), 91, false),
+        registration.heartbeat(&incarnation("i-1", 10), 91, false, Moment::ZERO),
         Verdict::Stale
     );
 }
@@ -44,12 +48,12 @@
 fn deregister_before_draining() {
     let mut registration = Registration::default();
     let first = incarnation("i-1", 10);
-    registration.heartbeat(&first, 1, false);
+    registration.heartbeat(&first, 1, false, Moment::ZERO);
     let name: Arc<str> = "i-1".into();
     assert!(!registration.deregister(&"i-2".into(), None));
     assert!(!registration.deregister(&name, Some(9)));
     assert!(registration.deregister(&name, Some(10)));
-    let verdict = registration.heartbeat(&first, 2, false);
+    let verdict = registration.heartbeat(&first, 2, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::Current { leaving: true });
 }
 
@@ -63,6 +67,7 @@
             &incarnation(&format!("i-{born}"), born),
             u64::from(*sequence),
             *draining,
+            Moment::ZERO,
         );
         let before = newest;
         newest = newest.max(born);
@@ -84,13 +89,13 @@
         "another instance is registered already"
     );
     // The first heartbeat supplies the start; the incarnation stays the same.
-    let verdict = registration.heartbeat(&incarnation("i-1", 10), 7, false);
+    let verdict = registration.heartbeat(&incarnation("i-1", 10), 7, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::Current { leaving: false });
     assert_eq!(
-        registration.heartbeat(&incarnation("i-1", 10), 7, false),
+        registration.heartbeat(&incarnation("i-1", 10), 7, false, Moment::ZERO),
         Verdict::Stale
     );
-    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false);
+    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::New { leaving: false });
 }
 
@@ -99,25 +104,52 @@
     let mut registration = Registration::default();
     registration.adopt(&"i-1".into());
     assert!(registration.deregister(&"i-1".into(), Some(10)));
-    let verdict = registration.heartbeat(&incarnation("i-1", 10), 8, false);
+    let verdict = registration.heartbeat(&incarnation("i-1", 10), 8, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::Current { leaving: true });
 }
 
 #[test]
 fn departure_survives_restart() {
     let mut before = Registration::default();
-    before.heartbeat(&incarnation("i-1", 10), 4, true);
+    before.heartbeat(&incarnation("i-1", 10), 4, true, Moment::ZERO);
     let leaving = before.leaving().expect("a leaving incarnation").clone();
     // The daemon restarts and loads the stored departure.
     let mut after = Registration::default();
     assert!(after.deregister(&leaving.instance, Some(leaving.born_ms)));
     assert!(!after.adopt(&"i-1".into()));
-    let verdict = after.heartbeat(&incarnation("i-1", 10), 5, false);
+    let verdict = after.heartbeat(&incarnation("i-1", 10), 5, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::Current { leaving: true });
-    let verdict = after.heartbeat(&incarnation("i-1", 30), 1, false);
+    let verdict = after.heartbeat(&incarnation("i-1", 30), 1, false, Moment::ZERO);
     assert_eq!(
         verdict,
         Verdict::New { leaving: false },
         "a new incarnation"
     );
 }
+
+#[test]
+fn unread_departure_deferred() {
+    let mut registration = Registration::default();
+    let until = Moment::from_millis(2_500);
+    registration.defer_until(until);
+    let target = incarnation("i-1", 10);
+    let early = Moment::from_millis(400);
+    let verdict = registration.heartbeat(&target, 4, false, early);
+    assert_eq!(verdict, Verdict::Deferred);
+    // A departure needs no confirmation by the store.
+    let verdict = registration.heartbeat(&target, 5, true, early);
+    assert_eq!(verdict, Verdict::New { leaving: true });
+    let mut registration = Registration::default();
+    registration.defer_until(until);
+    assert_eq!(
+        registration.heartbeat(&target, 4, false, until),
+        Verdict::New { leaving: false }
+    );
+    let mut registration = Registration::default();
+    registration.defer_until(until);
+    registration.end_deferral();
+    assert_eq!(
+        registration.heartbeat(&target, 4, false, early),
+        Verdict::New { leaving: false }
+    );
+}
