Let a link to an old address not hide a member's new one

restart_finds_target failed now and then with 503 for ten seconds. Logs of two such runs show the cause: the link to the daemon's earlier address goes on dialling, since a daemon of that name is a member again, and each failed dial marked the target as unreachable, by name only. It is chosen for no call then, so no link to its new address opens, which would have marked it reachable. With the address unchanged, as on the production platform, the same link reaches the new process.

A link now says something only about the address it dials, and ends when its member has another one. An unidentified target is logged once, not at each attempt.

--- a/crates/daemon/src/actor/leaving.rs
+++ b/crates/daemon/src/actor/leaving.rs
@@ -137,10 +137,15 @@
 /// Requests the target's identity until it is known, at most until `deadline`.
 async fn identify_target(node: &Arc<Node>, deadline: Moment) {
     let mut delay = FIRST_RETRY_DELAY;
+    let mut last_failure = String::new();
     while node.local_target.announcement().is_none() && node.clock.now() < deadline {
         match check_health(node).await {
             Ok(report) => return adopt(node, &report),
-            Err(detail) => node.log_event(Event::TargetUnidentified, format_args!("{detail}")),
+            Err(detail) if detail == last_failure => {}
+            Err(detail) => {
+                node.log_event(Event::TargetUnidentified, format_args!("{detail}"));
+                last_failure = detail;
+            }
         }
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_RETRY_DELAY);
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -24,7 +24,7 @@
 /// Largest backoff between two dial attempts, before jitter.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Consecutive failed dials after which sent calls fail with an unknown
-/// outcome, and after which the link to a peer that is no member is removed.
+/// outcome, and after which the link to an address of no member is removed.
 const FAIL_SENT_AFTER: u32 = 3;
 /// Consecutive failed dials after which the link is removed even if its peer is
 /// still a member.
@@ -68,7 +68,7 @@
             }
         };
         failures = 0;
-        node.routing.services.set_linked(&link.peer.node, true);
+        node.routing.services.set_linked(&link.peer, true);
         node.log_event(Event::LinkOpened, format_args!("node={}", link.peer.node));
         if last_boot.is_some_and(|last| last != boot) {
             fail_sent_calls(&link, "peer process restarted");
@@ -88,7 +88,7 @@
     // Routing skips peers that are marked as not linked, so a target whose
     // link was removed would never be called again. The next call opens a new
     // link, which detects whether the peer is reachable.
-    node.routing.services.set_linked(&link.peer.node, true);
+    node.routing.services.set_linked(&link.peer, true);
     commands.close();
     link.fail(true, "link closed");
 }
@@ -96,7 +96,7 @@
 /// Fails affected calls after a failed dial and waits for the backoff. Returns
 /// whether to dial again.
 async fn handle_dial_failure(node: &Node, link: &Link, failures: u32, detail: &str) -> bool {
-    node.routing.services.set_linked(&link.peer.node, false);
+    node.routing.services.set_linked(&link.peer, false);
     if failures == 1 {
         node.log_event(
             Event::LinkClosed,
@@ -106,7 +106,7 @@
     link.fail(failures >= FAIL_SENT_AFTER, detail);
     let is_member = lock(&node.members.fleet)
         .get(&link.peer.node)
-        .is_some_and(|record| record.state.is_active());
+        .is_some_and(|record| record.state.is_active() && record.profile.peer == link.peer.address);
     if !is_member && failures >= FAIL_SENT_AFTER || failures >= REMOVE_AFTER {
         return false;
     }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -113,9 +113,14 @@
     }
 
     /// Sets whether a daemon is reachable over its link. Targets of unreachable
-    /// daemons are not selected.
-    pub fn set_linked(&self, node: &str, linked: bool) {
-        lock(&self.table).set_availability(node, None, Some(linked));
+    /// daemons are not selected. A link to an address that the daemon no longer
+    /// advertises says nothing about it and is ignored.
+    pub fn set_linked(&self, peer: &Peer, linked: bool) {
+        let mut table = lock(&self.table);
+        let endpoint = table.endpoints.get(&peer.node);
+        if endpoint.is_some_and(|endpoint| endpoint.peer == *peer) {
+            table.set_availability(&peer.node, None, Some(linked));
+        }
     }
 
     /// Selects a target that is not in `exclude` and counts a call to it as in
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -7,12 +7,15 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Ran};
 use cardamomshed_daemon::Options;
+use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_daemon::reply::Reply;
 use cardamomshed_daemon::service::Peer;
 use cardamomshed_note::Timespan;
 use cardamomshed_policy::Priority;
 use cardamomshed_policy::admission::{ADMIT_ALL, Rank};
+use cardamomshed_policy::member::{Profile, Record, State};
+use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Fleet, Kind};
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_standin::thread;
@@ -278,3 +281,67 @@
         assert_eq!(&answer.body[..], body.as_bytes());
     }
 }
+
+/// Makes the fake peer a member with a target of service `moved`.
+fn join(node: &Node, incarnation: u64, address: std::net::SocketAddr) {
+    let own = {
+        let fleet = node.members.fleet.lock().expect("not poisoned");
+        fleet.own().clone()
+    };
+    let record = Record {
+        name: NAME.into(),
+        incarnation,
+        state: State::Alive,
+        profile: Profile {
+            gossip: address,
+            peer: address,
+            service: Some("moved".into()),
+            slots: 8,
+            open: true,
+            lender_slots: Vec::new(),
+            ..own.profile
+        },
+    };
+    let output = {
+        let mut fleet = node.members.fleet.lock().expect("not poisoned");
+        fleet.merge_all(vec![record], node.clock.now())
+    };
+    apply_output(node, output);
+}
+
+#[test]
+fn moved_member_reached() {
+    let fleet = fleet();
+    let node = Arc::clone(&fleet.daemons[0].node);
+    let links = node.links.len();
+    thread::run({
+        let node = Arc::clone(&node);
+        move || async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("a bound port");
+            join(&node, 1, address);
+            let peer = Peer {
+                node: NAME.into(),
+                address,
+            };
+            let fake = actix_rt::spawn(async move {
+                let mut fake = Fake::accept(&listener, 1).await;
+                id_of(fake.receive().await);
+            });
+            // The peer stops after it received the call; the link dials again.
+            call(&node, &peer, "body").await;
+            fake.await.expect("the script completes");
+        }
+    });
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    join(&node, 2, listener.local_addr().expect("a bound port"));
+    for _ in 0..70 {
+        let now = node.clock.now();
+        let selected = node.routing.services.select("moved", &[], true, now);
+        assert!(selected.is_some(), "the link to the old address blocks it");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    eventually("the link to the old address ends", || {
+        node.links.len() <= links
+    });
+}
