Write log lines in chunks that a pipe takes at once

A busy daemon wrote 10 to 18 KB every 100 ms in one write, of which the collector on the platform kept the first part: the logs of the heaviest seconds showed a third of the calls, and what was read off them was wrong (a target that seemed 40% busy was full). Writes end at a line now and are 4,096 bytes at most, the size up to which a write to a pipe is atomic.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -19,6 +19,9 @@
 const CAPACITY_BYTES: usize = 2 * 1024 * 1024;
 /// Interval between writes.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Largest write, in bytes: `PIPE_BUF` of Linux, up to which a write to a pipe is
+/// atomic. Collectors may cut longer ones.
+const MAX_WRITE_BYTES: usize = 4_096;
 
 /// Creates a logger whose lines include the daemon's name. The guard must be kept
 /// until the end of the process, because it writes the last lines when dropped.
@@ -89,7 +92,7 @@
         let lines = mem::take(&mut *self.lock());
         let mut output = io::stdout().lock();
         // If standard output is closed, the error cannot be reported anywhere.
-        let _ = output.write_all(&lines.bytes);
+        let _ = write_whole_lines(&mut output, &lines.bytes);
         if lines.dropped > 0 {
             let _ = writeln!(
                 output,
@@ -103,6 +106,24 @@
     }
 }
 
+/// Writes lines in writes of at most [`MAX_WRITE_BYTES`] that end at the end of a
+/// line. Only a longer line is split.
+///
+/// # Errors
+///
+/// Those of `output`.
+pub fn write_whole_lines(output: &mut impl Write, mut lines: &[u8]) -> io::Result<()> {
+    while !lines.is_empty() {
+        let longest = &lines[..lines.len().min(MAX_WRITE_BYTES)];
+        let end = longest.iter().rposition(|byte| *byte == b'\n');
+        let (write, rest) = lines.split_at(end.map_or(longest.len(), |end| end + 1));
+        output.write_all(write)?;
+        output.flush()?;
+        lines = rest;
+    }
+    Ok(())
+}
+
 impl Write for Buffer {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut lines = self.lock();
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod link_faults;
 mod link_resume;
 mod local_target;
+mod log_writes;
 mod note_propagation;
 mod platform_sidecar;
 mod process_signals;
