Tell apart members that had one address after the other

After the total power loss every daemon read the lost member from a seed row, as alive and holding its domain's lender slot. It was never suspected, since the member at its address acknowledged its probes, and an acknowledgement was matched by sequence number only. So the slot was not taken over, and its accounts kept one member's part of their rate.

An acknowledgement counts now only from the member that was pinged. Of two members at one address the one that started earlier has failed; a member that sees another at its own address declares that one failed.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -14,6 +14,8 @@
 mod record;
 mod updates;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,7 +24,7 @@
 use rand::Rng;
 
 pub use packet::{Packet, Payload};
-use probe::{Probe, Relay};
+use probe::{Ping, Probe, Relay};
 pub use record::{Profile, Record, State};
 use updates::Updates;
 
@@ -124,6 +126,9 @@
     own: Record,
     /// Every other member by name. Never contains `own.name`.
     members: IndexMap<Arc<str>, Member>,
+    /// Names of the other active members by gossip address. No two of them, nor
+    /// this daemon, have the same one.
+    by_address: HashMap<SocketAddr, Arc<str>>,
     /// Revision of the newest release note in force here.
     revision: u64,
     /// When `revision` was last known to be the newest.
@@ -137,8 +142,8 @@
     /// Sequence number of the last ping. Those of two processes with one name
     /// differ, since their numbers start at the process's identity.
     sequence: u64,
-    /// Times at which recent pings were sent, by sequence number.
-    pings: IndexMap<u64, Moment>,
+    /// Recent pings by sequence number.
+    pings: IndexMap<u64, Ping>,
     /// Time of the last tick.
     ticked_at: Moment,
     probe_count: u32,
@@ -168,6 +173,7 @@
                 profile,
             },
             members: IndexMap::new(),
+            by_address: HashMap::new(),
             revision: 0,
             confirmed: Moment::ZERO,
             now: Moment::ZERO,
@@ -326,7 +332,7 @@
                 self.relay(sequence, &about, from, now, &mut output);
             }
             Payload::Ack { sequence, .. } => {
-                self.acknowledge(sequence, now, &mut output);
+                self.acknowledge(&packet.sender, sequence, now, &mut output);
             }
             Payload::Push => {}
             Payload::Broadcast => {
@@ -412,6 +418,8 @@
             self.refute(&record);
             return;
         }
+        let known = self.members.get(&record.name);
+        let previous_address = known.map(|member| member.record.profile.gossip);
         let before = match self.members.get_mut(&record.name) {
             Some(member) if !record.supersedes(&member.record) => return,
             Some(member) => {
@@ -441,7 +449,41 @@
             self.others_digest ^= record.digest();
         }
         self.queue.add(Arc::clone(&record.name));
+        let changed = record.clone();
         output.changes.push(Change { record, before });
+        if let Some(address) = previous_address
+            && self.by_address.get(&address) == Some(&changed.name)
+        {
+            self.by_address.remove(&address);
+        }
+        if changed.state.is_active() {
+            self.resolve_address(&changed, now, output);
+        }
+    }
+
+    /// Adds the address of an active member to the index. Two members cannot live
+    /// at one address, so the one that started earlier has failed. This happens
+    /// when the address of a lost machine is used again while a row of the platform
+    /// still lists that machine.
+    fn resolve_address(&mut self, record: &Record, now: Moment, output: &mut Output) {
+        let address = record.profile.gossip;
+        if address == self.own.profile.gossip {
+            self.set_state(&record.name, State::Failed, now, output);
+            return;
+        }
+        let holder = self.by_address.get(&address).cloned();
+        let Some(holder) = holder.filter(|holder| *holder != record.name) else {
+            self.by_address.insert(address, Arc::clone(&record.name));
+            return;
+        };
+        let held_since = self.get(&holder).map_or(0, |held| held.incarnation);
+        let failed = if held_since < record.incarnation {
+            self.by_address.insert(address, Arc::clone(&record.name));
+            holder
+        } else {
+            Arc::clone(&record.name)
+        };
+        self.set_state(&failed, State::Failed, now, output);
     }
 
     /// Raises the own incarnation above that of a record that would replace it.
@@ -485,7 +527,7 @@
         });
         let is_recent = |sent: Moment| now.since(sent) < config.probe_interval * 2;
         self.relays.retain(|relay| is_recent(relay.started_at));
-        self.pings.retain(|_, sent| is_recent(*sent));
+        self.pings.retain(|_, ping| is_recent(ping.sent_at));
     }
 
     /// Gossip addresses of up to `count` random active members.
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -30,6 +30,14 @@
 /// Shortest interval between two pings of one member to measure its clock.
 const MIN_CALIBRATION_INTERVAL: Duration = Duration::from_millis(250);
 
+/// A ping that was sent recently.
+#[derive(Clone, Debug)]
+pub(super) struct Ping {
+    /// Member that was pinged. Another one may answer at its address.
+    subject: Arc<str>,
+    pub(super) sent_at: Moment,
+}
+
 /// Probe of the current interval.
 #[derive(Clone, Debug)]
 pub(super) struct Probe {
@@ -70,7 +78,7 @@
             suspects.push(member.record.clone());
         }
         for record in suspects {
-            let sequence = self.next_ping(now);
+            let sequence = self.next_ping(&record.name, now);
             let to = record.profile.gossip;
             let packet = Packet {
                 records: vec![self.own.clone(), record],
@@ -134,7 +142,7 @@
         // The packet carries the local record of the probed member, so that a
         // member that is suspect or failed here can refute it.
         self.queue.add(Arc::clone(&subject));
-        let sequence = self.next_ping(now);
+        let sequence = self.next_ping(&subject, now);
         self.probe = Some(Probe {
             sequence,
             subject,
@@ -182,7 +190,7 @@
     pub(super) fn relay(
         &mut self,
         origin_sequence: u64,
-        about: &str,
+        about: &Arc<str>,
         origin: SocketAddr,
         now: Moment,
         output: &mut Output,
@@ -190,7 +198,7 @@
         let Some(to) = self.get(about).map(|record| record.profile.gossip) else {
             return;
         };
-        let sequence = self.next_ping(now);
+        let sequence = self.next_ping(about, now);
         self.relays.push(Relay {
             sequence,
             origin,
@@ -202,9 +210,13 @@
     }
 
     /// Sequence number of a ping that is sent now.
-    fn next_ping(&mut self, now: Moment) -> u64 {
+    fn next_ping(&mut self, subject: &Arc<str>, now: Moment) -> u64 {
         self.sequence += 1;
-        self.pings.insert(self.sequence, now);
+        let ping = Ping {
+            subject: Arc::clone(subject),
+            sent_at: now,
+        };
+        self.pings.insert(self.sequence, ping);
         self.sequence
     }
 
@@ -228,7 +240,7 @@
         }
         member.calibrated_at = Some(now);
         let to = member.record.profile.gossip;
-        let sequence = self.next_ping(now);
+        let sequence = self.next_ping(&packet.sender, now);
         let packet = self.status(Payload::Ping { sequence });
         output.sends.push(Send { to, packet });
     }
@@ -237,9 +249,10 @@
     /// An acknowledgement of an unknown ping, such as one of an earlier process
     /// with this name, is ignored.
     pub(super) fn record_offset(&mut self, packet: &Packet, sequence: u64, clock_us: u64) {
-        let Some(sent) = self.pings.swap_remove(&sequence) else {
+        let Some(ping) = self.pings.get(&sequence) else {
             return;
         };
+        let sent = ping.sent_at;
         let Some(member) = self.members.get_mut(&packet.sender) else {
             return;
         };
@@ -253,7 +266,27 @@
         }
     }
 
-    pub(super) fn acknowledge(&mut self, sequence: u64, now: Moment, output: &mut Output) {
+    /// Ends the probe or relay that an acknowledgement belongs to, unless another
+    /// member than the one that was pinged sent it.
+    pub(super) fn acknowledge(
+        &mut self,
+        sender: &str,
+        sequence: u64,
+        now: Moment,
+        output: &mut Output,
+    ) {
+        // The acknowledgement of an indirect probe comes from the relaying member
+        // and bears the sequence number of the direct one.
+        let address = |name: &str| self.get(name).map(|record| record.profile.gossip);
+        let is_relayed = self.probe.as_ref().is_some_and(|probe| {
+            let is_answer = probe.sequence == sequence && probe.indirect;
+            is_answer && address(sender) != address(&probe.subject)
+        });
+        let ping = self.pings.swap_remove(&sequence);
+        let is_subject = ping.is_some_and(|ping| *ping.subject == *sender);
+        if !is_subject && !is_relayed {
+            return;
+        }
         if let Some(index) = self
             .relays
             .iter()
--- a/crates/policy/tests/all/member_gossip.rs
+++ b/crates/policy/tests/all/member_gossip.rs
@@ -329,3 +329,44 @@
     let record = fleet.get(&name(1)).expect("a member");
     assert_eq!(record.state, State::Alive);
 }
+
+#[test]
+fn reused_address_distinguished() {
+    let mut network = Network::new(12);
+    network.run(Duration::from_secs(20));
+    // The machine of member 5 is lost and another member starts at its address,
+    // which also knows the lost member, as from the platform's rows.
+    let lost = network.fleets[5].own().clone();
+    let mut successor = Fleet::new(Config::default(), name(50), 1_000, profile(5));
+    let first = network.fleets[0].own().clone();
+    successor.merge_all(vec![first, lost], network.now);
+    network.fleets[5] = successor;
+    network.run(Duration::from_secs(20));
+    assert_eq!(network.count_in_state(5, State::Failed), 12);
+    assert_eq!(network.count_in_state(50, State::Alive), 11);
+}
+
+#[test]
+fn stale_record_at_reused_address() {
+    // After a restart of the whole fleet, rows of the platform still list a member
+    // whose address another one has by now.
+    let mut network = Network::started(8);
+    network.run(Duration::from_secs(10));
+    let mut ghost = network.fleets[3].own().clone();
+    ghost.name = name(90);
+    ghost.incarnation = 0;
+    for index in 0..8 {
+        let output = network.fleets[index].merge_all(vec![ghost.clone()], network.now);
+        network.deliver(index, output);
+    }
+    network.run(Duration::from_secs(2));
+    let is_active = |fleet: &&Fleet| {
+        fleet
+            .get(&name(90))
+            .is_some_and(|record| record.state.is_active())
+    };
+    assert_eq!(network.fleets.iter().filter(is_active).count(), 0);
+    for fleet in &network.fleets {
+        assert_eq!(fleet.live(), 8);
+    }
+}
