Limit calls that use a congested downstream route before they start

Each parent makes five look-ups there in turn; a quarter of the look-ups was refused, so three of four parents failed after up to four look-ups, and the ingress prices, four smoothed hops away, swung between too low and too high: full targets with 150 to 200 refusals a second each, then 20 to 40% busy, by turns of three seconds.

Every reply now reports the pressure at the tightest limit it passed. A daemon counts the running calls of its target that make calls on a route (policy::price::Fanout knows which do) and, once that route's replies report a queue, limits them to the number that the downstream service can serve. The others wait in front, by priority and account, or are refused before their first look-up. Their refusals report the pressure of that window, so congestion moves up hop by hop to the front.

Ruled out: a busy daemon (a timer every 10 ms fired on time), lost slots.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -47,6 +47,7 @@
     CallShed = 222, "call shed at the target's daemon";
     CallFinished = 223, "call finished on the target";
     CallCancelled = 224, "call cancelled; the target is notified";
+    WindowChanged = 225, "limit on calls that use a congested downstream route set or removed";
     ClaimMade = 230, "idempotency key claimed";
     ClaimReplayed = 231, "idempotency key already claimed; the first response is replayed";
     ClaimRefused = 232, "idempotency key could not be claimed";
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -169,6 +169,7 @@
         let now = node.clock.now();
         node.links.sessions.remove_expired(now);
         node.local_target.tick();
+        node.routing.windows.tick();
         lock(&node.routing.prices).fanout.tick(now);
         divide_retries(&node);
         divide_store_budget(&node);
--- a/crates/daemon/src/claim/row.rs
+++ b/crates/daemon/src/claim/row.rs
@@ -129,6 +129,7 @@
     pub(crate) fn into_answer(self, tokens: u8) -> Answer {
         Answer {
             price: 0.0,
+            pressure: 0.0,
             status: self.status,
             headers: self.headers,
             body: Bytes::from(self.body.unwrap_or_default()),
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -15,6 +15,7 @@
 
 use super::{head, ingress, problem};
 use crate::actor::quota;
+use crate::backpressure::Adjustment;
 use crate::context::{self, Context};
 use crate::dispatch::dispatch;
 use crate::node::Node;
@@ -164,11 +165,41 @@
     };
     let route = select_route(node, &origin.access);
     let context = Context::new(root, origin.deadline, 0, route.retries);
+    let sent_at = node.clock.now();
     let reply = dispatch(node, &context, &route, &parts).await;
     record_price(node, origin, &reply);
+    if origin.account.is_empty() {
+        let latency = node.clock.now().since(sent_at);
+        record_pressure(node, origin, &reply, latency);
+    }
     Ok(reply)
 }
 
+/// Records the pressure that the reply to a call of the local target reports.
+fn record_pressure(node: &Node, origin: &Origin, reply: &Reply, latency: Duration) {
+    let (pressure, refused) = match reply {
+        Reply::Answer(answer) => (Some(answer.pressure), false),
+        Reply::Refused(refused) => (refused.pressure, refused.ran == Ran::No),
+    };
+    let Some(pressure) = pressure else {
+        return;
+    };
+    let windows = &node.routing.windows;
+    let adjusted = windows.observe(origin.access.key, f64::from(pressure), refused, latency);
+    let Some(Adjustment { before, after }) = adjusted else {
+        return;
+    };
+    if before.is_none() || after.is_none() {
+        node.log_event(
+            Event::WindowChanged,
+            format_args!(
+                "route={} before={before:?} after={after:?} pressure={pressure:.2}",
+                origin.access.route.name
+            ),
+        );
+    }
+}
+
 /// Records the price that the reply to a call reports.
 fn record_price(node: &Node, origin: &Origin, reply: &Reply) {
     let price = match reply {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 //! shared [`node::Node`].
 
 pub mod actor;
+pub mod backpressure;
 pub mod claim;
 pub mod clock;
 pub mod configuration;
@@ -34,6 +35,7 @@
 pub mod routing;
 pub mod runner;
 pub mod service;
+mod shed;
 mod sync;
 pub mod target;
 pub mod tls;
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -337,6 +337,7 @@
         load: (refusal.load.limit > 0).then_some(refusal.load),
         level: (refusal.load.limit > 0).then_some(refusal.level),
         price: (refusal.load.limit > 0).then_some(refusal.price),
+        pressure: (refusal.load.limit > 0).then_some(refusal.pressure),
         tokens: refusal.tokens,
     }
 }
@@ -396,6 +397,7 @@
         load: answer.load,
         level: answer.level,
         price: answer.price,
+        pressure: answer.pressure,
         tokens: answer.tokens,
     }
 }
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -263,6 +263,7 @@
                 load: answer.load,
                 level: answer.level,
                 price: answer.price,
+                pressure: answer.pressure,
                 tokens: answer.tokens,
             };
             Outbound::Body(Frame::Answer(Box::new(head)), answer.body.clone())
@@ -275,6 +276,7 @@
             load: refused.load.unwrap_or_default(),
             level: refused.level.unwrap_or(ADMIT_ALL),
             price: refused.price.unwrap_or(0.0),
+            pressure: refused.pressure.unwrap_or(0.0),
             tokens: refused.tokens,
         }))),
     };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, info};
 use tokio::sync::{Notify, mpsc};
 
+use crate::backpressure::Windows;
 use crate::claim::command::Command;
 use crate::clock::{Clock, wall_clock_us};
 use crate::configuration::Configuration;
@@ -159,6 +160,7 @@
                 services,
                 rotations: Mutex::default(),
                 slow_link: Mutex::new(slow_link),
+                windows: Windows::new(clock),
                 prices: Mutex::default(),
                 admission: Mutex::new(Admission::new(options.shedding)),
             },
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -29,6 +29,9 @@
     pub level: Level,
     /// Price of the call, its whole chain included.
     pub price: f32,
+    /// Calls that run or wait at the tightest limit in front of the target,
+    /// relative to that limit.
+    pub pressure: f32,
     /// Unused attempt tokens.
     pub tokens: u8,
 }
@@ -49,6 +52,9 @@
     pub level: Option<Level>,
     /// Price of the call, its whole chain included, if known.
     pub price: Option<f32>,
+    /// Calls that run or wait at the tightest limit in front of the target,
+    /// relative to that limit, if known.
+    pub pressure: Option<f32>,
     /// Unused attempt tokens.
     pub tokens: u8,
 }
@@ -64,6 +70,7 @@
             load: None,
             level: None,
             price: None,
+            pressure: None,
             tokens,
         }
     }
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -9,6 +9,7 @@
 use cardamomshed_policy::rotation::Rotation;
 use cardamomshed_policy::route::ByteBudget;
 
+use crate::backpressure::Windows;
 use crate::service::Services;
 
 /// Targets, budgets and prices by which calls are routed and shed.
@@ -20,6 +21,8 @@
     pub rotations: Mutex<HashMap<RouteKey, Rotation>>,
     /// Byte budget of calls over the slow link to other regions.
     pub slow_link: Mutex<ByteBudget>,
+    /// Windows of the local target's calls by downstream route.
+    pub windows: Windows,
     /// Prices of calls and the counts that they are computed from.
     pub prices: Mutex<Prices>,
     /// Admission control at the ingress by the levels in responses.
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -11,9 +11,10 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event};
 use cardamomshed_platform::{answer, header};
-use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::{ADMIT_ALL, Level};
-use cardamomshed_wire::Call;
+use cardamomshed_policy::gate::{Offer, Ticket};
+use cardamomshed_policy::{Moment, RouteKey};
+use cardamomshed_wire::{Call, Load};
 use tokio::sync::mpsc;
 
 use crate::context::{Context, Guard, Root};
@@ -34,6 +35,10 @@
 /// to this daemon and from it to the target.
 pub const TIMEOUT_HEADER: &str = "x-shed-timeout-ms";
 
+/// Calls on a downstream route, per call on the target, from which that route's
+/// window applies.
+const MIN_DOWNSTREAM_CALLS: f64 = 0.5;
+
 /// Runs queued calls concurrently until all senders of `jobs` are dropped.
 pub async fn run(node: Arc<Node>, jobs: &mut mpsc::UnboundedReceiver<Job>) {
     let pool = Rc::new(Pool::default());
@@ -80,15 +85,24 @@
         rank: call.rank,
         deadline,
     };
+    let downstream = lock(&node.routing.prices)
+        .fanout
+        .outbound(attributes.route, MIN_DOWNSTREAM_CALLS);
+    let entered = node.routing.windows.enter(offer(&attributes), &downstream);
+    let mut pass = match entered.await {
+        Ok(pass) => pass,
+        Err(code) => return shed_reply(node, call, &downstream, code),
+    };
     let mut permit = match node.local_target.acquire(attributes).await {
         Ok(permit) => permit,
-        Err(code) => return shed_reply(node, call, code),
+        Err(code) => return shed_reply(node, call, &downstream, code),
     };
     node.metrics.executions.inc();
     lock(&node.routing.prices)
         .fanout
         .record_inbound(attributes.route);
-    node.metrics.wait.observe(permit.waited.as_secs_f64());
+    let waited = pass.waited + permit.waited;
+    node.metrics.wait.observe(waited.as_secs_f64());
     if node.settings.sidecar.is_none() {
         // The event at the end of the call reports the same figures. On the
         // platform a single line per call saves processor time.
@@ -100,7 +114,7 @@
                 call.id,
                 call.service,
                 call.depth,
-                permit.waited.as_micros()
+                waited.as_micros()
             ),
         );
     }
@@ -111,7 +125,6 @@
         rank: call.rank,
     };
     let context = Context::new(root, deadline, call.depth + 1, call.tokens);
-    let waited = permit.waited;
     let guard = node.contexts.register(context);
     let started = node.clock.now();
     let execution = Execution {
@@ -126,27 +139,55 @@
     let timed_out = matches!(&result, Err(refused) if refused.code == Code::TargetTimeout);
     if !timed_out {
         permit.complete(total.saturating_sub(guard.context.child_time()));
+        pass.complete();
     }
     let tokens = guard.context.tokens();
     guard.context.record_level(Some(node.local_target.level()));
     let level = guard.context.level().unwrap_or(ADMIT_ALL);
     drop(guard);
     drop(permit);
-    finish(node, call, result, waited, total, tokens, level)
+    drop(pass);
+    let report = Report {
+        load: node.local_target.load(),
+        level,
+        price: chain_price(node, call),
+        pressure: pressure(node, &downstream),
+        tokens,
+    };
+    finish(node, call, result, waited, total, &report)
+}
+
+/// The call as it is offered to a window.
+const fn offer(attributes: &Attributes<'_>) -> Offer {
+    Offer {
+        ticket: Ticket(0),
+        account: attributes.account,
+        route: attributes.route,
+        priority: attributes.priority,
+        depth: attributes.depth,
+        deadline: attributes.deadline,
+    }
+}
+
+/// Pressure at the tightest limit that a call with these downstream routes passes.
+fn pressure(node: &Node, downstream: &[RouteKey]) -> f32 {
+    let windows = node.routing.windows.pressure(downstream);
+    windows.max(node.local_target.pressure()) as f32
 }
 
 /// Records that a call was shed and returns the reply to it.
-fn shed_reply(node: &Node, call: &Call, code: Code) -> Reply {
+fn shed_reply(node: &Node, call: &Call, downstream: &[RouteKey], code: Code) -> Reply {
     node.metrics
         .shed
         .with_label_values(&[&code.number().to_string()])
         .inc();
     let load = node.local_target.load();
+    let pressure = pressure(node, downstream);
     node.log_decision(
         Event::CallShed,
         call.request,
         format_args!(
-            "call={} service={} code={} priority={:?} account={} running={} waiting={} limit={}",
+            "call={} service={} code={} priority={:?} account={} running={} waiting={} limit={} pressure={pressure:.2}",
             call.id,
             call.service,
             code.number(),
@@ -161,28 +202,44 @@
     refused.load = Some(load);
     refused.level = Some(node.local_target.level());
     refused.price = Some(chain_price(node, call));
+    refused.pressure = Some(pressure);
     Reply::Refused(refused)
 }
 
-/// Completes the reply with the target's load, the level, the price and the
-/// unused tokens, and logs the end of the call.
+/// What the reply to a completed call reports to its caller.
+struct Report {
+    load: Load,
+    level: Level,
+    price: f32,
+    pressure: f32,
+    /// Unused attempt tokens.
+    tokens: u8,
+}
+
+/// Completes the reply with the report, and logs the end of the call.
 fn finish(
     node: &Node,
     call: &Call,
     result: Result<Answer, Refused>,
     waited: Duration,
     total: Duration,
-    tokens: u8,
-    level: Level,
+    report: &Report,
 ) -> Reply {
-    let load = node.local_target.load();
+    let Report {
+        load,
+        level,
+        price,
+        pressure,
+        tokens,
+    } = *report;
     let (outcome, reply) = match result {
         Ok(answer) => {
             let outcome = answer.status;
             let answer = Answer {
                 load,
                 level,
-                price: chain_price(node, call),
+                price,
+                pressure,
                 tokens,
                 ..answer
             };
@@ -193,7 +250,8 @@
             let refused = Refused {
                 load: Some(load),
                 level: Some(level),
-                price: Some(chain_price(node, call)),
+                price: Some(price),
+                pressure: Some(pressure),
                 tokens,
                 ..refused
             };
@@ -275,9 +333,10 @@
             status: response.status,
             headers: crate::http::head::response_headers(response.headers),
             body: response.body,
-            load: cardamomshed_wire::Load::default(),
+            load: Load::default(),
             level: ADMIT_ALL,
             price: 0.0,
+            pressure: 0.0,
             tokens: 0,
         })
     }
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::shed;
 use crate::sync::lock;
 
 /// Registration of a target with the daemon on its VM, sent by the target itself
@@ -237,6 +238,14 @@
             .map_or_else(Load::default, |target| target.gate.load(now).into())
     }
 
+    /// Calls that run or wait, relative to the limit; zero without a target.
+    pub fn pressure(&self) -> f64 {
+        let now = self.clock.now();
+        lock(&self.state)
+            .as_ref()
+            .map_or(0.0, |target| target.gate.load(now).pressure())
+    }
+
     /// Waits until the target can run the call, at most until its deadline.
     ///
     /// # Errors
@@ -260,7 +269,7 @@
             Ok(Err(_)) => Shed::Closed,
             Err(_) => Shed::Deadline,
         };
-        Err(shed_code(shed))
+        Err(shed::code(shed))
     }
 
     /// Offers a call to the gate. Returns a receiver of the gate's later decision
@@ -304,7 +313,7 @@
             }
             Decision::Shed(shed) => {
                 target.record_shed(shed);
-                return Err(shed_code(shed));
+                return Err(shed::code(shed));
             }
         };
         let permit = Permit {
@@ -427,12 +436,3 @@
         self.target.release(self.ticket, self.own_time);
     }
 }
-
-const fn shed_code(shed: Shed) -> Code {
-    match shed {
-        Shed::Deadline => Code::DeadlineUnmet,
-        Shed::Full => Code::QueueFull,
-        Shed::Stalled => Code::TargetStalled,
-        Shed::Closed => Code::Leaving,
-    }
-}
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -80,6 +80,7 @@
     async fn answer(&mut self, id: u64, length: u64, chunk: &[u8]) {
         let answer = Answer {
             price: 0.0,
+            pressure: 0.0,
             id,
             status: 200,
             headers: Vec::new(),
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -49,6 +49,8 @@
     /// Whether the concurrency limit falls below the slots when the target
     /// slows down.
     pub adaptive: bool,
+    /// Whether queued calls are shed when no call completes for a long time.
+    pub detects_stall: bool,
 }
 
 impl Config {
@@ -61,6 +63,7 @@
             max_wait: Duration::from_millis(500),
             initial_estimate: Duration::from_millis(10),
             adaptive: true,
+            detects_stall: true,
         }
     }
 
@@ -72,6 +75,14 @@
         self
     }
 
+    /// Keeps queued calls however long none completes, for limits that another
+    /// gate enforces behind this one.
+    #[must_use]
+    pub const fn without_stall(mut self) -> Self {
+        self.detects_stall = false;
+        self
+    }
+
     /// Sets the ramp-up time of a new target.
     #[must_use]
     pub const fn cold_start(mut self, length: Duration) -> Self {
@@ -153,6 +164,14 @@
     pub service_time: Duration,
 }
 
+impl Load {
+    /// Calls in progress or in the queue, relative to those that may run
+    /// concurrently.
+    pub fn pressure(self) -> f64 {
+        f64::from(self.running + self.waiting) / f64::from(self.limit.max(1))
+    }
+}
+
 /// A call in progress.
 #[derive(Clone, Copy, Debug)]
 struct Running {
@@ -200,6 +219,11 @@
         }
     }
 
+    /// Changes the concurrency limit. Calls that run beyond it are not affected.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit.set_slots(slots);
+    }
+
     /// Refuses new calls from now on. Calls that wait or run are not affected.
     pub const fn close(&mut self) {
         self.closed = true;
@@ -350,7 +374,8 @@
         let stall_timeout = MIN_STALL.max(self.limit.service_time() * STALL_SERVICE_TIMES);
         // A few long calls on an otherwise idle target are no stall.
         let busy = self.running.len() >= 2 && self.running.len() as u32 * 2 >= self.limit.current();
-        if self.stalled || !busy || now.since(self.last_progress) < stall_timeout {
+        let is_due = busy && now.since(self.last_progress) >= stall_timeout;
+        if self.stalled || !is_due || !self.config.detects_stall {
             return;
         }
         self.stalled = true;
--- a/crates/policy/src/gate/limit.rs
+++ b/crates/policy/src/gate/limit.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Changes the number of slots; the limit follows it at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+        self.current = f64::from(self.slots);
+    }
+
     /// Calls that may run concurrently, at least one.
     pub const fn current(&self) -> u32 {
         let whole = self.current as u32;
@@ -99,6 +105,9 @@
             return;
         };
         let seconds = total.as_secs_f64();
+        if self.by_route.is_empty() {
+            self.total_time = seconds;
+        }
         self.total_time += SMOOTHING * (seconds - self.total_time);
         let estimate = self.by_route.entry(route).or_insert(seconds);
         *estimate += SMOOTHING * (seconds - *estimate);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod retry;
 pub mod rotation;
 pub mod route;
+pub mod window;
 
 pub use key::{AccountKey, Priority, RouteKey, ServiceKey, TargetKey};
 pub use moment::Moment;
--- a/crates/policy/src/price.rs
+++ b/crates/policy/src/price.rs
@@ -159,6 +159,13 @@
         self.ratios.get(&(from, to)).copied().unwrap_or(0.0)
     }
 
+    /// Routes on which a call on `from` makes at least `min` calls.
+    pub fn outbound(&self, from: RouteKey, min: f64) -> Vec<RouteKey> {
+        let ratios = self.ratios.iter();
+        let outbound = ratios.filter(|((route, _), ratio)| *route == from && **ratio >= min);
+        outbound.map(|((_, to), _)| *to).collect()
+    }
+
     /// Price of the outbound calls of one call on `from`.
     pub fn price(&self, from: RouteKey, price_of: impl Fn(RouteKey) -> f64) -> f64 {
         let outbound = self.ratios.iter().filter(|((route, _), _)| *route == from);
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod rotation_weights;
 mod route_choice;
 mod wallet_prefetch;
+mod window_backpressure;
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::SeedableRng;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -241,6 +241,10 @@
     /// Price of the call's entire chain.
     #[serde(rename = "$")]
     pub price: f32,
+    /// Calls that run or wait at the tightest limit in front of the target,
+    /// relative to that limit.
+    #[serde(rename = "q")]
+    pub pressure: f32,
     /// Attempt tokens that remain of those lent with the call.
     #[serde(rename = "k")]
     pub tokens: u8,
@@ -271,6 +275,10 @@
     /// Price of the call's entire chain.
     #[serde(rename = "$")]
     pub price: f32,
+    /// Calls that run or wait at the tightest limit in front of the target,
+    /// relative to that limit.
+    #[serde(rename = "q")]
+    pub pressure: f32,
     /// Attempt tokens that remain of those lent with the call.
     #[serde(rename = "k")]
     pub tokens: u8,
