Send a rejected call on, and keep what an earlier attempt may have done

A call that its target rejected without running it spent an attempt token, of which a request has one or two, and the fleet's retries were a tenth of the successes, with 1.5 saved at most: while every target of a service rejects half of its calls, 60 retries a second were made of some 300 that the fleet's bound allows. A call that no target received (a link that does not open, a target that refuses the connection) spent them too.

A rejection spends only a retry of the service's budget now, an attempt that nobody received nothing, and up to four rejections are followed by another attempt. The budget grows by a share of the requests, which expires after ten seconds, so that a fault finds the retries of the calm time before it; the calls of a target that runs a repeated call are deducted, since they count as retries as well.

The reply to the last attempt was the reply to the call: a request that may have run at one target was answered 503, not run, if there was no second one or that one refused. An attempt whose outcome is unknown leaves the whole call unknown. And a call that was not sent over its link before the deadline is answered as not run, not 504.

retry_outcomes: two of three tests failed first.

--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -195,16 +195,17 @@
         .allocate(store_rates(&node.current_settings()), consumers);
 }
 
-/// Fraction of the fleet's retry budget that daemons spend. The rest is reserved
-/// for the calls made by a retried call, which count as retries too.
-const RETRY_SHARE: f64 = 0.5;
+/// Fraction of the fleet's retry budget that daemons allow per request. The retries
+/// of two successive intervals may fall into one; the rest is for differences of
+/// their clocks.
+const RETRY_SHARE: f64 = 0.4;
 
 /// Divides the fleet's retry budget among the live members.
 fn divide_retries(node: &Node) {
     if let Some(sidecar) = &node.current_settings().sidecar {
         let members = lock(&node.members.fleet).live() as f64;
-        let capacity = sidecar.retry_slack * RETRY_SHARE / members;
+        let slack = sidecar.retry_slack * RETRY_SHARE / members;
         let ratio = sidecar.retry_ratio * RETRY_SHARE;
-        node.routing.services.set_retry_bounds(ratio, capacity);
+        node.routing.services.set_retry_bounds(ratio, slack);
     }
 }
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event, Ran};
 use cardamomshed_note::Route;
-use cardamomshed_policy::gate;
 use cardamomshed_policy::route::{Outcome, Tier, Transition};
+use cardamomshed_policy::{TargetKey, gate};
 use cardamomshed_wire::Call;
 use tokio::sync::oneshot;
 
@@ -23,9 +23,11 @@
 /// daemon may yet report the outcome of the call.
 const REPLY_GRACE: std::time::Duration = std::time::Duration::from_millis(50);
 
-/// Further targets that a call is sent to after gates refused it. No target has
-/// received the call by then, so these attempts spend no retries.
+/// Further targets that a call is sent to if no target received it, as after a
+/// refusal by a gate. These attempts spend no retries.
 const MAX_REROUTES: u32 = 2;
+/// Further attempts of a call that targets rejected.
+const MAX_REJECTIONS: u32 = 4;
 
 /// Bytes that are charged to the slow link's budget for the heads of a call and
 /// its reply.
@@ -67,23 +69,54 @@
     }
 }
 
+/// Attempts of one call so far.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Targets that are not tried again.
+    excluded: Vec<TargetKey>,
+    /// Target that rejected the last attempt. It is tried again only if there is no
+    /// other.
+    rejected_by: Option<TargetKey>,
+    /// Attempts that no target received.
+    reroutes: u32,
+    /// Attempts that a target rejected.
+    rejections: u32,
+    /// Whether a target received an attempt.
+    reached: bool,
+    /// Whether an attempt may have run.
+    may_have_run: bool,
+    /// Reply to the last attempt.
+    last: Option<Reply>,
+}
+
+impl Progress {
+    /// Reply to the whole call. An attempt that did not run proves nothing about
+    /// the earlier ones.
+    fn conclude(&self, mut reply: Reply) -> Reply {
+        if let Reply::Refused(refused) = &mut reply
+            && self.may_have_run
+        {
+            refused.ran = Ran::Unknown;
+        }
+        reply
+    }
+}
+
 /// Sends a call made in `context` to the service of a route. Returns the reply to
 /// the last attempt.
 pub async fn dispatch(node: &Arc<Node>, context: &Context, route: &Route, parts: &Parts) -> Reply {
-    let mut tried = Vec::new();
-    let mut reroutes = 0;
+    let mut progress = Progress::default();
+    node.routing
+        .services
+        .record_request(&route.service, node.clock.now());
     loop {
-        let now = node.clock.now();
-        let allow_remote = lock(&node.routing.slow_link).has_room(now);
-        let Some(selection) =
-            node.routing
-                .services
-                .select(&route.service, &tried, allow_remote, now)
-        else {
-            return no_target(node, context, route, tried.len());
+        let Some(selection) = select(node, route, &progress) else {
+            return match progress.last.take() {
+                Some(reply) => progress.conclude(reply),
+                None => no_target(node, context, route),
+            };
         };
         log_selection(node, context, route, &selection);
-        let target = selection.choice.target;
         let mut attempt = Attempt {
             node,
             service: &route.service,
@@ -92,30 +125,128 @@
             body_bytes: parts.body.len(),
             selection,
         };
-        let reply = send(node, context, route, parts, &attempt).await;
+        let reply = send(node, context, route, parts, &attempt, progress.reached).await;
         record_reply(node, context, route, &mut attempt, &reply);
-        tried.push(target);
-        let gate_refusal = is_gate_refusal(&reply);
-        if gate_refusal
-            && reroutes < MAX_REROUTES
-            && !node.clock.remaining(context.deadline).is_zero()
-        {
-            reroutes += 1;
-        } else if gate_refusal || !may_retry(node, context, route, &reply) {
-            return reply;
+        let target = attempt.selection.choice.target;
+        if !may_continue(node, context, route, &reply, target, &mut progress) {
+            return progress.conclude(reply);
         }
         node.metrics.retries.inc();
         node.log_decision(
             Event::CallRetried,
             context.request,
             format_args!(
-                "service={} attempt={} tokens={} after={}",
+                "service={} reroutes={} rejections={} tokens={} after={}",
                 route.service,
-                tried.len() + 1,
+                progress.reroutes,
+                progress.rejections,
                 context.tokens(),
                 attempt.selection.peer.node
             ),
         );
+        progress.last = Some(reply);
+    }
+}
+
+/// Selects a target for the next attempt.
+fn select(node: &Node, route: &Route, progress: &Progress) -> Option<Selection> {
+    let now = node.clock.now();
+    let allow_remote = lock(&node.routing.slow_link).has_room(now);
+    let services = &node.routing.services;
+    if let Some(rejecting) = progress.rejected_by {
+        let mut excluded = progress.excluded.clone();
+        excluded.push(rejecting);
+        let selection = services.select(&route.service, &excluded, allow_remote, now);
+        if selection.is_some() {
+            return selection;
+        }
+    }
+    services.select(&route.service, &progress.excluded, allow_remote, now)
+}
+
+/// Whether another attempt is made after this reply of `target`. Spends what it
+/// costs: nothing if no target received the call, a retry of the service's budget
+/// if a target rejected it, and an attempt token as well if it may have run.
+fn may_continue(
+    node: &Node,
+    context: &Context,
+    route: &Route,
+    reply: &Reply,
+    target: TargetKey,
+    progress: &mut Progress,
+) -> bool {
+    let Reply::Refused(refused) = reply else {
+        return false;
+    };
+    let now = node.clock.now();
+    let has_time = context.deadline > now;
+    progress.rejected_by = None;
+    match Effect::of(refused) {
+        Effect::NotReceived => {
+            progress.excluded.push(target);
+            progress.reroutes += 1;
+            has_time && progress.reroutes <= MAX_REROUTES
+        }
+        Effect::Rejected => {
+            progress.rejected_by = Some(target);
+            progress.reached = true;
+            progress.rejections += 1;
+            has_time
+                && progress.rejections <= MAX_REJECTIONS
+                && node.routing.services.spend_retry(&route.service, now)
+        }
+        Effect::Unknown { is_retryable } => {
+            progress.excluded.push(target);
+            progress.reached = true;
+            progress.may_have_run = true;
+            has_time
+                && is_retryable
+                && route.repeatable
+                && context.spend()
+                && node.routing.services.spend_retry(&route.service, now)
+        }
+        Effect::Final => false,
+    }
+}
+
+/// What a refusal says about the effect of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effect {
+    /// No target received the call.
+    NotReceived,
+    /// The target rejected the call without running it.
+    Rejected,
+    /// The call may have run.
+    Unknown {
+        /// Whether another target may do better.
+        is_retryable: bool,
+    },
+    /// The call has not run, and no other target would run it.
+    Final,
+}
+
+impl Effect {
+    const fn of(refused: &Refused) -> Self {
+        match (refused.ran, refused.code) {
+            (
+                Ran::No,
+                Code::QueueFull
+                | Code::DeadlineUnmet
+                | Code::TargetStalled
+                | Code::Leaving
+                | Code::NoTarget
+                | Code::LinkFailed
+                | Code::TargetFailed,
+            ) => Self::NotReceived,
+            (Ran::No, Code::TargetRefused) => Self::Rejected,
+            (Ran::No, _) => Self::Final,
+            (Ran::Unknown, code) => Self::Unknown {
+                is_retryable: matches!(
+                    code,
+                    Code::TargetFailed | Code::OutcomeUnknown | Code::LinkFailed
+                ),
+            },
+        }
     }
 }
 
@@ -125,6 +256,7 @@
     route: &Route,
     parts: &Parts,
     attempt: &Attempt<'_>,
+    repeated: bool,
 ) -> Reply {
     let peer = &attempt.selection.peer;
     let remaining = node.clock.remaining(context.deadline);
@@ -140,19 +272,21 @@
         service: route.service.to_arc(),
         route: route.name.to_arc(),
         repeatable: route.repeatable,
+        repeated,
         method: parts.method.clone(),
         path: parts.path.clone(),
         headers: parts.headers.clone(),
         length: parts.body.len() as u64,
     };
-    let reply = tokio::time::timeout(remaining + REPLY_GRACE, async {
-        if peer.node == node.name {
-            return run_locally(node, context, call, parts.body.clone()).await;
-        }
-        node.links
-            .call(peer, call, parts.body.clone(), context.deadline)
-            .await
-    });
+    let body = parts.body.clone();
+    let timeout = remaining + REPLY_GRACE;
+    if peer.node != node.name {
+        let links = &node.links;
+        return links
+            .call(peer, call, body, context.deadline, timeout)
+            .await;
+    }
+    let reply = tokio::time::timeout(timeout, run_locally(node, context, call, body));
     reply.await.unwrap_or_else(|_| {
         Reply::Refused(Refused::unknown(
             Code::OutcomeUnknown,
@@ -239,49 +373,11 @@
     log_transition(node, route, &attempt.selection, transition);
 }
 
-/// Whether a gate or a daemon without an available target refused the call, so
-/// that no target received it.
-const fn is_gate_refusal(reply: &Reply) -> bool {
-    let Reply::Refused(refused) = reply else {
-        return false;
-    };
-    matches!(
-        (refused.ran, refused.code),
-        (
-            Ran::No,
-            Code::QueueFull
-                | Code::DeadlineUnmet
-                | Code::TargetStalled
-                | Code::Leaving
-                | Code::NoTarget
-        )
-    )
-}
-
-/// Whether the call is to be retried. Spends an attempt token and a retry of the
-/// service's budget.
-fn may_retry(node: &Node, context: &Context, route: &Route, reply: &Reply) -> bool {
-    let Reply::Refused(refused) = reply else {
-        return false;
-    };
-    let retryable = match (refused.ran, refused.code) {
-        (Ran::No, Code::LinkFailed | Code::TargetFailed | Code::TargetRefused) => true,
-        (Ran::Unknown, Code::TargetFailed | Code::OutcomeUnknown | Code::LinkFailed) => {
-            route.repeatable
-        }
-        _ => false,
-    };
-    retryable
-        && !node.clock.remaining(context.deadline).is_zero()
-        && context.spend()
-        && node.routing.services.spend_retry(&route.service)
-}
-
-fn no_target(node: &Node, context: &Context, route: &Route, tried: usize) -> Reply {
+fn no_target(node: &Node, context: &Context, route: &Route) -> Reply {
     node.log_decision(
         Event::TargetUnavailable,
         context.request,
-        format_args!("service={} tried={tried}", route.service),
+        format_args!("service={}", route.service),
     );
     let detail = format!("service {}", route.service);
     Reply::Refused(Refused::not_run(Code::NoTarget, detail, context.tokens()))
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -166,6 +166,11 @@
     let route = select_route(node, &origin.access);
     let context = Context::new(root, origin.deadline, 0, route.retries);
     let sent_at = node.clock.now();
+    if origin.account.is_empty() {
+        let repeats = lock(&node.routing.prices).take_repeat(origin.access.key);
+        let services = &node.routing.services;
+        services.charge_retries(&route.service, repeats, sent_at);
+    }
     let reply = dispatch(node, &context, &route, &parts).await;
     record_price(node, origin, &reply);
     if origin.account.is_empty() {
--- a/crates/daemon/src/link/table.rs
+++ b/crates/daemon/src/link/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event};
@@ -92,9 +93,16 @@
         self.next_call.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Sends a call to `peer` and waits for its reply. A link is opened if there
-    /// is none; dropping the future cancels the call.
-    pub async fn call(&self, peer: &Peer, call: Call, body: Bytes, deadline: Moment) -> Reply {
+    /// Sends a call to `peer` and waits for its reply, at most for `limit`. A link
+    /// is opened if there is none; dropping the future cancels the call.
+    pub async fn call(
+        &self,
+        peer: &Peer,
+        call: Call,
+        body: Bytes,
+        deadline: Moment,
+        limit: Duration,
+    ) -> Reply {
         let id = call.id;
         let tokens = call.tokens;
         let (reply, completion) = oneshot::channel();
@@ -112,9 +120,12 @@
         if link.commands.send(Command::Start(id)).is_err() {
             return Reply::Refused(Refused::not_run(Code::LinkFailed, "link closed", tokens));
         }
-        let outcome = completion.await;
+        let outcome = tokio::time::timeout(limit, completion).await;
+        let Ok(reply) = outcome else {
+            return guard.expire(tokens);
+        };
         drop(guard);
-        outcome.unwrap_or_else(|_| {
+        reply.unwrap_or_else(|_| {
             Reply::Refused(Refused::unknown(
                 Code::OutcomeUnknown,
                 "link closed before the reply arrived",
@@ -205,6 +216,24 @@
     }
 }
 
+impl Guard<'_> {
+    /// Gives the call up. A call that was not sent by then never will be.
+    fn expire(self, tokens: u8) -> Reply {
+        let mut calls = lock(&self.link.calls);
+        let is_unsent = calls.get(&self.id).is_some_and(|pending| !pending.sent);
+        if is_unsent {
+            calls.remove(&self.id);
+        }
+        drop(calls);
+        Reply::Refused(if is_unsent {
+            let detail = "not sent before the deadline";
+            Refused::not_run(Code::LinkFailed, detail, tokens)
+        } else {
+            Refused::unknown(Code::OutcomeUnknown, "no reply before the deadline", 0)
+        })
+    }
+}
+
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         if lock(&self.link.calls).remove(&self.id).is_some() {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -38,4 +38,27 @@
     pub fanout: price::Fanout,
     /// Load of each client account at the ingress of this daemon.
     pub usage: admission::Usage,
+    /// Calls that the local target is expected to make because it runs repeated
+    /// calls, by route. They count as retries of the service that is called.
+    repeats: HashMap<RouteKey, f64>,
+}
+
+impl Prices {
+    /// Records that the local target runs a call on `route` again.
+    pub fn record_repeat(&mut self, route: RouteKey) {
+        for (outbound, ratio) in self.fanout.ratios(route) {
+            *self.repeats.entry(outbound).or_default() += ratio;
+        }
+    }
+
+    /// Takes the expected repeats of one call of the local target on `route`, at
+    /// most one.
+    pub fn take_repeat(&mut self, route: RouteKey) -> f64 {
+        let Some(expected) = self.repeats.get_mut(&route) else {
+            return 0.0;
+        };
+        let taken = expected.min(1.0);
+        *expected -= taken;
+        taken
+    }
 }
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -98,9 +98,13 @@
         Err(code) => return shed_reply(node, call, &downstream, code),
     };
     node.metrics.executions.inc();
-    lock(&node.routing.prices)
-        .fanout
-        .record_inbound(attributes.route);
+    {
+        let mut prices = lock(&node.routing.prices);
+        prices.fanout.record_inbound(attributes.route);
+        if call.repeated {
+            prices.record_repeat(attributes.route);
+        }
+    }
     let waited = pass.waited + permit.waited;
     node.metrics.wait.observe(waited.as_secs_f64());
     if node.settings.sidecar.is_none() {
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -161,25 +161,37 @@
     ) -> Option<Transition> {
         let mut table = lock(&self.table);
         let entry = table.services.get_mut(service)?;
-        if outcome == Outcome::Answered {
-            entry.budget.record_success();
-        }
         entry.balancer.record_end(target, outcome, load, now)
     }
 
+    /// Records a request for a service, which allows some retries.
+    pub fn record_request(&self, service: &str, now: Moment) {
+        if let Some(entry) = lock(&self.table).services.get_mut(service) {
+            entry.budget.record_request(now);
+        }
+    }
+
+    /// Deducts requests from the service's budget that count as retries, although
+    /// it did not allow them.
+    pub fn charge_retries(&self, service: &str, requests: f64, now: Moment) {
+        if let Some(entry) = lock(&self.table).services.get_mut(service) {
+            entry.budget.charge(requests, now);
+        }
+    }
+
     /// Spends a retry of the service's budget. Returns false if none is available
     /// or the service is unknown.
-    pub fn spend_retry(&self, service: &str) -> bool {
+    pub fn spend_retry(&self, service: &str, now: Moment) -> bool {
         let mut table = lock(&self.table);
         let entry = table.services.get_mut(service);
-        entry.is_some_and(|entry| entry.budget.spend())
+        entry.is_some_and(|entry| entry.budget.spend(now))
     }
 
-    /// Sets the retries per success and the capacity, in retries, of the budget of
+    /// Sets the retries per request and the slack, in retries, of the budget of
     /// every known service.
-    pub fn set_retry_bounds(&self, ratio: f64, capacity: f64) {
+    pub fn set_retry_bounds(&self, ratio: f64, slack: f64) {
         for service in lock(&self.table).services.values_mut() {
-            service.budget.set_bounds(ratio, capacity);
+            service.budget.set_bounds(ratio, slack);
         }
     }
 
--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -32,6 +32,7 @@
     Call {
         route: "route".into(),
         repeatable: false,
+        repeated: false,
         id,
         request: Request::random(),
         account: "account-0".into(),
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod process_signals;
 mod quota_fleet;
 mod request_heads;
+mod retry_outcomes;
 mod signed_target;
 mod target_recovery;
 
--- a/crates/policy/src/price.rs
+++ b/crates/policy/src/price.rs
@@ -154,6 +154,13 @@
             .retain(|(one, outbound), _| from.contains(one) && to.contains(outbound));
     }
 
+    /// Routes on which calls on `from` make calls, with their number per call.
+    pub fn ratios(&self, from: RouteKey) -> impl Iterator<Item = (RouteKey, f64)> {
+        let ratios = self.ratios.iter();
+        let outbound = ratios.filter(move |((route, _), _)| *route == from);
+        outbound.map(|((_, to), ratio)| (*to, *ratio))
+    }
+
     /// Calls on `to` per call on `from`.
     pub fn ratio(&self, from: RouteKey, to: RouteKey) -> f64 {
         self.ratios.get(&(from, to)).copied().unwrap_or(0.0)
@@ -161,15 +168,14 @@
 
     /// Routes on which a call on `from` makes at least `min` calls.
     pub fn outbound(&self, from: RouteKey, min: f64) -> Vec<RouteKey> {
-        let ratios = self.ratios.iter();
-        let outbound = ratios.filter(|((route, _), ratio)| *route == from && **ratio >= min);
-        outbound.map(|((_, to), _)| *to).collect()
+        let outbound = self.ratios(from).filter(|(_, ratio)| *ratio >= min);
+        outbound.map(|(to, _)| to).collect()
     }
 
     /// Price of the outbound calls of one call on `from`.
     pub fn price(&self, from: RouteKey, price_of: impl Fn(RouteKey) -> f64) -> f64 {
-        let outbound = self.ratios.iter().filter(|((route, _), _)| *route == from);
-        outbound.map(|((_, to), ratio)| ratio * price_of(*to)).sum()
+        let outbound = self.ratios(from);
+        outbound.map(|(to, ratio)| ratio * price_of(to)).sum()
     }
 
     /// Adds this window to the sums and resets its counts.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -3,9 +3,13 @@
 //! A root request starts with a few attempt tokens. Each call lends some of them
 //! to the callee, and the response returns what is left, so the sum over the
 //! chain never grows, whatever its depth and fan-out. In addition, each ingress
-//! has a retry budget per service, a share of its successes, so that retries do
+//! has a retry budget per service, a share of its requests, so that retries do
 //! not multiply when many requests fail at once.
 
+use std::time::Duration;
+
+use crate::moment::Moment;
+
 /// Attempt tokens of one hop of one request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Escrow {
@@ -56,55 +60,113 @@
     }
 }
 
-/// Default number of retries per success.
+/// Default number of retries per request.
 const DEFAULT_RATIO: f64 = 0.1;
-/// Default capacity of a budget, in retries.
-const DEFAULT_CAPACITY: f64 = 20.0;
+/// Default number of retries beyond the ratio, per [`LIFETIME`].
+const DEFAULT_SLACK: f64 = 10.0;
+/// Time for which the retries that a request allows stay available.
+const LIFETIME: Duration = Duration::from_secs(10);
+/// Slots into which that time is divided.
+const SLOTS: usize = 10;
 
 /// Retry budget of one ingress for one service.
 ///
-/// Over a fleet the retries never exceed the ratio times all successes plus the
-/// sum of the capacities.
+/// Every request allows `ratio` retries within the following [`LIFETIME`], so that
+/// a fault that begins suddenly finds the retries of the calm time before it. In any
+/// interval of that length, the retries of a fleet do not exceed the ratio times the
+/// requests of that and of the preceding interval, plus twice the sum of the slacks.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
-    /// Available retries, within 0..=`capacity`.
-    tokens: f64,
-    /// Largest number of available retries.
-    capacity: f64,
-    /// Retries added per success.
+    /// Retries allowed per request.
     ratio: f64,
+    /// Retries allowed per [`LIFETIME`] beyond the ratio.
+    slack: f64,
+    /// Retries allowed by the requests of each slot and not used, none negative.
+    earned: [f64; SLOTS],
+    /// Number of the current slot since the origin of the clock.
+    slot: u64,
+    /// Unused part of the slack, within `0..=slack`.
+    spare: f64,
+    spare_updated: Moment,
+    /// Retries charged beyond those that were available.
+    debt: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
         Self {
-            tokens: DEFAULT_CAPACITY * 0.5,
-            capacity: DEFAULT_CAPACITY,
             ratio: DEFAULT_RATIO,
+            slack: DEFAULT_SLACK,
+            earned: [0.0; SLOTS],
+            slot: 0,
+            spare: DEFAULT_SLACK,
+            spare_updated: Moment::ZERO,
+            debt: 0.0,
         }
     }
 }
 
 impl Budget {
-    /// Sets the retries per success and the capacity. Available retries above the
-    /// new capacity are dropped.
-    pub const fn set_bounds(&mut self, ratio: f64, capacity: f64) {
+    /// Sets the retries per request and the slack. Unused slack above the new one
+    /// is dropped.
+    pub const fn set_bounds(&mut self, ratio: f64, slack: f64) {
         self.ratio = ratio;
-        self.capacity = capacity;
-        self.tokens = self.tokens.min(capacity);
+        self.slack = slack;
+        self.spare = self.spare.min(slack);
     }
 
-    /// Adds the retries that one success allows, up to the capacity.
-    pub const fn record_success(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(self.capacity);
+    /// Adds the retries that one request allows.
+    pub fn record_request(&mut self, now: Moment) {
+        self.advance(now);
+        let repaid = self.debt.min(self.ratio);
+        self.debt -= repaid;
+        self.earned[self.slot as usize % SLOTS] += self.ratio - repaid;
     }
 
     /// Spends a retry. Returns false if less than one is available.
-    pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    pub fn spend(&mut self, now: Moment) -> bool {
+        self.advance(now);
+        let available = self.earned.iter().sum::<f64>() + self.spare;
+        if available < 1.0 {
             return false;
         }
-        self.tokens -= 1.0;
+        self.take(1.0);
         true
     }
+
+    /// Deducts repeated requests that were not sent under this budget, such as the
+    /// calls of a target that runs a repeated request.
+    pub fn charge(&mut self, requests: f64, now: Moment) {
+        self.advance(now);
+        self.debt += self.take(requests);
+    }
+
+    /// Takes up to `wanted` retries, the oldest first. Returns those that were
+    /// missing.
+    fn take(&mut self, mut wanted: f64) -> f64 {
+        for age in (0..SLOTS as u64).rev() {
+            let slot = (self.slot + SLOTS as u64 - age) as usize % SLOTS;
+            let taken = self.earned[slot].min(wanted);
+            self.earned[slot] -= taken;
+            wanted -= taken;
+        }
+        let taken = self.spare.min(wanted);
+        self.spare -= taken;
+        wanted - taken
+    }
+
+    /// Drops retries whose lifetime is over and refills the slack.
+    fn advance(&mut self, now: Moment) {
+        let length = LIFETIME.as_micros() as u64 / SLOTS as u64;
+        let slot = now.as_micros() / length;
+        let expired = slot.saturating_sub(self.slot).min(SLOTS as u64);
+        for passed in 1..=expired {
+            self.earned[(self.slot + passed) as usize % SLOTS] = 0.0;
+        }
+        self.slot = self.slot.max(slot);
+        let elapsed = now.since(self.spare_updated);
+        let refill = self.slack * elapsed.div_duration_f64(LIFETIME);
+        self.spare = (self.spare + refill).min(self.slack);
+        self.spare_updated = self.spare_updated.max(now);
+    }
 }
--- a/crates/standin/benches/slopes/decision.rs
+++ b/crates/standin/benches/slopes/decision.rs
@@ -133,6 +133,7 @@
         let call = Call {
             route: "route".into(),
             repeatable: false,
+            repeated: false,
             id: 1_000_000,
             request: cardamomshed_wire::Request::random(),
             account: "account".into(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -162,6 +162,9 @@
     /// Whether the call may be executed more than once.
     #[serde(rename = "z")]
     pub repeatable: bool,
+    /// Whether a target received an earlier attempt of this call.
+    #[serde(rename = "f")]
+    pub repeated: bool,
     /// HTTP method.
     #[serde(rename = "m")]
     pub method: String,
--- a/crates/wire/tests/all/frame_codec.rs
+++ b/crates/wire/tests/all/frame_codec.rs
@@ -21,6 +21,7 @@
     let call = Call {
         route: "route".into(),
         repeatable: false,
+        repeated: true,
         id,
         request: Request::random(),
         account: "account".into(),
