Let a window grow faster while its downstream service is idle

A window that shrank during a fault took some seconds to grow back by a quarter per interval. With little pressure downstream it may double.

Tried and left out: counting refusals by the targets themselves (srv_grey) as pressure ten.

--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -33,6 +33,11 @@
 const REDUCTION: f64 = 0.6;
 /// Largest growth per interval, as a factor and in calls.
 const MAX_GROWTH: (f64, f64) = (1.25, 1.0);
+/// Mean pressure below which the window may grow by the larger factor: the
+/// downstream service has recovered or gained targets.
+const IDLE_PRESSURE: f64 = 0.5;
+/// That factor.
+const IDLE_GROWTH: f64 = 2.0;
 /// Shortest interval between two changes of the window. It is one downstream call
 /// long where these take longer, since a change shows only then.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -172,6 +177,11 @@
             && load.waiting > 0
         {
             let (factor, calls) = MAX_GROWTH;
+            let factor = if mean < IDLE_PRESSURE {
+                IDLE_GROWTH
+            } else {
+                factor
+            };
             self.limit = Some(estimate.clamp(limit, limit * factor + calls));
         }
     }
