--- a/crates/daemon/tests/all/retry_outcomes.rs
+++ b/crates/daemon/tests/all/retry_outcomes.rs
@@ -42,5 +42,8 @@
     let reply = request().send();
     assert!(fleet.observed.runs.load(Ordering::Relaxed) > runs);
     // There is no second target, which does not undo the first attempt.
-    assert_eq!(reply.status, 502, "a request that ran was said not to have run");
+    assert_eq!(
+        reply.status, 502,
+        "a request that ran was said not to have run"
+    );
 }
