Bound every part of a target's response

Cause: the body of a response to an earlier request was read without a limit, as were the size lines, extensions and trailer of a chunked body; a target that sent bytes without end held memory and slot until the deadline of the request. The end of a chunk was not checked either, so a chunk longer than its size made a success of what followed it.

Ruled out: heads (32 KiB), interim responses (4) and bodies without a length were bounded before; their tests passed unchanged.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -24,6 +24,11 @@
 /// Largest number of response heads read for one request, interim responses and
 /// responses to earlier requests included.
 const MAX_RESPONSES: usize = 4;
+/// Largest line with the size of a chunk, and largest trailer line, in bytes.
+const MAX_LINE_BYTES: usize = 4 * 1024;
+/// Largest size of the lines between chunks per byte of data, beside
+/// [`MAX_HEAD_BYTES`] for the whole body. A chunk of one byte needs five.
+const MAX_FRAMING_PER_BYTE: usize = 8;
 /// Time for which an idle connection is kept if the target sends no `keep-alive`
 /// timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -178,7 +183,7 @@
     let head = {
         let write = write_half.write_all(&message);
         tokio::pin!(write);
-        let read = reader.response_head(request);
+        let read = reader.response_head(request, limit);
         tokio::pin!(read);
         loop {
             tokio::select! {
@@ -248,8 +253,8 @@
     }
 
     /// Reads the head of the response to `request`. Skips interim responses and
-    /// responses to earlier requests.
-    async fn response_head(&mut self, request: &Request<'_>) -> Result<Head, Error> {
+    /// responses to earlier requests, with bodies of up to `limit` bytes.
+    async fn response_head(&mut self, request: &Request<'_>, limit: usize) -> Result<Head, Error> {
         for _ in 0..MAX_RESPONSES {
             let head = self.head().await?;
             if (100..200).contains(&head.status) {
@@ -261,7 +266,13 @@
             if is_match {
                 return Ok(head);
             }
-            self.body(&head, false, usize::MAX).await?;
+            self.body(&head, false, limit)
+                .await
+                .map_err(|error| match error {
+                    // This is not the response to the request.
+                    Error::TooLarge => Error::Sent("late response too large".to_owned()),
+                    other => other,
+                })?;
             if matches!(head.framing, Framing::UntilClose) {
                 break;
             }
@@ -308,19 +319,13 @@
 
     async fn chunked_body(&mut self, limit: usize) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
+        let mut framing_bytes = 0;
         loop {
-            let (start, length) = loop {
-                match httparse::parse_chunk_size(&self.buffer) {
-                    Ok(httparse::Status::Complete((start, length))) => {
-                        break (start, usize::try_from(length).unwrap_or(usize::MAX));
-                    }
-                    Ok(httparse::Status::Partial) => self.fill_or_fail().await?,
-                    Err(_) => return Err(Error::Sent("invalid chunk size".to_owned())),
-                }
-            };
+            let (start, length) = self.chunk_size().await?;
             self.buffer.advance(start);
             if length == 0 {
-                return self.skip_trailers(body.freeze()).await;
+                self.skip_trailers().await?;
+                return Ok(body.freeze());
             }
             if length > limit.saturating_sub(body.len()) {
                 return Err(Error::TooLarge);
@@ -328,24 +333,58 @@
             while self.buffer.len() < length + 2 {
                 self.fill_or_fail().await?;
             }
+            if &self.buffer[length..length + 2] != b"\r\n" {
+                return Err(Error::Sent("chunk longer than its size".to_owned()));
+            }
             body.extend_from_slice(&self.buffer[..length]);
             self.buffer.advance(length + 2);
+            framing_bytes += start + 2;
+            if framing_bytes > MAX_HEAD_BYTES + body.len() * MAX_FRAMING_PER_BYTE {
+                return Err(Error::Sent("chunk extensions too large".to_owned()));
+            }
         }
     }
 
-    /// Discards the trailer fields, up to and with the empty line.
-    async fn skip_trailers(&mut self, body: Bytes) -> Result<Bytes, Error> {
+    /// Reads the line before a chunk. Returns its length and the size of the chunk,
+    /// both in bytes.
+    async fn chunk_size(&mut self) -> Result<(usize, usize), Error> {
         loop {
+            match httparse::parse_chunk_size(&self.buffer) {
+                Ok(httparse::Status::Complete((start, length))) => {
+                    return Ok((start, usize::try_from(length).unwrap_or(usize::MAX)));
+                }
+                Ok(httparse::Status::Partial) => self.fill_line().await?,
+                Err(_) => return Err(Error::Sent("invalid chunk size".to_owned())),
+            }
+        }
+    }
+
+    /// Discards the trailer fields, up to and with the empty line.
+    async fn skip_trailers(&mut self) -> Result<(), Error> {
+        let mut skipped = 0;
+        while skipped <= MAX_HEAD_BYTES {
             let end = self.buffer.windows(2).position(|pair| pair == b"\r\n");
             match end {
                 Some(0) => {
                     self.buffer.advance(2);
-                    return Ok(body);
+                    return Ok(());
+                }
+                Some(end) => {
+                    self.buffer.advance(end + 2);
+                    skipped += end + 2;
                 }
-                Some(end) => self.buffer.advance(end + 2),
-                None => self.fill_or_fail().await?,
+                None => self.fill_line().await?,
             }
         }
+        Err(Error::Sent("trailer too large".to_owned()))
+    }
+
+    /// Reads more of the line that the buffer holds a part of.
+    async fn fill_line(&mut self) -> Result<(), Error> {
+        if self.buffer.len() > MAX_LINE_BYTES {
+            return Err(Error::Sent("line of a chunked body too large".to_owned()));
+        }
+        self.fill_or_fail().await
     }
 }
 
