Exchange members between failure domains through one relay each

Every daemon also took itself for the first of its failure domain until it knew the others, polled the seed rows and held a lender slot.

Changed: the first live daemon of a failure domain exchanges records with other domains, and the others with it; a request carries the sender's record, and the answer comes even if nothing differs. Packets carry the own record for five seconds after a change or while digests differ. A daemon holds no lender slot before an exchange, or 1.5 s.

Tests: steady_packets_empty, domains_exchange_by_relay.

--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -13,11 +13,10 @@
 
 use cardamomshed_code::Event;
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::member::State;
+use cardamomshed_policy::member::{State, rank_key};
 use cardamomshed_policy::quota::{Lease, MILLION};
 
 use super::bound::bound;
-use crate::directory::rank_key;
 use crate::members::{domain_size, publish, rank};
 use crate::node::Node;
 use crate::service::Peer;
@@ -39,6 +38,9 @@
 const TAKEOVER_DELAY: Duration = Duration::from_millis(100);
 /// Time after the start for member discovery; no slot is held within it.
 const STARTUP_DELAY: Duration = Duration::from_millis(300);
+/// Time after the start from which a daemon that has exchanged records with no
+/// other one may hold a slot. It may be the only one left of its failure domain.
+const LONELY_DELAY: Duration = Duration::from_millis(1_500);
 /// Time after a pause of this process in which it receives the current lenders;
 /// no slot is held within it.
 const RESUME_DELAY: Duration = Duration::from_secs(2);
@@ -73,7 +75,7 @@
             let is_first = number % live == rank;
             let is_free = is_first && !is_held_elsewhere(node, number as u16);
             let resumed = *lock(&node.quota.resumed_at);
-            let is_ready = now.since(Moment::ZERO) >= STARTUP_DELAY
+            let is_ready = knows_members(node, now)
                 && resumed.is_none_or(|resumed| now.since(resumed) >= RESUME_DELAY);
             let entitled = !node.lifecycle.is_leaving()
                 && is_ready
@@ -114,6 +116,14 @@
     }
 }
 
+/// Whether the members known here suffice to tell the local rank. Before that, every
+/// member of a failure domain would take the same slot.
+fn knows_members(node: &Node, now: Moment) -> bool {
+    let age = now.since(Moment::ZERO);
+    let has_exchanged = node.members.exchanged.load(Ordering::Relaxed);
+    age >= LONELY_DELAY || (has_exchanged && age >= STARTUP_DELAY)
+}
+
 /// Time until the next evaluation of the members.
 pub(super) fn poll_interval(node: &Node) -> Duration {
     if node.clock.now().since(Moment::ZERO) < STARTUP_OVERLAP {
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_platform::{Client, Condition, Row};
+use cardamomshed_policy::Moment;
 use cardamomshed_policy::member::{Record, State};
 use rand::Rng;
 
@@ -20,7 +22,10 @@
 /// Largest number of rows in one read.
 const MAX_ROWS: usize = 256;
 /// Interval between two reads of the rows once all members are known.
-const POLL_INTERVAL: Duration = Duration::from_secs(5);
+const POLL_INTERVAL: Duration = Duration::from_secs(30);
+/// Time after the start in which no row of another daemon is replaced, since its
+/// daemon may not be known yet.
+const REPLACE_DELAY: Duration = Duration::from_secs(5);
 /// Upper bound of the interval between two requests for members while more may be
 /// unknown.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(400);
@@ -38,9 +43,14 @@
     // Consecutive requests without a new live member.
     let mut unchanged = 0;
     let mut last_live = 0;
+    let mut round = 0_u32;
     loop {
         let is_alone = lock(&node.members.fleet).live() == 1;
-        if is_alone || is_poller(&node) {
+        // The rows may be those of daemons that are no longer there.
+        let is_isolated = is_alone || !node.members.exchanged.load(Ordering::Relaxed);
+        // Before the members are known, every daemon takes itself for a poller.
+        let is_settled = unchanged >= UNCHANGED_LIMIT;
+        if is_isolated || (is_settled && is_poller(&node)) {
             match poll(&node, &client).await {
                 Ok(()) => {}
                 Err(failure) => {
@@ -52,7 +62,8 @@
         if unchanged < UNCHANGED_LIMIT && live > 1 {
             unchanged = if live > last_live { 0 } else { unchanged + 1 };
             last_live = live;
-            request_members(&node);
+            request_members(&node, round);
+            round = round.wrapping_add(1);
         }
         let jitter = 0.75 + rand::rng().random::<f64>() * 0.5;
         tokio::select! {
@@ -111,7 +122,7 @@
     if held.is_some_and(|row| address_of(row) == Some(own.profile.gossip)) {
         return Ok(());
     }
-    let may_replace = node.clock.now().as_micros() > POLL_INTERVAL.as_micros() as u64;
+    let may_replace = node.clock.now().since(Moment::ZERO) > REPLACE_DELAY;
     for (key, row) in holders {
         let expect = match row {
             // The row of an earlier process with this name, at another address.
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -4,10 +4,9 @@
 //! a token request does not depend on the size of the fleet.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex};
 
-use cardamomshed_policy::member::{Record, State};
+use cardamomshed_policy::member::{Record, State, rank_key};
 use cardamomshed_policy::quota::{Slot, order as slot_order};
 
 use crate::service::Peer;
@@ -103,14 +102,6 @@
     }
 }
 
-/// Hash of a daemon's name that orders the members of a failure domain, lowest
-/// first. It is the same at every daemon.
-pub fn rank_key(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The holder with the lowest rank key, which keeps the slot if there are several.
 fn first_holder(holders: &HashMap<Arc<str>, Holder>) -> Option<&Holder> {
     holders
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -2,12 +2,14 @@
 //! the caller confirms it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event};
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::ADMIT_ALL;
+use cardamomshed_policy::member::Record;
 use cardamomshed_wire::{Answer, Call, Frame, Refusal, decode};
 use futures_util::StreamExt;
 use tokio::sync::{mpsc, oneshot};
@@ -96,8 +98,15 @@
                 }
             });
         }
-        Frame::RequestMembers { digests } => {
+        Frame::RequestMembers { digests, record } => {
             let records = lock(&node.members.fleet).differing(&digests);
+            if let Some(record) = record {
+                merge_members(node, vec![*record]);
+            }
+            // The sender waits for a response even if nothing differs.
+            if records.is_empty() {
+                send(out, Frame::Members(Vec::new()));
+            }
             for part in records.chunks(MEMBERS_PER_FRAME) {
                 send(out, Frame::Members(part.to_vec()));
             }
@@ -116,8 +125,8 @@
 pub(super) fn handle_control(node: &Arc<Node>, frame: Frame, chunk: &Bytes) {
     match frame {
         Frame::Members(records) => {
-            let output = lock(&node.members.fleet).merge_all(records, node.clock.now());
-            crate::members::apply_output(node, output);
+            merge_members(node, records);
+            node.members.exchanged.store(true, Ordering::Relaxed);
         }
         Frame::Note { revision } => crate::actor::distribution::receive(node, revision, chunk),
         Frame::GrantTokens(grant) => crate::actor::quota::receive(node, &grant),
@@ -125,6 +134,11 @@
     }
 }
 
+fn merge_members(node: &Arc<Node>, records: Vec<Record>) {
+    let output = lock(&node.members.fleet).merge_all(records, node.clock.now());
+    crate::members::apply_output(node, output);
+}
+
 fn send(out: &mpsc::UnboundedSender<Outbound>, frame: Frame) {
     // The frame is lost if the connection has ended.
     let _ = out.send(Outbound::Frame(frame));
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
-use cardamomshed_policy::member::{Change, Fleet, Output, Record, State};
+use cardamomshed_policy::member::{Change, Fleet, Output, Record, State, rank_key};
 use cardamomshed_wire::Frame;
 
-use crate::directory::rank_key;
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -98,20 +97,36 @@
     apply_output(node, output);
 }
 
-/// Requests the differing member records from a random live member.
-pub fn request_members(node: &Arc<Node>) {
-    let chosen = {
-        let fleet = lock(&node.members.fleet);
-        let live = fleet
-            .members()
-            .filter(|record| record.state == State::Alive)
-            .collect::<Vec<_>>();
-        if live.is_empty() {
-            return;
-        }
-        Arc::clone(&live[rand::random_range(0..live.len())].name)
+/// Requests the differing member records from another member. `round` counts the
+/// requests of this daemon.
+pub fn request_members(node: &Arc<Node>, round: u32) {
+    let chosen = exchange_partner(&lock(&node.members.fleet), round);
+    if let Some(name) = chosen {
+        request_members_from(node, &name);
+    }
+}
+
+/// Member to exchange records with: the first of the failure domain in even
+/// rounds, and a random one of it in odd rounds. A relay, or a daemon that knows no
+/// other of its failure domain, turns to the other domains instead in odd rounds.
+fn exchange_partner(fleet: &Fleet, round: u32) -> Option<Arc<str>> {
+    let domain = &fleet.own().profile.domain;
+    let live = fleet
+        .members()
+        .filter(|record| record.state == State::Alive);
+    let (local, foreign): (Vec<_>, Vec<_>) =
+        live.partition(|record| record.profile.domain == *domain);
+    let is_even = round.is_multiple_of(2);
+    let first = local.iter().min_by_key(|record| rank_key(&record.name));
+    let random = |records: &[&Record]| {
+        let index = (!records.is_empty()).then(|| rand::random_range(0..records.len()))?;
+        Some(Arc::clone(&records[index].name))
     };
-    request_members_from(node, &chosen);
+    match first {
+        Some(first) if is_even => Some(Arc::clone(&first.name)),
+        Some(_) if !fleet.is_relay() || foreign.is_empty() => random(&local),
+        _ => random(&foreign),
+    }
 }
 
 /// Requests the member records that differ, by the digests of the record groups,
@@ -125,8 +140,14 @@
             node: Arc::clone(name),
             address,
         };
-        let digests = lock(&node.members.fleet).group_digests();
-        node.links.send(&peer, Frame::RequestMembers { digests });
+        let request = {
+            let fleet = lock(&node.members.fleet);
+            Frame::RequestMembers {
+                digests: fleet.group_digests(),
+                record: Some(Box::new(fleet.own().clone())),
+            }
+        };
+        node.links.send(&peer, request);
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,7 @@
 //! Shared state of one daemon.
 
 use std::fmt;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use cardamomshed_code::Event;
@@ -52,6 +53,8 @@
     pub outgoing: mpsc::UnboundedSender<member::Send>,
     /// Wakes member discovery after a failed member has become alive again.
     pub rejoin: Notify,
+    /// Whether another member has answered a request for its records.
+    pub exchanged: AtomicBool,
 }
 
 /// State of one daemon, shared by the request path and the actors.
@@ -169,6 +172,7 @@
                 fleet: Mutex::new(fleet),
                 outgoing: channels.gossip,
                 rejoin: Notify::new(),
+                exchanged: AtomicBool::new(false),
             },
             quota: Quota::default(),
             trace: Trace::default(),
--- a/crates/daemon/tests/all/frozen_daemon.rs
+++ b/crates/daemon/tests/all/frozen_daemon.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use cardamomshed_daemon::Options;
-use cardamomshed_daemon::directory::rank_key;
 use cardamomshed_platform::header;
+use cardamomshed_policy::member::rank_key;
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::Member;
 use cardamomshed_standin::platform::{Capacity, Platform};
--- a/crates/daemon/tests/all/lender_directory.rs
+++ b/crates/daemon/tests/all/lender_directory.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 
-use cardamomshed_daemon::directory::{Directory, rank_key};
-use cardamomshed_policy::member::{Profile, Record, State};
+use cardamomshed_daemon::directory::Directory;
+use cardamomshed_policy::member::{Profile, Record, State, rank_key};
 
 fn record(name: &str, lender_slots: &[u16]) -> Record {
     let address = ([127, 0, 0, 1], 1).into();
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -25,7 +25,7 @@
 
 pub use packet::{Packet, Payload};
 use probe::{Ping, Probe, Relay};
-pub use record::{Profile, Record, State};
+pub use record::{Profile, Record, State, rank_key};
 use updates::Updates;
 
 use crate::moment::Moment;
@@ -65,13 +65,28 @@
 
 /// Consecutive differing digests after which an exchange is requested.
 const MIN_DIFFERING_PACKETS: u32 = 4;
+/// Number of packets that one differing packet between a relay and a member that
+/// exchanges records with it counts for.
+const RELAY_WEIGHT: u32 = 4;
 /// Shortest interval between two exchanges.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_secs(3);
+/// Time after a change of the own record in which probes carry it.
+const OWN_RECORD_TIME: Duration = Duration::from_secs(5);
 /// Number of groups, by hash of the name, whose digests an exchange compares.
 const DIGEST_GROUPS: usize = 64;
 /// Bits of a ping's sequence number that count the pings of one process.
 const SEQUENCE_BITS: u32 = 22;
 
+/// Where a record comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// A packet, or an observation of this member.
+    Gossip,
+    /// An exchange or the platform's rows. Others learn the record the same way,
+    /// so it is not disseminated.
+    Exchange,
+}
+
 /// Outgoing packet.
 #[derive(Clone, Debug)]
 pub struct Send {
@@ -124,6 +139,8 @@
 pub struct Fleet {
     config: Config,
     own: Record,
+    /// When `own` last changed.
+    own_changed_at: Moment,
     /// Every other member by name. Never contains `own.name`.
     members: IndexMap<Arc<str>, Member>,
     /// Names of the other active members by gossip address. No two of them, nor
@@ -172,6 +189,7 @@
                 state: State::Alive,
                 profile,
             },
+            own_changed_at: Moment::ZERO,
             members: IndexMap::new(),
             by_address: HashMap::new(),
             revision: 0,
@@ -253,11 +271,32 @@
     pub fn merge_all(&mut self, records: Vec<Record>, now: Moment) -> Output {
         let mut output = Output::default();
         for record in records {
-            self.merge(record, now, &mut output);
+            self.merge(record, Source::Exchange, now, &mut output);
         }
         output
     }
 
+    /// Whether this member exchanges records with other failure domains on behalf
+    /// of its own.
+    pub fn is_relay(&self) -> bool {
+        self.domain_relay() == &*self.own.name
+    }
+
+    /// First active member of the local failure domain by [`rank_key`].
+    fn domain_relay(&self) -> &str {
+        let peers = self
+            .members()
+            .filter(|record| record.state.is_active() && self.is_local(record));
+        let names = peers.chain([&self.own]).map(|record| &*record.name);
+        let first = names.min_by_key(|name| rank_key(name));
+        first.unwrap_or(&self.own.name)
+    }
+
+    /// Whether a member belongs to the failure domain of this one.
+    fn is_local(&self, record: &Record) -> bool {
+        record.profile.domain == self.own.profile.domain
+    }
+
     /// Digests of the active members, this one included, by group of names.
     pub fn group_digests(&self) -> Vec<u64> {
         let mut digests = vec![0; DIGEST_GROUPS];
@@ -306,7 +345,7 @@
         let mut output = Output::default();
         self.compare(&packet, now, &mut output);
         for record in &packet.records {
-            self.merge(record.clone(), now, &mut output);
+            self.merge(record.clone(), Source::Gossip, now, &mut output);
         }
         self.now = now;
         if let Payload::Ack { sequence, clock_us } = packet.payload {
@@ -381,13 +420,25 @@
         self.others_digest ^ self.own.digest()
     }
 
-    /// Requests an exchange after repeated differences from the sender's digest.
+    /// Requests an exchange after repeated differences from the digests of others.
+    /// Members compare themselves with their failure domain, and above all with its
+    /// relay; only the relay compares itself with other domains.
     fn compare(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
         if packet.digest == self.full_digest() {
             self.differing_packets = 0;
             return;
         }
-        self.differing_packets += 1;
+        let is_local = self
+            .get(&packet.sender)
+            .is_some_and(|sender| self.is_local(sender));
+        let relay = self.domain_relay();
+        if !is_local && relay != &*self.own.name {
+            return;
+        }
+        // The other local members may all lack what the relay, or the other domain,
+        // has learned.
+        let is_decisive = !is_local || *packet.sender == *relay;
+        self.differing_packets += if is_decisive { RELAY_WEIGHT } else { 1 };
         let interval_elapsed = now.since(self.exchanged_at) >= MIN_EXCHANGE_INTERVAL;
         if self.differing_packets >= MIN_DIFFERING_PACKETS && interval_elapsed {
             self.differing_packets = 0;
@@ -398,6 +449,7 @@
 
     fn announce(&mut self, random: &mut impl Rng) -> Output {
         self.own.incarnation += 1;
+        self.own_changed_at = self.now;
         self.queue.add(Arc::clone(&self.own.name));
         self.push(random)
     }
@@ -413,7 +465,7 @@
         output
     }
 
-    fn merge(&mut self, record: Record, now: Moment, output: &mut Output) {
+    fn merge(&mut self, record: Record, source: Source, now: Moment, output: &mut Output) {
         if record.name == self.own.name {
             self.refute(&record);
             return;
@@ -448,7 +500,9 @@
         if record.state.is_active() {
             self.others_digest ^= record.digest();
         }
-        self.queue.add(Arc::clone(&record.name));
+        if source == Source::Gossip {
+            self.queue.add(Arc::clone(&record.name));
+        }
         let changed = record.clone();
         output.changes.push(Change { record, before });
         if let Some(address) = previous_address
@@ -492,6 +546,7 @@
             || (record.incarnation == self.own.incarnation && record.state > self.own.state);
         if refutable {
             self.own.incarnation = record.incarnation + 1;
+            self.own_changed_at = self.now;
             self.queue.add(Arc::clone(&self.own.name));
         }
     }
@@ -504,7 +559,7 @@
             state,
             ..member.record.clone()
         };
-        self.merge(record, now, output);
+        self.merge(record, Source::Gossip, now, output);
     }
 
     fn expire(&mut self, now: Moment, output: &mut Output) {
@@ -561,11 +616,12 @@
     fn packet(&mut self, payload: Payload) -> Packet {
         let names = self.queue.take(self.config.max_records, self.members.len());
         let mut records = Vec::with_capacity(names.len() + 1);
-        let own = matches!(
-            payload,
-            Payload::Push | Payload::Ping { .. } | Payload::Ack { .. }
-        );
-        if own {
+        let carries_own = match payload {
+            Payload::Push => true,
+            Payload::Ping { .. } | Payload::Ack { .. } => self.own_record_is_news(),
+            Payload::PingRequest { .. } | Payload::Broadcast => false,
+        };
+        if carries_own {
             records.push(self.own.clone());
         }
         for name in names {
@@ -583,6 +639,11 @@
         }
     }
 
+    /// Whether others may not have the own record yet.
+    fn own_record_is_news(&self) -> bool {
+        self.differing_packets > 0 || self.now.since(self.own_changed_at) < OWN_RECORD_TIME
+    }
+
     /// Creates a packet without records.
     fn status(&self, payload: Payload) -> Packet {
         Packet {
@@ -598,5 +659,5 @@
 }
 
 fn group_of(record: &Record) -> usize {
-    record.name_hash() as usize % DIGEST_GROUPS
+    rank_key(&record.name) as usize % DIGEST_GROUPS
 }
--- a/crates/policy/src/member/broadcast.rs
+++ b/crates/policy/src/member/broadcast.rs
@@ -3,7 +3,7 @@
 //! The sender reaches a bounded number of members directly. In larger domains
 //! these forward the records to the others.
 
-use super::{Fleet, Output, Packet, Payload, Record, Send};
+use super::{Fleet, Output, Packet, Payload, Record, Send, rank_key};
 use crate::moment::Moment;
 
 /// Members that receive a broadcast directly. Each of them forwards it to an equal
@@ -71,7 +71,7 @@
                 && *record.name != *name
         });
         let mut peers = peers.collect::<Vec<_>>();
-        peers.sort_unstable_by_key(|record| record.name_hash());
+        peers.sort_unstable_by_key(|record| rank_key(&record.name));
         peers
     }
 }
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -139,9 +139,9 @@
         let Some(to) = self.get(&subject).map(|record| record.profile.gossip) else {
             return;
         };
-        // The packet carries the local record of the probed member, so that a
-        // member that is suspect or failed here can refute it.
-        self.queue.add(Arc::clone(&subject));
+        // A member that is suspect or failed here needs that record to refute it.
+        let disputed = self.get(&subject).cloned();
+        let disputed = disputed.filter(|record| record.state != State::Alive);
         let sequence = self.next_ping(&subject, now);
         self.probe = Some(Probe {
             sequence,
@@ -149,7 +149,8 @@
             started_at: now,
             indirect: false,
         });
-        let packet = self.packet(Payload::Ping { sequence });
+        let mut packet = self.packet(Payload::Ping { sequence });
+        packet.records.extend(disputed);
         output.sends.push(Send { to, packet });
     }
 
--- a/crates/policy/src/member/record.rs
+++ b/crates/policy/src/member/record.rs
@@ -66,6 +66,12 @@
     pub lender_slots: Vec<u16>,
 }
 
+/// Hash of a member's name that orders the members of a failure domain, lowest
+/// first. It is the same at every member.
+pub fn rank_key(name: &str) -> u64 {
+    hash(name.bytes())
+}
+
 /// Versioned record of one member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -90,11 +96,6 @@
         hash(self.name.bytes().chain(self.incarnation.to_be_bytes()))
     }
 
-    /// Hash of the name.
-    pub(super) fn name_hash(&self) -> u64 {
-        hash(self.name.bytes())
-    }
-
     /// Whether this record replaces `other`, a record of the same member.
     pub fn supersedes(&self, other: &Self) -> bool {
         (self.incarnation, self.state) > (other.incarnation, other.state)
--- a/crates/policy/src/member/updates.rs
+++ b/crates/policy/src/member/updates.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 /// Sends of each update per doubling of the fleet size.
-const SENDS_PER_DOUBLING: u32 = 4;
+const SENDS_PER_DOUBLING: u32 = 2;
 
 /// Pending updates by the name of the member that changed.
 #[derive(Debug, Default)]
--- a/crates/policy/tests/all/member_gossip.rs
+++ b/crates/policy/tests/all/member_gossip.rs
@@ -24,6 +24,9 @@
     random: StdRng,
     now: Moment,
     packets: u64,
+    records: usize,
+    /// Members that requested records of another failure domain.
+    foreign_exchanges: HashSet<usize>,
 }
 
 fn address(index: usize) -> SocketAddr {
@@ -74,6 +77,8 @@
             random: random(),
             now: Moment::from_millis(1),
             packets: 0,
+            records: 0,
+            foreign_exchanges: HashSet::new(),
         };
         // Every member knows the first one, as from the platform's rows.
         let first = network.fleets[0].own().clone();
@@ -92,6 +97,7 @@
             .collect::<Vec<_>>();
         while let Some((from, Send { to, packet })) = queue.pop() {
             self.packets += 1;
+            self.records += packet.records.len();
             let index = usize::from(to.port()) - 10_000;
             let blocked = self.partitioned && from % 2 != index % 2;
             if blocked || self.down.contains(&index) || self.random.random::<f64>() < self.loss {
@@ -112,6 +118,9 @@
             .iter()
             .find(|fleet| &*fleet.own().name == other)
             .expect("a member");
+        if responder.own().profile.domain != self.fleets[index].own().profile.domain {
+            self.foreign_exchanges.insert(index);
+        }
         let records = responder.differing(&self.fleets[index].group_digests());
         self.fleets[index].merge_all(records, self.now);
     }
@@ -163,6 +172,65 @@
     }
 }
 
+#[test]
+fn steady_packets_empty() {
+    // Once every member has every record, packets carry none.
+    let mut network = Network::new(16);
+    network.run(Duration::from_secs(30));
+    network.records = 0;
+    network.run(Duration::from_secs(10));
+    assert_eq!(network.records, 0);
+}
+
+#[test]
+fn domains_exchange_by_relay() {
+    // Two failure domains know nothing of each other but for one member of each.
+    // Only the relays request records of the other domain, and all members learn
+    // them.
+    const COUNT: usize = 24;
+    let domain = |index: usize| if index < COUNT / 2 { "first" } else { "second" };
+    let make = |index: usize| {
+        let profile = Profile {
+            domain: domain(index).into(),
+            ..profile(index)
+        };
+        Fleet::new(Config::default(), name(index), 1, profile)
+    };
+    let mut network = Network::started(COUNT);
+    network.fleets = (0..COUNT).map(make).collect();
+    let records = (0..COUNT).map(|index| network.fleets[index].own().clone());
+    let records = records.collect::<Vec<_>>();
+    for index in 0..COUNT {
+        let local = records
+            .iter()
+            .filter(|record| record.profile.domain == domain(index).into());
+        let known = local.chain([&records[0]]).cloned().collect();
+        network.fleets[index].merge_all(known, network.now);
+    }
+    network.foreign_exchanges.clear();
+    for _ in 0..30 {
+        network.run(Duration::from_secs(1));
+        // Pollers, the first of which is the relay, broadcast to their domain.
+        for index in 0..COUNT {
+            if network.fleets[index].is_relay() {
+                let output = network.fleets[index].broadcast(network.now);
+                network.deliver(index, output);
+            }
+        }
+    }
+    for (index, fleet) in network.fleets.iter().enumerate() {
+        assert_eq!(fleet.live(), COUNT, "member {index}");
+    }
+    let relays = (0..COUNT).filter(|index| network.fleets[*index].is_relay());
+    let relays = relays.collect::<HashSet<_>>();
+    assert_eq!(relays.len(), 2, "one relay in each domain");
+    assert!(
+        network.foreign_exchanges.is_subset(&relays),
+        "{:?} exchanged across domains, relays are {relays:?}",
+        network.foreign_exchanges
+    );
+}
+
 #[test]
 fn failure_disseminated() {
     let mut network = Network::new(24);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -73,6 +73,9 @@
     RequestMembers {
         /// Digests of the sender's groups; empty to request all members.
         digests: Vec<u64>,
+        /// Record of the sender, which the receiver may not have yet.
+        #[serde(default)]
+        record: Option<Box<Record>>,
     },
     /// Membership records that the sender holds.
     Members(Vec<Record>),
