Route around targets that reject calls, and keep links' round trips out of deadlines

Cause: a rejected call ended for the gate like an answered one, so that the time of 0.2 ms to a rejection made the target look fast, and the caller's balancer took no note of it; a target that rejected half of its calls got more of them than others. A reply at the end of a call's time at the peer arrived a round trip too late, as 'unknown' instead of 'not run'.

Changed: only answers below 500 tell the time of a target. The daemon beside a target reports the share of calls that it rejects, the balancer adds it to the load and, while targets reject calls, also compares one that does not. A call's time at the peer is the rest less the shortest round trip of the link.

--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -52,11 +52,11 @@
     loop {
         let connect = node.current_settings().timing.connect.get();
         let dialled = timeout(connect, handshake::dial(&node, link.peer.address)).await;
-        let (socket, boot) = match dialled {
-            Ok(Ok((socket, remote))) if remote.node == link.peer.node => (socket, remote.boot),
+        let connection = match dialled {
+            Ok(Ok(connection)) if connection.remote.node == link.peer.node => connection,
             other => {
                 let detail = match other {
-                    Ok(Ok((_, remote))) => format!("address belongs to node {}", remote.node),
+                    Ok(Ok(other)) => format!("address belongs to node {}", other.remote.node),
                     Ok(Err(failure)) => failure.to_string(),
                     Err(_) => "connection timed out".to_owned(),
                 };
@@ -70,11 +70,13 @@
         failures = 0;
         node.routing.services.set_linked(&link.peer, true);
         node.log_event(Event::LinkOpened, format_args!("node={}", link.peer.node));
+        let boot = connection.remote.boot;
         if last_boot.is_some_and(|last| last != boot) {
             fail_sent_calls(&link, "peer process restarted");
         }
         last_boot = Some(boot);
-        match run_connection(&node, &link, &mut commands, socket).await {
+        link.set_round_trip(connection.round_trip);
+        match run_connection(&node, &link, &mut commands, connection.socket).await {
             End::Idle => break,
             End::Lost(detail) => {
                 node.log_event(
@@ -148,7 +150,7 @@
             message = stream.next() => match message {
                 Some(Ok(Message::Binary(bytes))) => {
                     liveness.received_at = Instant::now();
-                    if let Err(detail) = receive(node, link, &out, &bytes) {
+                    if let Err(detail) = receive(node, link, &out, &mut liveness, &bytes) {
                         break End::Lost(detail);
                     }
                 }
@@ -167,6 +169,7 @@
                 let calls = !lock(&link.calls).is_empty();
                 match liveness.on_heartbeat(calls) {
                     Action::Ping => {
+                        liveness.pinged_at.get_or_insert_with(Instant::now);
                         let _ = out.send(Outbound::Frame(Frame::Ping));
                     }
                     Action::Skip => {}
@@ -201,6 +204,8 @@
     received_at: Instant,
     /// Time of the last command or heartbeat with an open call.
     used_at: Instant,
+    /// Time of the first ping that the peer has not answered.
+    pinged_at: Option<Instant>,
     heartbeats: u32,
 }
 
@@ -211,6 +216,7 @@
             timing,
             received_at: now,
             used_at: now,
+            pinged_at: None,
             heartbeats: 0,
         }
     }
@@ -255,24 +261,23 @@
                 pending.call.request,
                 format_args!("call={id} node={}", link.peer.node),
             );
-            let remaining = pending.deadline.since(now).as_millis();
+            let remaining = link.remaining_at_peer(pending.deadline, now);
             let frame = Frame::Resume {
                 id: *id,
-                timeout_ms: u32::try_from(remaining).unwrap_or(u32::MAX),
+                timeout_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
             };
             let _ = out.send(Outbound::Frame(frame));
         } else {
-            pending.send(now, out);
+            pending.send(link.remaining_at_peer(pending.deadline, now), out);
         }
     }
 }
 
 impl Pending {
-    /// Sends the call with the time that remains until its deadline.
-    fn send(&mut self, now: cardamomshed_policy::Moment, out: &mpsc::UnboundedSender<Outbound>) {
+    /// Sends the call with the time that it has at the peer.
+    fn send(&mut self, remaining: Duration, out: &mpsc::UnboundedSender<Outbound>) {
         self.sent = true;
-        let remaining = self.deadline.since(now).as_millis();
-        self.call.timeout_ms = u32::try_from(remaining).unwrap_or(u32::MAX);
+        self.call.timeout_ms = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
         let frame = Frame::Call(Box::new(self.call.clone()));
         let _ = out.send(Outbound::Body(frame, self.body.clone()));
     }
@@ -288,7 +293,7 @@
                     .bytes
                     .with_label_values(&["calls"])
                     .inc_by(pending.body.len() as u64);
-                pending.send(now, out);
+                pending.send(link.remaining_at_peer(pending.deadline, now), out);
             }
         }
         Command::Cancel(id) => {
@@ -306,6 +311,7 @@
     node: &Arc<Node>,
     link: &Link,
     out: &mpsc::UnboundedSender<Outbound>,
+    liveness: &mut Liveness<'_>,
     bytes: &Bytes,
 ) -> Result<(), String> {
     let (frame, chunk) = decode(bytes).map_err(|failure| failure.to_string())?;
@@ -317,6 +323,12 @@
             link.complete(id, Reply::Refused(refused_from_wire(*refusal)));
             Some(id)
         }
+        Frame::Pong => {
+            if let Some(pinged_at) = liveness.pinged_at.take() {
+                link.record_round_trip(pinged_at.elapsed());
+            }
+            None
+        }
         other => {
             super::session::handle_control(node, other, &chunk);
             None
--- a/crates/daemon/src/link/handshake.rs
+++ b/crates/daemon/src/link/handshake.rs
@@ -3,11 +3,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cardamomshed_code::{Code, Failure};
 use cardamomshed_wire::{Frame, Hello, Side, VERSION, Welcome, decode, encode};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -48,8 +50,16 @@
     Failure::new(Code::LinkFailed, error.to_string())
 }
 
+/// Connection to another daemon after the handshake.
+pub(super) struct Dialled {
+    pub(super) socket: Socket,
+    pub(super) remote: Remote,
+    /// Time from a message of the handshake to the response.
+    pub(super) round_trip: Duration,
+}
+
 /// Connects to another daemon and performs the handshake as dialler.
-pub(super) async fn dial(node: &Node, address: SocketAddr) -> Result<(Socket, Remote), Failure> {
+pub(super) async fn dial(node: &Node, address: SocketAddr) -> Result<Dialled, Failure> {
     let stream = TcpStream::connect(address).await.map_err(link_failure)?;
     stream.set_nodelay(true).map_err(link_failure)?;
     let url = format!("ws://{address}/link");
@@ -62,10 +72,12 @@
         boot: node.boot,
         nonce: rand::random(),
     };
+    let sent_at = Instant::now();
     send(&mut socket, &Frame::Hello(hello.clone())).await?;
     let Frame::Welcome(welcome) = receive(&mut socket).await? else {
         return Err(Failure::new(Code::FrameInvalid, "expected a Welcome frame"));
     };
+    let round_trip = sent_at.elapsed();
     let nonces = [&hello.nonce, &welcome.nonce];
     let nodes = [&*hello.node, &*welcome.node];
     let verified = node
@@ -80,7 +92,11 @@
         node: welcome.node,
         boot: welcome.boot,
     };
-    Ok((socket, remote))
+    Ok(Dialled {
+        socket,
+        remote,
+        round_trip,
+    })
 }
 
 /// Performs the handshake as acceptor on a new connection.
--- a/crates/daemon/src/link/table.rs
+++ b/crates/daemon/src/link/table.rs
@@ -46,6 +46,9 @@
 pub struct Link {
     pub(super) peer: Peer,
     pub(super) calls: Mutex<HashMap<u64, Pending>>,
+    /// Shortest round trip to the peer over the current connection, in
+    /// microseconds.
+    round_trip_us: AtomicU64,
     commands: mpsc::UnboundedSender<Command>,
 }
 
@@ -162,6 +165,7 @@
         let link = Arc::new(Link {
             peer: peer.clone(),
             calls: Mutex::default(),
+            round_trip_us: AtomicU64::new(0),
             commands,
         });
         dialled.insert(Arc::clone(&peer.node), Arc::clone(&link));
@@ -191,6 +195,26 @@
 }
 
 impl Link {
+    /// Starts over with the round trip of a new connection.
+    pub(super) fn set_round_trip(&self, round_trip: Duration) {
+        let micros = round_trip.as_micros() as u64;
+        self.round_trip_us.store(micros, Ordering::Relaxed);
+    }
+
+    /// Takes over a shorter round trip.
+    pub(super) fn record_round_trip(&self, round_trip: Duration) {
+        let micros = round_trip.as_micros() as u64;
+        self.round_trip_us.fetch_min(micros, Ordering::Relaxed);
+    }
+
+    /// Time that a call sent now has at the peer, so that a reply at its end
+    /// arrives before `deadline`. At least half of the time until then.
+    pub(super) fn remaining_at_peer(&self, deadline: Moment, now: Moment) -> Duration {
+        let remaining = deadline.since(now);
+        let round_trip = Duration::from_micros(self.round_trip_us.load(Ordering::Relaxed));
+        remaining.saturating_sub(round_trip).max(remaining / 2)
+    }
+
     /// Completes a call with `reply`; an unknown id is ignored.
     pub(super) fn complete(&self, id: u64, reply: Reply) {
         if let Some(pending) = lock(&self.calls).remove(&id) {
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -23,7 +23,7 @@
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
 use crate::sync::lock;
-use crate::target::{Attributes, Permit};
+use crate::target::{Attributes, Completion, Permit};
 
 /// Header that carries the call context to the target.
 pub const CONTEXT_HEADER: &str = "x-shed-context";
@@ -140,9 +140,9 @@
     };
     let result = execution.send(body).await;
     let total = node.clock.now().since(started);
-    let timed_out = matches!(&result, Err(refused) if refused.code == Code::TargetTimeout);
-    if !timed_out {
-        permit.complete(total.saturating_sub(guard.context.child_time()));
+    let own_time = total.saturating_sub(guard.context.child_time());
+    if let Some(completion) = completion(&result, own_time) {
+        permit.complete(completion);
         pass.complete();
     }
     let tokens = guard.context.tokens();
@@ -161,6 +161,21 @@
     finish(node, call, result, waited, total, &report)
 }
 
+/// How a call ended for the gate; `None` if the target did not respond in time.
+/// `own_time` is the time on the target without outbound calls. That of a call
+/// that failed or was rejected says nothing about the time that others take.
+fn completion(result: &Result<Answer, Refused>, own_time: Duration) -> Option<Completion> {
+    match result {
+        Ok(answer) if answer.status < 500 => Some(Completion::Answered { own_time }),
+        Ok(_) => Some(Completion::Failed),
+        Err(refused) => match refused.code {
+            Code::TargetTimeout => None,
+            Code::TargetRefused => Some(Completion::Rejected),
+            _ => Some(Completion::Failed),
+        },
+    }
+}
+
 /// The call as it is offered to a window.
 const fn offer(attributes: &Attributes<'_>) -> Offer {
     Offer {
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -82,6 +82,20 @@
     withdrawn: AtomicBool,
 }
 
+/// End of a call to which the target responded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completion {
+    /// The target answered.
+    Answered {
+        /// Time on the target without the outbound calls that it made meanwhile.
+        own_time: Duration,
+    },
+    /// The target rejected the call without running it.
+    Rejected,
+    /// The target failed.
+    Failed,
+}
+
 /// A call's permit to run on the target. Dropping it releases the slot, or
 /// removes the call from the queue.
 #[derive(Debug)]
@@ -96,8 +110,8 @@
     pub connections: u32,
     /// Time that the call spent in the queue.
     pub waited: Duration,
-    /// Set when the target responded.
-    own_time: Option<Duration>,
+    /// How the call ended.
+    completion: Option<Completion>,
 }
 
 /// Attributes of a call by which it is queued, shed and priced.
@@ -323,7 +337,7 @@
             instance: target.announcement.instance.clone(),
             connections: target.announcement.connections,
             waited: Duration::ZERO,
-            own_time: None,
+            completion: None,
         };
         Ok((permit, receiver))
     }
@@ -370,17 +384,23 @@
         }
     }
 
-    fn release(&self, ticket: Ticket, own_time: Option<Duration>) {
+    fn release(&self, ticket: Ticket, completion: Option<Completion>) {
         let now = self.clock.now();
         if let Some(target) = lock(&self.state).as_mut() {
             let mut changes = Vec::new();
             target.waiting.remove(&ticket);
-            match own_time {
-                Some(_) => target.gate.finish(ticket, own_time, now, &mut changes),
-                None => {
-                    target.gate.cancel(ticket, now, &mut changes);
-                }
-            }
+            let Some(completion) = completion else {
+                target.gate.cancel(ticket, now, &mut changes);
+                target.apply(&changes);
+                return;
+            };
+            let own_time = match completion {
+                Completion::Answered { own_time } => Some(own_time),
+                Completion::Rejected | Completion::Failed => None,
+            };
+            let is_rejected = completion == Completion::Rejected;
+            target.gate.record_rejection(is_rejected);
+            target.gate.finish(ticket, own_time, now, &mut changes);
             target.apply(&changes);
         }
     }
@@ -424,15 +444,15 @@
 }
 
 impl Permit<'_> {
-    /// Records that the target responded, and the call's time on the target
-    /// without its outbound calls. The gate adapts its limit to that time.
-    pub const fn complete(&mut self, own_time: Duration) {
-        self.own_time = Some(own_time);
+    /// Records how the call ended. Without it, the drop of the permit cancels the
+    /// call.
+    pub const fn complete(&mut self, completion: Completion) {
+        self.completion = Some(completion);
     }
 }
 
 impl Drop for Permit<'_> {
     fn drop(&mut self) {
-        self.target.release(self.ticket, self.own_time);
+        self.target.release(self.ticket, self.completion);
     }
 }
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -37,6 +37,11 @@
 impl Fake {
     async fn accept(listener: &TcpListener, boot: u64) -> Self {
         let (stream, _) = listener.accept().await.expect("a connection");
+        Self::handshake(stream, boot, Duration::ZERO).await
+    }
+
+    /// Accepts a link, with the response to the hello delayed.
+    async fn handshake(stream: TcpStream, boot: u64, delay: Duration) -> Self {
         let socket = tokio_tungstenite::accept_async(stream)
             .await
             .expect("a socket");
@@ -44,6 +49,7 @@
         let Some((Frame::Hello(hello), _)) = fake.receive().await else {
             panic!("expected a hello");
         };
+        tokio::time::sleep(delay).await;
         let secret = Secret::new("a secret for loopback only").expect("a long secret");
         let nonce = [9; 16];
         let code = secret.prove(Side::Acceptor, [&hello.nonce, &nonce], [&hello.node, NAME]);
@@ -353,3 +359,27 @@
         node.links.len() <= links
     });
 }
+
+#[test]
+fn round_trip_deducted() {
+    // A response of the peer takes this long; a reply at the end of the call's
+    // time would arrive too late by as much.
+    const DELAY: Duration = Duration::from_millis(400);
+    let reply = run_script(|listener| async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut fake = Fake::handshake(stream, 1, DELAY).await;
+        let Some((Frame::Call(call), _)) = fake.receive().await else {
+            panic!("expected a call");
+        };
+        // The link opens only after one such delay.
+        let limit = Duration::from_secs(8).saturating_sub(2 * DELAY);
+        assert!(
+            u128::from(call.timeout_ms) <= limit.as_millis(),
+            "{} ms left at the peer",
+            call.timeout_ms
+        );
+        fake.answer(call.id, 5, b"whole").await;
+        fake.receive().await;
+    });
+    assert!(matches!(reply, Reply::Answer(_)), "{reply:?}");
+}
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -151,6 +151,9 @@
     Shed(Ticket, Shed),
 }
 
+/// Weight of one call in the smoothed share of rejected calls.
+const REJECTION_SMOOTHING: f64 = 0.1;
+
 /// Load that is reported to the daemons that send calls to this target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -162,6 +165,9 @@
     pub limit: u32,
     /// Smoothed service time over all routes.
     pub service_time: Duration,
+    /// Smoothed share of the calls that the target rejected without running them,
+    /// within 0..=1.
+    pub rejection: f64,
 }
 
 impl Load {
@@ -200,6 +206,8 @@
     /// The target has stopped responding. Until a call completes, one call at a
     /// time runs as a probe.
     stalled: bool,
+    /// Smoothed share of rejected calls, see [`Load::rejection`].
+    rejection: f64,
 }
 
 impl Gate {
@@ -216,6 +224,7 @@
             closed: false,
             last_progress: now,
             stalled: false,
+            rejection: 0.0,
         }
     }
 
@@ -290,6 +299,12 @@
         self.start_queued(now, changes);
     }
 
+    /// Records whether the target rejected a call without running it.
+    pub fn record_rejection(&mut self, rejected: bool) {
+        let outcome = f64::from(u8::from(rejected));
+        self.rejection += REJECTION_SMOOTHING * (outcome - self.rejection);
+    }
+
     /// Removes a call that waits or runs and returns whether it was running.
     pub fn cancel(&mut self, ticket: Ticket, now: Moment, changes: &mut Vec<Change>) -> bool {
         let ran = self.remove_running(ticket).is_some();
@@ -314,6 +329,7 @@
             waiting: self.queue.len() as u32,
             limit: self.effective_limit(now),
             service_time: self.limit.service_time(),
+            rejection: self.rejection,
         }
     }
 
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,7 +1,8 @@
 //! Load balancing over the targets of a service.
 //!
 //! Two random targets of the nearest tier are compared and the one with the
-//! smaller backlog is chosen. Load is the larger of the load that the target's
+//! smaller backlog is chosen. While targets reject calls, one that does not is
+//! compared with them. Load is the larger of the load that the target's
 //! daemon reported with its last response and the calls from this daemon that
 //! are in flight. The local failure domain is preferred to the rest of the
 //! region, and the region to the slow link between regions. The slow link is
@@ -49,6 +50,15 @@
 /// Load of a target in another region, as a multiple of its limit, below which
 /// it is chosen over an overloaded nearer target.
 const REMOTE_SPILL_BELOW: f64 = 0.8;
+/// Load that is added to a target that rejects every call. A rejected call costs a
+/// retry, of which there are few, so calls rather queue for as long at a target
+/// that accepts them.
+const REJECTION_LOAD: f64 = 2.0;
+/// Share of rejected calls below which a target is sound, and mean share over the
+/// targets from which sound ones are sought.
+const SOUND_REJECTION: f64 = 0.05;
+/// Interval between two computations of that mean.
+const REJECTION_INTERVAL: Duration = Duration::from_millis(250);
 /// Age from which a reported load is ignored.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(5);
 
@@ -60,6 +70,8 @@
     index: usize,
     load: Load,
     load_reported_at: Moment,
+    /// Whether `load` was reported by the target's daemon.
+    is_reported: bool,
     /// Calls from this daemon that are not answered yet.
     in_flight: u32,
     open: bool,
@@ -109,6 +121,11 @@
     by_tier: [Vec<TargetKey>; TIERS],
     ejected: usize,
     service_health: Health,
+    /// Mean share of rejected calls over the targets with a recent report, assumed
+    /// of the others.
+    mean_rejection: f64,
+    /// When that mean was computed.
+    rejection_updated: Moment,
 }
 
 impl Balancer {
@@ -123,6 +140,7 @@
                 ..Load::default()
             },
             load_reported_at: now,
+            is_reported: false,
             in_flight: 0,
             open: true,
             health: Health::default(),
@@ -234,7 +252,10 @@
         if let Some(load) = load {
             target.load = load;
             target.load_reported_at = now;
+            target.is_reported = true;
+            self.update_mean_rejection(now);
         }
+        let target = self.targets.get_mut(key.0 as usize)?.as_mut()?;
         if outcome == Outcome::Neutral {
             return None;
         }
@@ -256,6 +277,19 @@
         Some(Transition::Ejected(target.health.eject(now)))
     }
 
+    fn update_mean_rejection(&mut self, now: Moment) {
+        if now.since(self.rejection_updated) < REJECTION_INTERVAL {
+            return;
+        }
+        self.rejection_updated = now;
+        let reported = self.targets.iter().flatten();
+        let reported = reported.filter_map(|target| target.reported_rejection(now));
+        let (sum, count) = reported.fold((0.0, 0.0), |(sum, count), rejection| {
+            (sum + rejection, count + 1.0)
+        });
+        self.mean_rejection = sum / f64::max(count, 1.0);
+    }
+
     fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
         self.targets.get_mut(key.0 as usize)?.as_mut()
     }
@@ -267,31 +301,43 @@
         random: &mut impl Rng,
         now: Moment,
     ) -> Option<Choice> {
-        let first = self.sample(tier, exclude, None, random, now)?;
-        let first_load = self.load(first, now);
-        let single = Choice {
+        let first = self.sample(tier, exclude, random, now, |_| true)?;
+        let mut choice = Choice {
             target: first,
             tier,
-            load: first_load,
+            load: self.load(first, now),
             rejected: None,
         };
-        let Some(second) = self.sample(tier, exclude, Some(first), random, now) else {
-            return Some(single);
-        };
-        let second_load = self.load(second, now);
-        let (one, other) = self.backlogs((first, first_load), (second, second_load), now);
-        if other < one {
-            return Some(Choice {
-                target: second,
-                load: second_load,
-                rejected: Some((first, first_load)),
-                ..single
-            });
+        let second = self.sample(tier, exclude, random, now, |key| key != first);
+        // Where many targets reject calls, two samples rarely find one that does not.
+        let is_sought = self.mean_rejection >= SOUND_REJECTION;
+        let sound = is_sought
+            .then(|| self.sample(tier, exclude, random, now, |key| self.is_sound(key, now)))
+            .flatten();
+        for other in [second, sound].into_iter().flatten() {
+            if other != choice.target {
+                choice = self.better_of(choice, other, now);
+            }
+        }
+        Some(choice)
+    }
+
+    /// The one of two targets with the smaller backlog.
+    fn better_of(&self, choice: Choice, other: TargetKey, now: Moment) -> Choice {
+        let load = self.load(other, now);
+        let (here, there) = self.backlogs((choice.target, choice.load), (other, load), now);
+        if there < here {
+            return Choice {
+                target: other,
+                load,
+                rejected: Some((choice.target, choice.load)),
+                ..choice
+            };
+        }
+        Choice {
+            rejected: Some((other, load)),
+            ..choice
         }
-        Some(Choice {
-            rejected: Some((second, second_load)),
-            ..single
-        })
     }
 
     /// Backlogs of two targets in seconds, each computed as load times service
@@ -313,21 +359,21 @@
         (one.1 * of(first, second), other.1 * of(second, first))
     }
 
-    /// Samples an available target of a tier.
+    /// Samples an available target of a tier that meets a condition.
     fn sample(
         &self,
         tier: Tier,
         exclude: &[TargetKey],
-        except: Option<TargetKey>,
         random: &mut impl Rng,
         now: Moment,
+        condition: impl Fn(TargetKey) -> bool,
     ) -> Option<TargetKey> {
         let keys = &self.by_tier[tier as usize];
         if keys.is_empty() {
             return None;
         }
         let eligible = |key: TargetKey| {
-            Some(key) != except && !exclude.contains(&key) && self.is_available(key, now)
+            condition(key) && !exclude.contains(&key) && self.is_available(key, now)
         };
         for _ in 0..MAX_SAMPLES {
             let key = keys[random.random_range(0..keys.len())];
@@ -363,6 +409,23 @@
         };
         let calls = f64::from(reported.max(target.in_flight)) + 1.0;
         let busy = calls / f64::from(target.load.limit.max(1));
-        busy / (1.0 - target.health.failure_rate()).max(0.05)
+        let rejection = target.reported_rejection(now);
+        let penalty = rejection.unwrap_or(self.mean_rejection) * REJECTION_LOAD;
+        busy / (1.0 - target.health.failure_rate()).max(0.05) + penalty
+    }
+
+    /// Whether a target recently reported that it rejects few calls.
+    fn is_sound(&self, key: TargetKey, now: Moment) -> bool {
+        let target = self.targets[key.0 as usize].as_ref();
+        let rejection = target.and_then(|target| target.reported_rejection(now));
+        rejection.is_some_and(|rejection| rejection < SOUND_REJECTION)
+    }
+}
+
+impl Target {
+    /// Share of rejected calls, if it was reported recently.
+    fn reported_rejection(&self, now: Moment) -> Option<f64> {
+        let is_recent = self.is_reported && now.since(self.load_reported_at) < MAX_LOAD_AGE;
+        is_recent.then_some(self.load.rejection)
     }
 }
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod retry_tokens;
 mod rotation_weights;
 mod route_choice;
+mod route_rejection;
 mod wallet_prefetch;
 mod window_backpressure;
 
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -14,6 +14,7 @@
         waiting,
         limit: 10,
         service_time: Duration::from_millis(10),
+        rejection: 0.0,
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -198,6 +198,17 @@
     /// Smoothed service time in microseconds; saturates at [`u32::MAX`].
     #[serde(rename = "t")]
     pub service_us: u32,
+    /// Share of the calls that the target rejects, in percent.
+    #[serde(rename = "j", default, skip_serializing_if = "is_zero")]
+    pub rejected_percent: u8,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that `skip_serializing_if` requires"
+)]
+const fn is_zero(value: &u8) -> bool {
+    *value == 0
 }
 
 impl From<gate::Load> for Load {
@@ -207,6 +218,7 @@
             waiting: load.waiting,
             limit: load.limit,
             service_us: u32::try_from(load.service_time.as_micros()).unwrap_or(u32::MAX),
+            rejected_percent: (load.rejection * 100.0).round() as u8,
         }
     }
 }
@@ -218,6 +230,7 @@
             waiting: load.waiting,
             limit: load.limit,
             service_time: Duration::from_micros(u64::from(load.service_us)),
+            rejection: f64::from(load.rejected_percent.min(100)) / 100.0,
         }
     }
 }
