Limit retries in a sliding window

Cause: a request earned a fraction of a retry that lasted ten seconds, so two intervals of ten seconds could be spent in one, and daemons used only 0.4 of the budget to stay within it.

Changed: requests and retries are counted in slots of a second; in ten seconds that end with a retry there are at most ratio x requests + slack. Daemons use 0.7 of it. The test of the fleet's bound is stricter: it no longer adds the window before, nor twice the slack.

--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -195,10 +195,9 @@
         .allocate(store_rates(&node.current_settings()), consumers);
 }
 
-/// Fraction of the fleet's retry budget that daemons allow per request. The retries
-/// of two successive intervals may fall into one; the rest is for differences of
-/// their clocks.
-const RETRY_SHARE: f64 = 0.4;
+/// Fraction of the fleet's retry budget that daemons allow. The rest is for bursts
+/// of requests at the edge of a window and for repeated calls that are charged late.
+const RETRY_SHARE: f64 = 0.7;
 
 /// Divides the fleet's retry budget among the live members.
 fn divide_retries(node: &Node) {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -64,32 +64,32 @@
 const DEFAULT_RATIO: f64 = 0.1;
 /// Default number of retries beyond the ratio, per [`LIFETIME`].
 const DEFAULT_SLACK: f64 = 10.0;
-/// Time for which the retries that a request allows stay available.
-const LIFETIME: Duration = Duration::from_secs(10);
-/// Slots into which that time is divided.
+/// Length of the window in which retries are limited.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Slots into which the window is divided.
 const SLOTS: usize = 10;
+/// Slots that are kept. Retries count for one more than requests, since the first
+/// slot of a window is covered in part.
+const KEPT: usize = SLOTS + 1;
 
 /// Retry budget of one ingress for one service.
 ///
-/// Every request allows `ratio` retries within the following [`LIFETIME`], so that
-/// a fault that begins suddenly finds the retries of the calm time before it. In any
-/// interval of that length, the retries of a fleet do not exceed the ratio times the
-/// requests of that and of the preceding interval, plus twice the sum of the slacks.
+/// In every [`WINDOW`] that ends with a retry, there are at most `ratio` retries for
+/// each request of that window, and `slack` beyond. So a fault that begins suddenly
+/// finds the retries of the calm time before it, and those of a fleet do not exceed
+/// the ratio times its requests and the sum of the slacks.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     /// Retries allowed per request.
     ratio: f64,
-    /// Retries allowed per [`LIFETIME`] beyond the ratio.
+    /// Retries allowed per window beyond the ratio.
     slack: f64,
-    /// Retries allowed by the requests of each slot and not used, none negative.
-    earned: [f64; SLOTS],
+    /// Requests by slot.
+    requests: [f64; KEPT],
+    /// Retries by slot, those charged included.
+    retries: [f64; KEPT],
     /// Number of the current slot since the origin of the clock.
     slot: u64,
-    /// Unused part of the slack, within `0..=slack`.
-    spare: f64,
-    spare_updated: Moment,
-    /// Retries charged beyond those that were available.
-    debt: f64,
 }
 
 impl Default for Budget {
@@ -97,40 +97,36 @@
         Self {
             ratio: DEFAULT_RATIO,
             slack: DEFAULT_SLACK,
-            earned: [0.0; SLOTS],
+            requests: [0.0; KEPT],
+            retries: [0.0; KEPT],
             slot: 0,
-            spare: DEFAULT_SLACK,
-            spare_updated: Moment::ZERO,
-            debt: 0.0,
         }
     }
 }
 
 impl Budget {
-    /// Sets the retries per request and the slack. Unused slack above the new one
-    /// is dropped.
+    /// Sets the retries per request and the slack.
     pub const fn set_bounds(&mut self, ratio: f64, slack: f64) {
         self.ratio = ratio;
         self.slack = slack;
-        self.spare = self.spare.min(slack);
     }
 
-    /// Adds the retries that one request allows.
+    /// Records a request, which allows some retries.
     pub fn record_request(&mut self, now: Moment) {
         self.advance(now);
-        let repaid = self.debt.min(self.ratio);
-        self.debt -= repaid;
-        self.earned[self.slot as usize % SLOTS] += self.ratio - repaid;
+        self.requests[self.slot as usize % KEPT] += 1.0;
     }
 
     /// Spends a retry. Returns false if less than one is available.
     pub fn spend(&mut self, now: Moment) -> bool {
         self.advance(now);
-        let available = self.earned.iter().sum::<f64>() + self.spare;
+        let oldest = (self.slot + 1) as usize % KEPT;
+        let requests = self.requests.iter().sum::<f64>() - self.requests[oldest];
+        let available = self.ratio * requests + self.slack - self.retries.iter().sum::<f64>();
         if available < 1.0 {
             return false;
         }
-        self.take(1.0);
+        self.retries[self.slot as usize % KEPT] += 1.0;
         true
     }
 
@@ -138,35 +134,19 @@
     /// calls of a target that runs a repeated request.
     pub fn charge(&mut self, requests: f64, now: Moment) {
         self.advance(now);
-        self.debt += self.take(requests);
+        self.retries[self.slot as usize % KEPT] += requests;
     }
 
-    /// Takes up to `wanted` retries, the oldest first. Returns those that were
-    /// missing.
-    fn take(&mut self, mut wanted: f64) -> f64 {
-        for age in (0..SLOTS as u64).rev() {
-            let slot = (self.slot + SLOTS as u64 - age) as usize % SLOTS;
-            let taken = self.earned[slot].min(wanted);
-            self.earned[slot] -= taken;
-            wanted -= taken;
-        }
-        let taken = self.spare.min(wanted);
-        self.spare -= taken;
-        wanted - taken
-    }
-
-    /// Drops retries whose lifetime is over and refills the slack.
+    /// Clears the slots that have left the window.
     fn advance(&mut self, now: Moment) {
-        let length = LIFETIME.as_micros() as u64 / SLOTS as u64;
+        let length = WINDOW.as_micros() as u64 / SLOTS as u64;
         let slot = now.as_micros() / length;
-        let expired = slot.saturating_sub(self.slot).min(SLOTS as u64);
-        for passed in 1..=expired {
-            self.earned[(self.slot + passed) as usize % SLOTS] = 0.0;
+        let passed = slot.saturating_sub(self.slot).min(KEPT as u64);
+        for offset in 1..=passed {
+            let index = (slot + KEPT as u64 - passed + offset) as usize % KEPT;
+            self.requests[index] = 0.0;
+            self.retries[index] = 0.0;
         }
         self.slot = self.slot.max(slot);
-        let elapsed = now.since(self.spare_updated);
-        let refill = self.slack * elapsed.div_duration_f64(LIFETIME);
-        self.spare = (self.spare + refill).min(self.slack);
-        self.spare_updated = self.spare_updated.max(now);
     }
 }
--- a/crates/policy/tests/all/retry_budget.rs
+++ b/crates/policy/tests/all/retry_budget.rs
@@ -20,7 +20,7 @@
 fn fleet() -> [Budget; FLEET] {
     let mut budgets = [Budget::default(); FLEET];
     for budget in &mut budgets {
-        budget.set_bounds(RATIO, SLACK / 2.0 / FLEET as f64);
+        budget.set_bounds(RATIO, SLACK / FLEET as f64);
     }
     budgets
 }
@@ -53,9 +53,8 @@
         }
     }
     retries.iter().all(|end| {
-        let previous = end.before(WINDOW);
-        let allowed = RATIO * (count(&requests, *end) + count(&requests, previous));
-        count(&retries, *end) <= allowed + SLACK + 1e-6
+        let allowed = RATIO * count(&requests, *end) + SLACK;
+        count(&retries, *end) <= allowed + 1e-6
     })
 }
 
@@ -87,6 +86,7 @@
     let mut later = budget;
     let retries = spent(&mut budget, at(9_995));
     assert!((99..=100).contains(&retries), "{retries}");
+    assert_eq!(spent(&mut budget, at(15_000)), 0, "retries are spent once");
     assert_eq!(spent(&mut later, at(20_000)), 0, "retries expire");
 }
 
