Take rows of daemons as contacts, not as members

Cause: the rows that a starting daemon reads made members of daemons that had ended.

Changed: a daemon requests members from the daemons that the rows name; one becomes a member when it answers. An isolated daemon replaces a row after 0.6 s.

--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -8,11 +8,12 @@
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_platform::{Client, Condition, Row};
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::member::{Record, State};
+use cardamomshed_policy::member::{Fleet, Record, State};
 use rand::Rng;
 
-use crate::members::{apply_output, is_poller, request_members};
+use crate::members::{is_poller, request_members, request_members_at};
 use crate::node::Node;
+use crate::service::Peer;
 use crate::sync::lock;
 
 /// Table of the seed rows.
@@ -26,6 +27,8 @@
 /// Time after the start in which no row of another daemon is replaced, since its
 /// daemon may not be known yet.
 const REPLACE_DELAY: Duration = Duration::from_secs(5);
+/// The same for a daemon that got no answer from any daemon that has a row.
+const ISOLATED_REPLACE_DELAY: Duration = Duration::from_millis(600);
 /// Upper bound of the interval between two requests for members while more may be
 /// unknown.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(400);
@@ -40,31 +43,33 @@
 pub(super) async fn discover(node: Arc<Node>) {
     let client = node.store_client();
     let mut delay = INITIAL_DELAY;
+    // Daemons named by the rows. Each may have ended since, so it becomes a member
+    // only when it answers.
+    let mut contacts = Vec::new();
     // Consecutive requests without a new live member.
     let mut unchanged = 0;
     let mut last_live = 0;
     let mut round = 0_u32;
     loop {
-        let is_alone = lock(&node.members.fleet).live() == 1;
-        // The rows may be those of daemons that are no longer there.
-        let is_isolated = is_alone || !node.members.exchanged.load(Ordering::Relaxed);
-        // Before the members are known, every daemon takes itself for a poller.
         let is_settled = unchanged >= UNCHANGED_LIMIT;
+        // Before the members are known, every daemon takes itself for a poller.
+        let is_isolated = is_isolated(&node, &lock(&node.members.fleet));
         if is_isolated || (is_settled && is_poller(&node)) {
             match poll(&node, &client).await {
-                Ok(()) => {}
+                Ok(records) => contacts = records,
                 Err(failure) => {
                     node.log_event(Event::PlatformUnreachable, format_args!("seeds: {failure}"));
                 }
             }
         }
+        request_from_contacts(&node, &contacts, round);
         let live = lock(&node.members.fleet).live();
         if unchanged < UNCHANGED_LIMIT && live > 1 {
             unchanged = if live > last_live { 0 } else { unchanged + 1 };
             last_live = live;
             request_members(&node, round);
-            round = round.wrapping_add(1);
         }
+        round = round.wrapping_add(1);
         let jitter = 0.75 + rand::rng().random::<f64>() * 0.5;
         tokio::select! {
             () = tokio::time::sleep(delay.mul_f64(jitter)) => {}
@@ -79,21 +84,67 @@
     }
 }
 
-async fn poll(node: &Arc<Node>, client: &Client) -> Result<(), Failure> {
+/// Whether no other daemon has answered yet, or none is live.
+fn is_isolated(node: &Node, fleet: &Fleet) -> bool {
+    let has_exchanged = node.members.exchanged.load(Ordering::Relaxed);
+    !has_exchanged || fleet.live() == 1
+}
+
+/// Requests members from daemons that are not known: an isolated daemon from those
+/// of its failure domain and, in later rounds, one of another; a relay that knows
+/// no other failure domain from one of these.
+fn request_from_contacts(node: &Node, contacts: &[Record], round: u32) {
+    let mut peers = Vec::new();
+    {
+        let fleet = lock(&node.members.fleet);
+        let domain = &fleet.own().profile.domain;
+        let is_local = |record: &Record| record.profile.domain == *domain;
+        let is_known = |record: &&Record| {
+            let known = fleet.get(&record.name);
+            known.is_some_and(|known| known.state.is_active())
+        };
+        let unknown = contacts.iter().filter(|record| !is_known(record));
+        let (local, foreign): (Vec<_>, Vec<_>) = unknown.partition(|record| is_local(record));
+        let is_lonely = is_isolated(node, &fleet);
+        let knows_foreign = fleet
+            .members()
+            .any(|record| record.state.is_active() && !is_local(record));
+        if is_lonely {
+            peers.extend(local.iter().map(|record| peer_of(record)));
+        }
+        let asks_foreign = if is_lonely {
+            round > 0 || local.is_empty()
+        } else {
+            !knows_foreign && fleet.is_relay()
+        };
+        if asks_foreign && !foreign.is_empty() {
+            let index = rand::random_range(0..foreign.len());
+            peers.push(peer_of(foreign[index]));
+        }
+    }
+    for peer in peers {
+        request_members_at(node, &peer);
+    }
+}
+
+fn peer_of(record: &Record) -> Peer {
+    Peer {
+        node: Arc::clone(&record.name),
+        address: record.profile.peer,
+    }
+}
+
+/// Reads the rows, and writes one if this daemon should have it. Returns the other
+/// daemons that have one.
+async fn poll(node: &Arc<Node>, client: &Client) -> Result<Vec<Record>, Failure> {
     let rows = client.list(TABLE, "", MAX_ROWS).await?;
     let records = rows
         .iter()
         .filter_map(|row| serde_json::from_value::<Record>(row.value.clone()).ok())
-        .filter(|record| record.state.is_active())
-        .collect::<Vec<_>>();
-    let unknown = {
-        let fleet = lock(&node.members.fleet);
-        let unknown = |record: &Record| fleet.get(&record.name).is_none();
-        records.into_iter().filter(unknown).collect::<Vec<_>>()
-    };
-    let output = lock(&node.members.fleet).merge_all(unknown, node.clock.now());
-    apply_output(node, output);
-    claim_row(node, client, &rows).await
+        .filter(|record| record.state.is_active() && record.name != node.name)
+        .collect();
+    claim_row(node, client, &rows).await?;
+    Ok(records)
 }
 
 /// Writes this daemon's record to a seed row of its failure domain that is free or
@@ -122,7 +173,13 @@
     if held.is_some_and(|row| address_of(row) == Some(own.profile.gossip)) {
         return Ok(());
     }
-    let may_replace = node.clock.now().since(Moment::ZERO) > REPLACE_DELAY;
+    let is_isolated = is_isolated(node, &lock(&node.members.fleet));
+    let replace_delay = if is_isolated {
+        ISOLATED_REPLACE_DELAY
+    } else {
+        REPLACE_DELAY
+    };
+    let may_replace = node.clock.now().since(Moment::ZERO) > replace_delay;
     for (key, row) in holders {
         let expect = match row {
             // The row of an earlier process with this name, at another address.
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -140,17 +140,23 @@
             node: Arc::clone(name),
             address,
         };
-        let request = {
-            let fleet = lock(&node.members.fleet);
-            Frame::RequestMembers {
-                digests: fleet.group_digests(),
-                record: Some(Box::new(fleet.own().clone())),
-            }
-        };
-        node.links.send(&peer, request);
+        request_members_at(node, &peer);
     }
 }
 
+/// Requests the member records that differ from a daemon that may not be a known
+/// member.
+pub fn request_members_at(node: &Node, peer: &Peer) {
+    let request = {
+        let fleet = lock(&node.members.fleet);
+        Frame::RequestMembers {
+            digests: fleet.group_digests(),
+            record: Some(Box::new(fleet.own().clone())),
+        }
+    };
+    node.links.send(peer, request);
+}
+
 /// Live members of the local failure domain except this one.
 fn local_members(fleet: &Fleet) -> impl Iterator<Item = &Record> {
     let domain = &fleet.own().profile.domain;
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod link_resume;
 mod local_target;
 mod log_writes;
+mod member_discovery;
 mod note_propagation;
 mod platform_sidecar;
 mod process_signals;
--- /dev/null
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -0,0 +1,73 @@
+//! Daemons that start while rows of the platform name daemons that have ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cardamomshed_daemon::Options;
+use cardamomshed_daemon::node::Node;
+use cardamomshed_policy::member::{Profile, Record, State, rank_key};
+use cardamomshed_standin::client::eventually;
+use cardamomshed_standin::fleet::Member;
+use cardamomshed_standin::platform::{Capacity, Platform};
+
+use crate::platform_sidecar::sidecar;
+
+/// Time within which a lender is to be found after a start of the whole fleet. A
+/// member that stops answering fails after more than four seconds.
+const MAX_START: Duration = Duration::from_secs(3);
+
+/// Record of a daemon of failure domain `a` that has ended.
+fn ended(name: &str) -> Record {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    Record {
+        name: name.into(),
+        incarnation: 1,
+        state: State::Alive,
+        profile: Profile {
+            domain: "a".into(),
+            region: "r".into(),
+            gossip: address,
+            peer: address,
+            admin: address,
+            service: Some("s-three".into()),
+            slots: 8,
+            open: true,
+            lender_slots: vec![0],
+        },
+    }
+}
+
+fn slots(node: &Node) -> usize {
+    node.quota.lenders.lock().expect("not poisoned").len()
+}
+
+fn live(node: &Node) -> usize {
+    node.members.fleet.lock().expect("not poisoned").live()
+}
+
+#[test]
+fn ended_daemons_ignored() {
+    let platform = Platform::start(Capacity::default());
+    // These precede both daemons in the order of the failure domain.
+    let first = rank_key("n-1").min(rank_key("n-2"));
+    let names = (0..).map(|number| format!("ended-{number}"));
+    let names = names.filter(|name| rank_key(name) < first).take(3);
+    for (number, name) in names.enumerate() {
+        let row = serde_json::to_value(ended(&name)).expect("a record");
+        platform.write("seeds", &format!("a-{number}"), &row);
+    }
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    let started = Instant::now();
+    let members = ["n-1", "n-2"].map(|name| {
+        let settings = sidecar(name, "s-one", unreachable, &platform);
+        Member::start(settings, Options::default())
+    });
+    let nodes = members.each_ref().map(|member| Arc::clone(&member.node));
+    eventually("one lender", || {
+        nodes.iter().map(|node| slots(node)).sum::<usize>() == 1
+            && nodes.iter().all(|node| live(node) == 2)
+    });
+    let took = started.elapsed();
+    assert!(took < MAX_START, "a lender was found only after {took:?}");
+}
