Verify a lender that does not answer, and suspect members for 2.5 s

Changed: a daemon whose ask was not answered probes the lender at once, and suspicion lasts 2.5 s.

Ruled out: faster takeover by the next rank without suspicion, since a lender that is cut off from the next rank alone would lend beside it.

Test: member_gossip::unresponsive_member_verified; packet_loss_tolerated holds.

--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -14,7 +14,7 @@
 pub mod leased;
 mod ranked;
 
-use crate::members::{is_poller, publish};
+use crate::members::{apply_output, is_poller, publish};
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -124,22 +124,37 @@
         let Some(bound) = bound_of(node, name) else {
             return;
         };
+        let lenders_tried = match node.settings.sidecar {
+            Some(_) => lock(&node.quota.wallet).unresponsive_lenders(account, now),
+            None => 0,
+        };
+        if lenders_tried > 0 {
+            verify_lender(node, name);
+        }
         let request = Grant {
             account: Arc::clone(name),
             requested: wanted,
             tokens: 0,
             requested_us: now.as_micros(),
             validity_us: validity(bound).as_micros() as u64,
-            lenders_tried: match node.settings.sidecar {
-                Some(_) => lock(&node.quota.wallet).unresponsive_lenders(account, now),
-                None => 0,
-            },
+            lenders_tried,
             is_lender: false,
         };
         send_request(node, request);
     }
 }
 
+/// Probes the account's first lender, which did not answer in time. The sooner it
+/// fails, the sooner another daemon lends in its place.
+fn verify_lender(node: &Node, account: &str) {
+    let Some(lender) = ranked::select_lender(node, account, 0) else {
+        return;
+    };
+    let now = node.clock.now();
+    let output = lock(&node.members.fleet).verify(&lender.node, now);
+    apply_output(node, output);
+}
+
 /// Sends a token request to the lender selected by its turn, or serves it from
 /// the slots held here. Without a further lender, a sidecar cancels the request
 /// and other daemons wait for [`EXHAUSTED_BACKOFF`].
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -55,7 +55,7 @@
             probe_interval: Duration::from_secs(1),
             direct_timeout: Duration::from_millis(350),
             indirect_probes: 3,
-            suspicion_timeout: Duration::from_secs(4),
+            suspicion_timeout: Duration::from_millis(2_500),
             retention: Duration::from_hours(1),
             max_records: 7,
             fanout: 4,
@@ -132,6 +132,8 @@
     offset: Option<Offset>,
     /// When it was last pinged to measure its clock.
     calibrated_at: Option<Moment>,
+    /// When it was last probed because it did not answer a message.
+    verified_at: Option<Moment>,
 }
 
 /// Local view of the fleet.
@@ -492,6 +494,7 @@
                     probed_at: None,
                     offset: None,
                     calibrated_at: None,
+                    verified_at: None,
                 };
                 self.members.insert(name, member);
                 None
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -136,6 +136,10 @@
         let Some(subject) = chosen else {
             return;
         };
+        self.probe_member(subject, now, output);
+    }
+
+    fn probe_member(&mut self, subject: Arc<str>, now: Moment, output: &mut Output) {
         let Some(to) = self.get(&subject).map(|record| record.profile.gossip) else {
             return;
         };
@@ -154,6 +158,37 @@
         output.sends.push(Send { to, packet });
     }
 
+    /// Probes a member that did not answer a message, instead of the one whose turn
+    /// it is, at most once per probe interval.
+    pub fn verify(&mut self, name: &str, now: Moment) -> Output {
+        let mut output = Output::default();
+        let interval = self.config.probe_interval;
+        let Some(member) = self.members.get_mut(name) else {
+            return output;
+        };
+        let is_recent = member
+            .verified_at
+            .is_some_and(|verified_at| now.since(verified_at) < interval);
+        if is_recent || member.record.state != State::Alive {
+            return output;
+        }
+        member.verified_at = Some(now);
+        let subject = Arc::clone(&member.record.name);
+        if self
+            .probe
+            .as_ref()
+            .is_some_and(|probe| probe.subject == subject)
+        {
+            return output;
+        }
+        if let Some(probe) = self.probe.take() {
+            self.probe_order.push(probe.subject);
+        }
+        self.next_probe_at = now + interval;
+        self.probe_member(subject, now, &mut output);
+        output
+    }
+
     /// Next member of a shuffled round over all active members.
     fn next_in_round(&mut self, random: &mut impl Rng) -> Option<Arc<str>> {
         for _ in 0..2 {
--- a/crates/policy/tests/all/member_gossip.rs
+++ b/crates/policy/tests/all/member_gossip.rs
@@ -438,3 +438,21 @@
         assert_eq!(fleet.live(), 8);
     }
 }
+
+#[test]
+fn unresponsive_member_verified() {
+    // A member that does not answer is verified by one other. It fails within one
+    // probe and the suspicion, instead of when its turn comes.
+    let mut network = Network::new(40);
+    network.run(Duration::from_secs(20));
+    network.down.insert(7);
+    let output = network.fleets[0].verify(&name(7), network.now);
+    assert_eq!(output.sends.len(), 1);
+    network.deliver(0, output);
+    let again = network.fleets[0].verify(&name(7), network.now);
+    assert_eq!(again.sends.len(), 0, "verified twice at once");
+    let config = Config::default();
+    network.run(config.probe_interval + config.suspicion_timeout + 2 * STEP);
+    let state = network.fleets[0].get(&name(7)).map(|record| record.state);
+    assert_eq!(state, Some(State::Failed));
+}
