--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -90,43 +90,43 @@
     !has_exchanged || fleet.live() == 1
 }
 
-/// Requests members from daemons that are not known: an isolated daemon from those
-/// of its failure domain and, in later rounds, one of another; a relay that knows
-/// no other failure domain from one of these.
+/// Requests members from daemons that the rows name and that are no members yet.
 fn request_from_contacts(node: &Node, contacts: &[Record], round: u32) {
-    let mut peers = Vec::new();
-    {
+    let peers = {
         let fleet = lock(&node.members.fleet);
-        let domain = &fleet.own().profile.domain;
-        let is_local = |record: &Record| record.profile.domain == *domain;
-        let is_known = |record: &&Record| {
-            let known = fleet.get(&record.name);
-            known.is_some_and(|known| known.state.is_active())
-        };
-        let unknown = contacts.iter().filter(|record| !is_known(record));
-        let (local, foreign): (Vec<_>, Vec<_>) = unknown.partition(|record| is_local(record));
-        let is_lonely = is_isolated(node, &fleet);
-        let knows_foreign = fleet
-            .members()
-            .any(|record| record.state.is_active() && !is_local(record));
-        if is_lonely {
-            peers.extend(local.iter().map(|record| peer_of(record)));
-        }
-        let asks_foreign = if is_lonely {
-            round > 0 || local.is_empty()
-        } else {
-            !knows_foreign && fleet.is_relay()
-        };
-        if asks_foreign && !foreign.is_empty() {
-            let index = rand::random_range(0..foreign.len());
-            peers.push(peer_of(foreign[index]));
-        }
-    }
+        select_contacts(&fleet, is_isolated(node, &fleet), contacts, round)
+    };
     for peer in peers {
         request_members_at(node, &peer);
     }
 }
 
+/// Contacts to request members from. An isolated daemon turns to those of its
+/// failure domain and, from the second round on, to one of another; a relay that
+/// knows no other failure domain to one of these.
+fn select_contacts(fleet: &Fleet, is_isolated: bool, contacts: &[Record], round: u32) -> Vec<Peer> {
+    let domain = &fleet.own().profile.domain;
+    let is_local = |record: &Record| record.profile.domain == *domain;
+    let is_live = |record: &Record| record.state.is_active();
+    let unknown = contacts
+        .iter()
+        .filter(|contact| !fleet.get(&contact.name).is_some_and(is_live));
+    let (local, foreign): (Vec<_>, Vec<_>) = unknown.partition(|contact| is_local(contact));
+    let asks_foreign = if is_isolated {
+        round > 0 || local.is_empty()
+    } else {
+        let knows_foreign = fleet
+            .members()
+            .any(|record| is_live(record) && !is_local(record));
+        !knows_foreign && fleet.is_relay()
+    };
+    let mut chosen = if is_isolated { local } else { Vec::new() };
+    if asks_foreign && !foreign.is_empty() {
+        chosen.push(foreign[rand::random_range(0..foreign.len())]);
+    }
+    chosen.into_iter().map(peer_of).collect()
+}
+
 fn peer_of(record: &Record) -> Peer {
     Peer {
         node: Arc::clone(&record.name),
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -8,6 +8,8 @@
 //! without an external store.
 
 mod broadcast;
+mod exchange;
+mod merge;
 mod offset;
 mod packet;
 mod probe;
@@ -20,6 +22,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use merge::Source;
 use offset::Offset;
 use rand::Rng;
 
@@ -63,30 +66,11 @@
     }
 }
 
-/// Consecutive differing digests after which an exchange is requested.
-const MIN_DIFFERING_PACKETS: u32 = 4;
-/// Number of packets that one differing packet between a relay and a member that
-/// exchanges records with it counts for.
-const RELAY_WEIGHT: u32 = 4;
-/// Shortest interval between two exchanges.
-const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_secs(3);
 /// Time after a change of the own record in which probes carry it.
 const OWN_RECORD_TIME: Duration = Duration::from_secs(5);
-/// Number of groups, by hash of the name, whose digests an exchange compares.
-const DIGEST_GROUPS: usize = 64;
 /// Bits of a ping's sequence number that count the pings of one process.
 const SEQUENCE_BITS: u32 = 22;
 
-/// Where a record comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// A packet, or an observation of this member.
-    Gossip,
-    /// An exchange or the platform's rows. Others learn the record the same way,
-    /// so it is not disseminated.
-    Exchange,
-}
-
 /// Outgoing packet.
 #[derive(Clone, Debug)]
 pub struct Send {
@@ -269,59 +253,6 @@
         self.confirmed = self.confirmed.max(confirmed);
     }
 
-    /// Merges records from the platform's rows or from an exchange.
-    pub fn merge_all(&mut self, records: Vec<Record>, now: Moment) -> Output {
-        let mut output = Output::default();
-        for record in records {
-            self.merge(record, Source::Exchange, now, &mut output);
-        }
-        output
-    }
-
-    /// Whether this member exchanges records with other failure domains on behalf
-    /// of its own.
-    pub fn is_relay(&self) -> bool {
-        self.domain_relay() == &*self.own.name
-    }
-
-    /// First active member of the local failure domain by [`rank_key`].
-    fn domain_relay(&self) -> &str {
-        let peers = self
-            .members()
-            .filter(|record| record.state.is_active() && self.is_local(record));
-        let names = peers.chain([&self.own]).map(|record| &*record.name);
-        let first = names.min_by_key(|name| rank_key(name));
-        first.unwrap_or(&self.own.name)
-    }
-
-    /// Whether a member belongs to the failure domain of this one.
-    fn is_local(&self, record: &Record) -> bool {
-        record.profile.domain == self.own.profile.domain
-    }
-
-    /// Digests of the active members, this one included, by group of names.
-    pub fn group_digests(&self) -> Vec<u64> {
-        let mut digests = vec![0; DIGEST_GROUPS];
-        for record in self.members().chain([&self.own]) {
-            if record.state.is_active() {
-                digests[group_of(record)] ^= record.digest();
-            }
-        }
-        digests
-    }
-
-    /// Records of the groups whose digest differs from the given one. A group for
-    /// which no digest is given counts as differing.
-    pub fn differing(&self, digests: &[u64]) -> Vec<Record> {
-        let own = self.group_digests();
-        let differs = |record: &&Record| {
-            let group = group_of(record);
-            digests.get(group) != Some(&own[group])
-        };
-        let records = self.members().chain([&self.own]).filter(differs);
-        records.cloned().collect()
-    }
-
     /// Advances the time to `now`: sends due probes, expires suspicions and evicts
     /// members whose retention has ended.
     pub fn tick(&mut self, random: &mut impl Rng, now: Moment) -> Output {
@@ -417,38 +348,6 @@
         }
     }
 
-    /// XOR of the digests of all active members, including this one.
-    fn full_digest(&self) -> u64 {
-        self.others_digest ^ self.own.digest()
-    }
-
-    /// Requests an exchange after repeated differences from the digests of others.
-    /// Members compare themselves with their failure domain, and above all with its
-    /// relay; only the relay compares itself with other domains.
-    fn compare(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
-        if packet.digest == self.full_digest() {
-            self.differing_packets = 0;
-            return;
-        }
-        let is_local = self
-            .get(&packet.sender)
-            .is_some_and(|sender| self.is_local(sender));
-        let relay = self.domain_relay();
-        if !is_local && relay != &*self.own.name {
-            return;
-        }
-        // The other local members may all lack what the relay, or the other domain,
-        // has learned.
-        let is_decisive = !is_local || *packet.sender == *relay;
-        self.differing_packets += if is_decisive { RELAY_WEIGHT } else { 1 };
-        let interval_elapsed = now.since(self.exchanged_at) >= MIN_EXCHANGE_INTERVAL;
-        if self.differing_packets >= MIN_DIFFERING_PACKETS && interval_elapsed {
-            self.differing_packets = 0;
-            self.exchanged_at = now;
-            output.diverged = Some(Arc::clone(&packet.sender));
-        }
-    }
-
     fn announce(&mut self, random: &mut impl Rng) -> Output {
         self.own.incarnation += 1;
         self.own_changed_at = self.now;
@@ -467,104 +366,6 @@
         output
     }
 
-    fn merge(&mut self, record: Record, source: Source, now: Moment, output: &mut Output) {
-        if record.name == self.own.name {
-            self.refute(&record);
-            return;
-        }
-        let known = self.members.get(&record.name);
-        let previous_address = known.map(|member| member.record.profile.gossip);
-        let before = match self.members.get_mut(&record.name) {
-            Some(member) if !record.supersedes(&member.record) => return,
-            Some(member) => {
-                if member.record.state.is_active() {
-                    self.others_digest ^= member.record.digest();
-                }
-                let before = member.record.state;
-                member.record = record.clone();
-                member.changed_at = now;
-                member.probed_at = None;
-                Some(before)
-            }
-            None => {
-                let name = Arc::clone(&record.name);
-                let member = Member {
-                    record: record.clone(),
-                    changed_at: now,
-                    probed_at: None,
-                    offset: None,
-                    calibrated_at: None,
-                    verified_at: None,
-                };
-                self.members.insert(name, member);
-                None
-            }
-        };
-        if record.state.is_active() {
-            self.others_digest ^= record.digest();
-        }
-        if source == Source::Gossip {
-            self.queue.add(Arc::clone(&record.name));
-        }
-        let changed = record.clone();
-        output.changes.push(Change { record, before });
-        if let Some(address) = previous_address
-            && self.by_address.get(&address) == Some(&changed.name)
-        {
-            self.by_address.remove(&address);
-        }
-        if changed.state.is_active() {
-            self.resolve_address(&changed, now, output);
-        }
-    }
-
-    /// Adds the address of an active member to the index. Two members cannot live
-    /// at one address, so the one that started earlier has failed. This happens
-    /// when the address of a lost machine is used again while a row of the platform
-    /// still lists that machine.
-    fn resolve_address(&mut self, record: &Record, now: Moment, output: &mut Output) {
-        let address = record.profile.gossip;
-        if address == self.own.profile.gossip {
-            self.set_state(&record.name, State::Failed, now, output);
-            return;
-        }
-        let holder = self.by_address.get(&address).cloned();
-        let Some(holder) = holder.filter(|holder| *holder != record.name) else {
-            self.by_address.insert(address, Arc::clone(&record.name));
-            return;
-        };
-        let held_since = self.get(&holder).map_or(0, |held| held.incarnation);
-        let failed = if held_since < record.incarnation {
-            self.by_address.insert(address, Arc::clone(&record.name));
-            holder
-        } else {
-            Arc::clone(&record.name)
-        };
-        self.set_state(&failed, State::Failed, now, output);
-    }
-
-    /// Raises the own incarnation above that of a record that would replace it.
-    fn refute(&mut self, record: &Record) {
-        let refutable = record.incarnation > self.own.incarnation
-            || (record.incarnation == self.own.incarnation && record.state > self.own.state);
-        if refutable {
-            self.own.incarnation = record.incarnation + 1;
-            self.own_changed_at = self.now;
-            self.queue.add(Arc::clone(&self.own.name));
-        }
-    }
-
-    fn set_state(&mut self, name: &str, state: State, now: Moment, output: &mut Output) {
-        let Some(member) = self.members.get(name) else {
-            return;
-        };
-        let record = Record {
-            state,
-            ..member.record.clone()
-        };
-        self.merge(record, Source::Gossip, now, output);
-    }
-
     fn expire(&mut self, now: Moment, output: &mut Output) {
         let config = self.config;
         let overdue = |member: &&Member| {
@@ -660,7 +461,3 @@
         }
     }
 }
-
-fn group_of(record: &Record) -> usize {
-    rank_key(&record.name) as usize % DIGEST_GROUPS
-}
