Let unconfirmed daemons read the store one after the other

Cause: a feed's confirmation is up to 2.1 s old, and a daemon that is no poller read the store itself at 2.2 s, all of a failure domain at the same time.

Test: confirmation_reads.

--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -2,17 +2,18 @@
 //!
 //! The pollers of each failure domain wait for changes at the store, and the
 //! other daemons receive them from peers. A daemon whose configuration has not
-//! been confirmed for [`MAX_UNCONFIRMED`] reads the store itself.
+//! been confirmed for some time reads the store itself.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_platform::{CONFIG_KEY, CONFIG_TABLE, Changes, Client, redact_config};
+use cardamomshed_policy::confirmation::read_age;
 use serde_json::Value;
 
 use super::distribution::{install_operator_config, request_from_peer};
-use crate::members::{broadcast_confirmation, is_poller};
+use crate::members::{broadcast_confirmation, is_poller, rank};
 use crate::node::Node;
 
 /// Time for which one feed request waits at the store for a change.
@@ -21,7 +22,7 @@
 /// platform. A confirmation by the feed is dated back by it.
 const FEED_LAG: Duration = Duration::from_millis(1_100);
 /// Age of the last confirmation at which a daemon that is no poller reads the
-/// store.
+/// store, outside sidecar mode.
 const MAX_UNCONFIRMED: Duration = Duration::from_millis(2_200);
 /// Interval at which a daemon that does not read checks whether it has to, and
 /// base of the retry backoff.
@@ -56,8 +57,7 @@
 
 impl Reader {
     async fn step(&mut self) {
-        let unconfirmed = self.node.configuration.unconfirmed_for() > MAX_UNCONFIRMED;
-        if !unconfirmed && !is_poller(&self.node) {
+        if !is_poller(&self.node) && !self.must_read() {
             self.version = None;
             tokio::time::sleep(MIN_DELAY).await;
             return;
@@ -87,6 +87,15 @@
         }
     }
 
+    /// Whether this daemon, which is no poller, has to confirm its configuration.
+    fn must_read(&self) -> bool {
+        let age = self.node.configuration.unconfirmed_for();
+        match &self.node.current_settings().sidecar {
+            Some(sidecar) => age > read_age(sidecar.withdraw_within.get(), rank(&self.node)),
+            None => age > MAX_UNCONFIRMED,
+        }
+    }
+
     async fn read(&mut self) -> Result<(), Failure> {
         let sent = self.node.clock.now();
         let Some(version) = self.version else {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! time.
 
 pub mod admission;
+pub mod confirmation;
 pub mod gate;
 pub mod key;
 pub mod member;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the policies, one file per feature.
 
 mod admission_level;
+mod confirmation_reads;
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
