Recognise late responses on the own interface as well

Cause: without the platform's attempt identifier, the first final response on a kept connection was taken. A second copy of an earlier answer that arrives after the next request was sent went to the next caller.

Changed: a target may return x-shed-context, which differs for each call; a response with another value is skipped, and one without any is taken as before.

Test: exchange_framing::optional_identifier_checked; with no identifier, as before, the second request got the answer of the first.

Ruled out: copies that arrive before the next request close the connection already (surplus_closes_connection).

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -50,9 +50,22 @@
     pub head_only: bool,
     /// Whether the request may run more than once.
     pub repeatable: bool,
-    /// Header name and value that the response to this request must carry;
-    /// others are skipped. With `None`, the first final response is taken.
-    pub correlation: Option<(&'a str, &'a str)>,
+    /// How the response to this request is recognised. With `None`, the first final
+    /// response is taken.
+    pub correlation: Option<Correlation<'a>>,
+}
+
+/// Header field by which the response to a request is told from late responses to
+/// earlier ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Correlation<'a> {
+    /// Name of the field, in lower case.
+    pub name: &'a str,
+    /// Value in the response to this request. Responses with another value are
+    /// skipped.
+    pub value: &'a str,
+    /// Whether a response without the field is skipped too.
+    pub required: bool,
 }
 
 /// A complete response.
@@ -260,9 +273,7 @@
             if (100..200).contains(&head.status) {
                 continue;
             }
-            let is_match = request
-                .correlation
-                .is_none_or(|(name, value)| head.has(name, value));
+            let is_match = request.correlation.is_none_or(|field| head.matches(field));
             if is_match {
                 return Ok(head);
             }
@@ -394,8 +405,9 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    fn has(&self, name: &str, value: &str) -> bool {
-        self.get(name) == Some(value)
+    fn matches(&self, field: Correlation<'_>) -> bool {
+        self.get(field.name)
+            .map_or(!field.required, |value| value == field.value)
     }
 }
 
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -18,14 +18,15 @@
 use tokio::sync::mpsc;
 
 use crate::context::{Context, Guard, Root};
-use crate::exchange::{Error, Pool, Request, Response};
+use crate::exchange::{Correlation, Error, Pool, Request, Response};
 use crate::job::Job;
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
 use crate::sync::lock;
 use crate::target::{Attributes, Completion, Permit};
 
-/// Header that carries the call context to the target.
+/// Header that carries the call context to the target. If the target returns it
+/// with the response, late responses to earlier calls are recognised.
 pub const CONTEXT_HEADER: &str = "x-shed-context";
 /// Header that carries the id of the root request.
 pub const REQUEST_HEADER: &str = "x-shed-request";
@@ -331,12 +332,22 @@
         let (node, call) = (self.node, self.call);
         let head = self.head(body.len())?;
         let platform = node.settings.sidecar.is_some();
+        let token = self.guard.token.to_string();
+        let correlation = if platform {
+            attempt_field(call)
+        } else {
+            Some(Correlation {
+                name: CONTEXT_HEADER,
+                value: &token,
+                required: false,
+            })
+        };
         let request = Request {
             head: &head,
             body: &body,
             head_only: call.method == "HEAD",
             repeatable: call.repeatable,
-            correlation: attempt_field(call).filter(|_| platform),
+            correlation,
         };
         let connect = node.current_settings().timing.connect.get();
         let limit = node.lookup().config.limits.body.get();
@@ -413,10 +424,14 @@
 
 /// Header field that identifies the attempt. The target echoes it, so that a late
 /// response to an earlier request is not taken for the response to this one.
-fn attempt_field(call: &Call) -> Option<(&str, &str)> {
+fn attempt_field(call: &Call) -> Option<Correlation<'_>> {
     let mut fields = call.headers.iter();
     let found = fields.find(|(name, _)| name == header::ATTEMPT);
-    found.map(|(name, value)| (name.as_str(), value.as_str()))
+    found.map(|(name, value)| Correlation {
+        name,
+        value,
+        required: true,
+    })
 }
 
 /// Checks whether a response on the platform shows that the request ran. Unsigned
--- a/crates/daemon/tests/all/endless_response.rs
+++ b/crates/daemon/tests/all/endless_response.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cardamomshed_daemon::exchange::{Error, Pool, Request, Response};
+use cardamomshed_daemon::exchange::{Correlation, Error, Pool, Request, Response};
 use cardamomshed_standin::thread;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -52,7 +52,11 @@
         body: &body,
         head_only: false,
         repeatable: true,
-        correlation: Some(("x-attempt-id", "1")),
+        correlation: Some(Correlation {
+            name: "x-attempt-id",
+            value: "1",
+            required: true,
+        }),
     };
     let pending = pool.exchange(address, Duration::from_secs(1), &request, LIMIT);
     let finished = tokio::time::timeout(Duration::from_secs(5), pending).await;
--- a/crates/daemon/tests/all/exchange_framing.rs
+++ b/crates/daemon/tests/all/exchange_framing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cardamomshed_daemon::exchange::{Error, Pool, Request, Response};
+use cardamomshed_daemon::exchange::{Correlation, Error, Pool, Request, Response};
 use cardamomshed_standin::thread;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -67,7 +67,26 @@
     address
 }
 
+const fn correlation(id: &str, required: bool) -> Correlation<'_> {
+    Correlation {
+        name: "x-attempt-id",
+        value: id,
+        required,
+    }
+}
+
 async fn exchange_one(pool: &Pool, address: SocketAddr, id: &str) -> Result<Response, Error> {
+    exchange_with(pool, address, id, true).await
+}
+
+/// Sends one request. `required` is whether a response without its identifier is
+/// skipped.
+async fn exchange_with(
+    pool: &Pool,
+    address: SocketAddr,
+    id: &str,
+    required: bool,
+) -> Result<Response, Error> {
     let head = format!("GET /a/b HTTP/1.1\r\nhost: h\r\nx-attempt-id: {id}\r\n\r\n");
     let body = Bytes::new();
     let request = Request {
@@ -75,7 +94,7 @@
         body: &body,
         head_only: false,
         repeatable: true,
-        correlation: Some(("x-attempt-id", id)),
+        correlation: Some(correlation(id, required)),
     };
     let connect = Duration::from_secs(1);
     let pending = pool.exchange(address, connect, &request, LIMIT);
@@ -123,6 +142,26 @@
     assert_eq!(responses, [Ok("one".to_owned()), Ok("two".to_owned())]);
 }
 
+#[test]
+fn optional_identifier_checked() {
+    // A target may return the identifier: a late response with that of an earlier
+    // request is skipped, and one without any is taken.
+    const PLAIN: Step = Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain");
+    let responses = thread::run(|| async {
+        let address = target(&[&[Read, ONE, Read, ONE, TWO, Read, PLAIN]]).await;
+        let pool = Pool::default();
+        let mut bodies = Vec::new();
+        for id in ["1", "2", "3"] {
+            let response = exchange_with(&pool, address, id, false).await;
+            bodies.push(response.map(|found| found.body));
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        bodies
+    });
+    let expected = ["one", "two", "plain"].map(|body| Ok(Bytes::from_static(body.as_bytes())));
+    assert_eq!(responses, expected);
+}
+
 #[test]
 fn surplus_closes_connection() {
     let surplus: &[Step] = &[Read, ONE, Send("HTTP/1.1 200 OK\r\n"), Read, TWO];
@@ -251,7 +290,7 @@
             body: &body,
             head_only: false,
             repeatable: false,
-            correlation: Some(("x-attempt-id", "1")),
+            correlation: Some(correlation("1", true)),
         };
         let connect = Duration::from_secs(1);
         let early = pool.exchange(address, connect, &request, LIMIT).await;
