Answer requests on connections that a stopping daemon has established

Cause: on a stop the task that accepts connections was aborted and its listener closed. Connections that the kernel had established by then, with requests sent, were reset, and those just accepted had no time to be read.

Changed: a listener that stops drops the first packet of new connections by a socket filter, waits 20 ms for those being established, accepts all of them, and then closes; the daemon ends after 150 ms without an open request.

Ruled out: accepting until none is left before the close cut a request in one run of three; so did a backlog of zero, which the kernel takes as one.

Test: process_signals::stop_answers_kept_connections, 12 callers that send one request after the other over kept connections until none is accepted.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,6 +24,8 @@
 
 /// Interval between checks for open requests.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without an open request after which no more are expected.
+const QUIET_TIME: Duration = Duration::from_millis(150);
 /// Time allowed for gossip about the departure to reach other daemons.
 const GOSSIP_DELAY: Duration = Duration::from_millis(100);
 
@@ -197,14 +199,17 @@
 }
 
 impl Daemon<Leaving> {
+    /// Whether no request is open.
+    fn is_idle(&self) -> bool {
+        let node = &self.node;
+        node.metrics.open.get() == 0 && node.local_target.is_idle() && node.links.sessions.is_idle()
+    }
+
     /// Waits until no request is open, at most until `deadline`. Returns whether
     /// none is open.
     async fn wait_idle(&self, deadline: Instant) -> bool {
-        let node = &self.node;
         loop {
-            let idle = node.metrics.open.get() == 0
-                && node.local_target.is_idle()
-                && node.links.sessions.is_idle();
+            let idle = self.is_idle();
             if idle || Instant::now() >= deadline {
                 return idle;
             }
@@ -212,10 +217,28 @@
         }
     }
 
+    /// Waits until no request has been open for [`QUIET_TIME`], in which requests
+    /// that were sent before the listeners closed are read and answered. Does not
+    /// wait for open ones after `deadline`.
+    async fn wait_quiet(&self, deadline: Instant) -> bool {
+        loop {
+            if !self.wait_idle(deadline).await {
+                return false;
+            }
+            let quiet_until = Instant::now() + QUIET_TIME;
+            while self.is_idle() {
+                if Instant::now() >= quiet_until {
+                    return true;
+                }
+                tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+            }
+        }
+    }
+
     /// Waits for open requests, at most for the time in the settings, then stops
     /// the daemon. Returns whether all of them ended.
-    pub async fn stop(self) -> bool {
-        let node = &self.node;
+    pub async fn stop(mut self) -> bool {
+        let node = Arc::clone(&self.node);
         let drain = match &node.current_settings().sidecar {
             Some(sidecar) => sidecar.grace.get().mul_f64(GRACE_FRACTION),
             None => node.current_settings().timing.drain.get(),
@@ -229,13 +252,13 @@
         node.lifecycle.set_closing();
         let mut idle = self.wait_idle(deadline).await;
         let output = lock(&node.members.fleet).leave(&mut rand::rng());
-        apply_output(node, output);
+        apply_output(&node, output);
         tokio::time::sleep(GOSSIP_DELAY).await;
-        for server in &self.servers {
+        for server in std::mem::take(&mut self.servers) {
             server.stop().await;
         }
-        // Requests may have arrived over keep-alive connections in the meantime.
-        idle &= self.wait_idle(deadline).await;
+        // Requests may have arrived over kept or new connections in the meantime.
+        idle &= self.wait_quiet(deadline).await;
         node.log_event(Event::DaemonStopped, format_args!("all_ended={idle}"));
         self.root.do_send(Stop);
         idle
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -16,9 +16,12 @@
 use anyhow::{Context as _, Result};
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_platform::registration;
+use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use socket2::{SockFilter, SockRef};
 use tokio::net::TcpStream;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 use super::{admin, announce, control, ingress, outbound};
 use crate::node::Node;
@@ -33,6 +36,23 @@
 /// Delay after a failed accept, which avoids a busy loop while the cause persists.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Time within which connections that are being established are complete.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
+/// Packet filter of a listening socket that drops the first packet of each new
+/// connection: the one with the flag SYN and without ACK.
+const IGNORE_NEW_CONNECTIONS: [SockFilter; 5] = [
+    // Load the flags, in byte 13 of the TCP header.
+    SockFilter::new(0x30, 0, 0, 13),
+    // Keep SYN and ACK.
+    SockFilter::new(0x54, 0, 0, 0x12),
+    // Continue if only SYN is set, or skip one instruction.
+    SockFilter::new(0x15, 0, 1, 0x02),
+    // Drop the packet.
+    SockFilter::new(0x06, 0, 0, 0),
+    // Pass the whole packet.
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
+
 /// Listening sockets, which are bound before the daemon joins the fleet under its
 /// name.
 #[derive(Debug)]
@@ -51,16 +71,28 @@
 #[derive(Debug)]
 pub enum Server {
     /// Task on the daemon's thread.
-    Local(AbortHandle),
+    Local(Local),
     /// TLS server on a thread of its own.
     Threaded(actix_web::dev::ServerHandle),
 }
 
+/// A task that accepts connections.
+#[derive(Debug)]
+pub struct Local {
+    stop: Arc<Notify>,
+    task: JoinHandle<()>,
+}
+
 impl Server {
-    /// Stops accepting connections. Open connections may finish, up to 2 s with TLS.
-    pub async fn stop(&self) {
+    /// Stops accepting connections, after those that the kernel has established.
+    /// Open connections may finish, up to 2 s with TLS.
+    pub async fn stop(self) {
         match self {
-            Self::Local(task) => task.abort(),
+            Self::Local(local) => {
+                local.stop.notify_one();
+                // A task that failed accepts no connections either.
+                let _ = local.task.await;
+            }
             Self::Threaded(server) => server.stop(true).await,
         }
     }
@@ -207,7 +239,9 @@
     let listener = tokio::net::TcpListener::from_std(listener)
         .context("cannot register a listener with the runtime")?;
     let node = Arc::clone(node);
-    let task: JoinHandle<()> = actix_rt::spawn(async move {
+    let stop = Arc::new(Notify::new());
+    let stopped = Arc::clone(&stop);
+    let task = actix_rt::spawn(async move {
         let handler = match building.await {
             Ok(handler) => handler,
             Err(error) => {
@@ -216,7 +250,11 @@
             }
         };
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stopped.notified() => break,
+            };
+            match accepted {
                 Ok((stream, peer)) => {
                     actix_rt::spawn(handler(stream, peer));
                 }
@@ -226,6 +264,18 @@
                 }
             }
         }
+        accept_established(&listener, &handler).await;
     });
-    Ok(Server::Local(task.abort_handle()))
+    Ok(Server::Local(Local { stop, task }))
+}
+
+/// Accepts the connections that the kernel has established or is establishing. Their
+/// requests may have been sent, and would be lost when the listener is closed.
+async fn accept_established(listener: &tokio::net::TcpListener, handler: &Handler) {
+    // Without the filter, a connection may be established just before the close.
+    let _ = SockRef::from(listener).attach_filter(&IGNORE_NEW_CONNECTIONS);
+    tokio::time::sleep(HANDSHAKE_TIME).await;
+    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+        actix_rt::spawn(handler(stream, peer));
+    }
 }
--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -2,7 +2,8 @@
 //! a signal.
 
 use std::fs;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -152,6 +153,79 @@
     );
 }
 
+/// Sends requests one after the other over kept connections until no new
+/// connection is accepted. Returns the requests that were answered, and those
+/// whose connection ended without a complete response.
+fn request_until_closed(to: SocketAddr, key: &str) -> (u32, u32) {
+    let request = format!("GET /hop-0 HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\r\n");
+    let (mut answered, mut cut) = (0, 0);
+    while let Ok(mut stream) = TcpStream::connect(to) {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .expect("a socket");
+        loop {
+            // Nothing of a request that could not be written was accepted.
+            if stream.write_all(request.as_bytes()).is_err() {
+                break;
+            }
+            let Some(closes) = read_response(&mut stream) else {
+                cut += 1;
+                break;
+            };
+            answered += 1;
+            if closes {
+                break;
+            }
+        }
+    }
+    (answered, cut)
+}
+
+/// Reads a response with a length. Returns whether the connection closes after it,
+/// or `None` if the response is not complete.
+fn read_response(stream: &mut TcpStream) -> Option<bool> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let field = |name: &str| {
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        lines.find_map(|(found, value)| (found == name).then(|| value.to_owned()))
+    };
+    let length = field("content-length")?.parse().ok()?;
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(field("connection").as_deref() == Some("close"))
+}
+
+#[test]
+fn stop_answers_kept_connections() {
+    let fleet = chain(1);
+    let behaviour = Behaviour {
+        service_time: Duration::from_millis(20),
+        ..Behaviour::default()
+    };
+    let mut process = Process::start(&fleet, behaviour);
+    eventually("the process serves", || get(&fleet, process.callers) == 200);
+    let callers = (0..12).map(|_| {
+        let (to, key) = (process.callers, fleet.keys[0].clone());
+        std::thread::spawn(move || request_until_closed(to, &key))
+    });
+    let callers = callers.collect::<Vec<_>>();
+    std::thread::sleep(Duration::from_millis(400));
+    process.signal("TERM");
+    let counts = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("the caller's thread completes"));
+    let (answered, cut) = counts.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    assert!(process.child.wait().expect("the daemon exits").success());
+    assert!(answered > 100, "only {answered} requests were answered");
+    assert_eq!(cut, 0, "of {answered} answered requests");
+}
+
 #[test]
 fn killed_daemon_excluded() {
     let fleet = chain(1);
