Let a verification not abandon an open probe

Cause: found by reading. Each verification of an unresponsive lender ended the open probe of another without a verdict. Two lenders that do not answer asks sent in turn, half a probe interval apart, were never suspected by the daemon that asks them.

Changed: while a probe is open, the member to verify is probed next.

Test: member_gossip::unresponsive_members_verified (one of two still Alive before), verification_limited.

--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -158,8 +158,9 @@
         output.sends.push(Send { to, packet });
     }
 
-    /// Probes a member that did not answer a message, instead of the one whose turn
-    /// it is, at most once per probe interval.
+    /// Probes a member that did not answer a message before those whose turn it is,
+    /// at most once per probe interval. An open probe of another member is not
+    /// abandoned, or several unresponsive members would never be suspected.
     pub fn verify(&mut self, name: &str, now: Moment) -> Output {
         let mut output = Output::default();
         let interval = self.config.probe_interval;
@@ -174,16 +175,12 @@
         }
         member.verified_at = Some(now);
         let subject = Arc::clone(&member.record.name);
-        if self
-            .probe
-            .as_ref()
-            .is_some_and(|probe| probe.subject == subject)
-        {
+        if let Some(probe) = &self.probe {
+            if probe.subject != subject {
+                self.probe_order.push(subject);
+            }
             return output;
         }
-        if let Some(probe) = self.probe.take() {
-            self.probe_order.push(probe.subject);
-        }
         self.next_probe_at = now + interval;
         self.probe_member(subject, now, &mut output);
         output
--- a/crates/policy/tests/all/member_gossip.rs
+++ b/crates/policy/tests/all/member_gossip.rs
@@ -440,19 +440,41 @@
 }
 
 #[test]
-fn unresponsive_member_verified() {
-    // A member that does not answer is verified by one other. It fails within one
-    // probe and the suspicion, instead of when its turn comes.
-    let mut network = Network::new(40);
+fn unresponsive_members_verified() {
+    // Two members do not answer messages, sent to them in turn, and nobody else can
+    // tell. Both fail within one probe each and the suspicion.
+    let mut network = Network::new(3);
     network.run(Duration::from_secs(20));
-    network.down.insert(7);
-    let output = network.fleets[0].verify(&name(7), network.now);
-    assert_eq!(output.sends.len(), 1);
-    network.deliver(0, output);
-    let again = network.fleets[0].verify(&name(7), network.now);
-    assert_eq!(again.sends.len(), 0, "verified twice at once");
+    network.down.extend([1, 2]);
     let config = Config::default();
-    network.run(config.probe_interval + config.suspicion_timeout + 2 * STEP);
-    let state = network.fleets[0].get(&name(7)).map(|record| record.state);
-    assert_eq!(state, Some(State::Failed));
+    let until = network.now + config.probe_interval * 3 + config.suspicion_timeout;
+    for index in [1, 2].into_iter().cycle() {
+        if network.now >= until {
+            break;
+        }
+        let output = network.fleets[0].verify(&name(index), network.now);
+        network.deliver(0, output);
+        network.run(config.probe_interval / 2 + STEP);
+    }
+    for index in [1, 2] {
+        let state = network.fleets[0]
+            .get(&name(index))
+            .map(|record| record.state);
+        assert_eq!(state, Some(State::Failed), "member {index}");
+    }
+}
+
+#[test]
+fn verification_limited() {
+    let mut network = Network::new(8);
+    network.run(Duration::from_secs(20));
+    network.down.insert(7);
+    let verify = |network: &mut Network| {
+        let output = network.fleets[0].verify(&name(7), network.now);
+        let count = output.sends.len();
+        network.deliver(0, output);
+        count
+    };
+    assert_eq!(verify(&mut network), 1);
+    assert_eq!(verify(&mut network), 0, "verified twice at once");
 }
