--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -74,8 +74,8 @@
 
 /// Retry budget of one ingress for one service.
 ///
-/// In every [`WINDOW`] that ends with a retry, there are at most `ratio` retries for
-/// each request of that window, and `slack` beyond. So a fault that begins suddenly
+/// In any ten seconds that end with a retry, there are at most `ratio` retries for
+/// each request of that time, and `slack` beyond. So a fault that begins suddenly
 /// finds the retries of the calm time before it, and those of a fleet do not exceed
 /// the ratio times its requests and the sum of the slacks.
 #[derive(Clone, Copy, Debug)]
