--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Writes lines in writes of at most [`MAX_WRITE_BYTES`] that end at the end of a
+/// Writes lines in writes of at most 4,096 bytes that end at the end of a
 /// line. Only a longer line is split.
 ///
 /// # Errors
