--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -245,17 +245,13 @@
         load: Option<Load>,
         now: Moment,
     ) -> Option<Transition> {
+        if let Some(load) = load {
+            self.record_load(key, load, now);
+        }
         let total = self.len();
         let ejected = self.ejected;
         let target = self.targets.get_mut(key.0 as usize)?.as_mut()?;
         target.in_flight = target.in_flight.saturating_sub(1);
-        if let Some(load) = load {
-            target.load = load;
-            target.load_reported_at = now;
-            target.is_reported = true;
-            self.update_mean_rejection(now);
-        }
-        let target = self.targets.get_mut(key.0 as usize)?.as_mut()?;
         if outcome == Outcome::Neutral {
             return None;
         }
@@ -277,6 +273,15 @@
         Some(Transition::Ejected(target.health.eject(now)))
     }
 
+    fn record_load(&mut self, key: TargetKey, load: Load, now: Moment) {
+        if let Some(target) = self.get_mut(key) {
+            target.load = load;
+            target.load_reported_at = now;
+            target.is_reported = true;
+        }
+        self.update_mean_rejection(now);
+    }
+
     fn update_mean_rejection(&mut self, now: Moment) {
         if now.since(self.rejection_updated) < REJECTION_INTERVAL {
             return;
