Tell forwarded probes from the relays of failure domains

Read as a newcomer: Relay named both an indirect probe on behalf of another member and the member that exchanges records for its failure domain. The first is Forwarded now. Rows of the platform are no source of records any more, and the words say so.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -27,7 +27,7 @@
 use rand::Rng;
 
 pub use packet::{Packet, Payload};
-use probe::{Ping, Probe, Relay};
+use probe::{Forwarded, Ping, Probe};
 pub use record::{Profile, Record, State, rank_key};
 use updates::Updates;
 
@@ -139,7 +139,7 @@
     now: Moment,
     probe_order: Vec<Arc<str>>,
     probe: Option<Probe>,
-    relays: Vec<Relay>,
+    forwarded: Vec<Forwarded>,
     /// Identity of this process.
     process: u64,
     /// Sequence number of the last ping. Those of two processes with one name
@@ -183,7 +183,7 @@
             now: Moment::ZERO,
             probe_order: Vec::new(),
             probe: None,
-            relays: Vec::new(),
+            forwarded: Vec::new(),
             process: incarnation,
             sequence: incarnation << SEQUENCE_BITS,
             pings: IndexMap::new(),
@@ -301,7 +301,7 @@
                 });
             }
             Payload::PingRequest { sequence, about } => {
-                self.relay(sequence, &about, from, now, &mut output);
+                self.forward_probe(sequence, &about, from, now, &mut output);
             }
             Payload::Ack { sequence, .. } => {
                 self.acknowledge(&packet.sender, sequence, now, &mut output);
@@ -338,7 +338,7 @@
     /// others could not reach it.
     fn resume(&mut self, now: Moment) {
         self.probe = None;
-        self.relays.clear();
+        self.forwarded.clear();
         self.next_probe_at = now;
         for member in self.members.values_mut() {
             if member.record.state == State::Suspect {
@@ -385,7 +385,7 @@
             member.record.state.is_active() || now.since(member.changed_at) < config.retention
         });
         let is_recent = |sent: Moment| now.since(sent) < config.probe_interval * 2;
-        self.relays.retain(|relay| is_recent(relay.started_at));
+        self.forwarded.retain(|probe| is_recent(probe.started_at));
         self.pings.retain(|_, ping| is_recent(ping.sent_at));
     }
 
--- a/crates/policy/src/member/merge.rs
+++ b/crates/policy/src/member/merge.rs
@@ -10,13 +10,13 @@
 pub(super) enum Source {
     /// A packet, or an observation of this member.
     Gossip,
-    /// An exchange or the platform's rows. Others learn the record the same way,
-    /// so it is not disseminated.
+    /// An exchange. Others learn the record the same way, so it is not
+    /// disseminated.
     Exchange,
 }
 
 impl Fleet {
-    /// Merges records from the platform's rows or from an exchange.
+    /// Merges the records of an exchange.
     pub fn merge_all(&mut self, records: Vec<Record>, now: Moment) -> Output {
         let mut output = Output::default();
         for record in records {
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -49,7 +49,7 @@
 
 /// Indirect probe on behalf of another member.
 #[derive(Clone, Debug)]
-pub(super) struct Relay {
+pub(super) struct Forwarded {
     pub(super) sequence: u64,
     pub(super) origin: std::net::SocketAddr,
     pub(super) origin_sequence: u64,
@@ -220,7 +220,7 @@
     }
 
     /// Probes a member on behalf of `origin`.
-    pub(super) fn relay(
+    pub(super) fn forward_probe(
         &mut self,
         origin_sequence: u64,
         about: &Arc<str>,
@@ -232,7 +232,7 @@
             return;
         };
         let sequence = self.next_ping(about, now);
-        self.relays.push(Relay {
+        self.forwarded.push(Forwarded {
             sequence,
             origin,
             origin_sequence,
@@ -299,7 +299,7 @@
         }
     }
 
-    /// Ends the probe or relay that an acknowledgement belongs to, unless another
+    /// Ends the direct or forwarded probe that an acknowledgement belongs to, unless another
     /// member than the one that was pinged sent it.
     pub(super) fn acknowledge(
         &mut self,
@@ -308,30 +308,30 @@
         now: Moment,
         output: &mut Output,
     ) {
-        // The acknowledgement of an indirect probe comes from the relaying member
+        // The acknowledgement of an indirect probe comes from the forwarding member
         // and bears the sequence number of the direct one.
         let address = |name: &str| self.get(name).map(|record| record.profile.gossip);
-        let is_relayed = self.probe.as_ref().is_some_and(|probe| {
+        let is_indirect = self.probe.as_ref().is_some_and(|probe| {
             let is_answer = probe.sequence == sequence && probe.indirect;
             is_answer && address(sender) != address(&probe.subject)
         });
         let ping = self.pings.swap_remove(&sequence);
         let is_subject = ping.is_some_and(|ping| *ping.subject == *sender);
-        if !is_subject && !is_relayed {
+        if !is_subject && !is_indirect {
             return;
         }
         if let Some(index) = self
-            .relays
+            .forwarded
             .iter()
-            .position(|relay| relay.sequence == sequence)
+            .position(|probe| probe.sequence == sequence)
         {
-            let relay = self.relays.swap_remove(index);
+            let forwarded = self.forwarded.swap_remove(index);
             let packet = self.packet(Payload::Ack {
-                sequence: relay.origin_sequence,
+                sequence: forwarded.origin_sequence,
                 clock_us: now.as_micros(),
             });
             output.sends.push(Send {
-                to: relay.origin,
+                to: forwarded.origin,
                 packet,
             });
             return;
