Review case 2: an answer that is sent twice over a new link reaches a client mixed

A call that completes while the link of its caller is being replaced is answered by `finish` and again by `resume`, over one connection; the parts of both copies are added to one body.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each starts a small deployment, disturbs it and checks one rule by
 //! what clients and upstreams saw.
 
+mod departure;
 mod rejection;
 mod resume;
 mod revocation;
@@ -14,6 +15,7 @@
 
 pub fn run(case: &str, setting: &Setting) -> Verdict {
     match case {
+        "departure" => departure::run(setting),
         "rejection" => rejection::run(setting),
         "revocation" => revocation::run(setting),
         "resume" => resume::run(setting),
