--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -57,7 +57,14 @@
 }
 
 /// Bytes of a client's request.
-pub fn client_request(method: &str, path: &str, id: &str, key: &str, deadline: Duration, body: &[u8]) -> Vec<u8> {
+pub fn client_request(
+    method: &str,
+    path: &str,
+    id: &str,
+    key: &str,
+    deadline: Duration,
+    body: &[u8],
+) -> Vec<u8> {
     let deadline = deadline.as_millis().to_string();
     let authorization = format!("Bearer {key}");
     let fields = [
@@ -77,7 +84,10 @@
 
 impl Client {
     pub fn new(to: SocketAddr) -> Self {
-        Self { to, connection: None }
+        Self {
+            to,
+            connection: None,
+        }
     }
 
     /// Sends a request and waits for the answer until shortly after the deadline.
@@ -87,7 +97,9 @@
             None => Connection::connect(self.to)?,
         };
         let answer = connection.exchange(request, deadline + Duration::from_millis(500))?;
-        let closes = answer.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        let closes = answer
+            .get("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
         if !closes {
             self.connection = Some(connection);
         }
--- a/review/standin/cases/departure.rs
+++ b/review/standin/cases/departure.rs
@@ -30,7 +30,14 @@
     let routes = [route("status", "idempotent", "desk", "1500ms")];
     store.configure(&desired_state(1, &routes, &["front", "desk"], &[KEY]));
     let daemon = |name: &str, service: &str| {
-        Daemon::new(name, "a", service, store.address, &setting.temporary, record)
+        Daemon::new(
+            name,
+            "a",
+            service,
+            store.address,
+            &setting.temporary,
+            record,
+        )
     };
     let mut daemons = [
         daemon("desk-1", "desk"),
@@ -61,7 +68,9 @@
                 let id = format!("c-{number}");
                 number += 1;
                 let request = client_request("GET", "/status/1", &id, KEY, DEADLINE, b"");
-                let status = client.send(&request, DEADLINE).map_or(0, |answer| answer.status());
+                let status = client
+                    .send(&request, DEADLINE)
+                    .map_or(0, |answer| answer.status());
                 record.line(&format!("client gets {status} for {id}"));
                 std::thread::sleep(Duration::from_millis(10));
             }
@@ -83,7 +92,9 @@
     }
     record.line("the deregistration of i-desk-1 is confirmed");
     let at = Instant::now();
-    let sleep_until = |after: Duration| std::thread::sleep((at + after).saturating_duration_since(Instant::now()));
+    let sleep_until = |after: Duration| {
+        std::thread::sleep((at + after).saturating_duration_since(Instant::now()))
+    };
     if setting.trouble {
         sleep_until(KILLED_AT);
         daemons[0].kill();
@@ -95,7 +106,9 @@
     record.line("the store is back");
     sleep_until(LATE_AT);
     let confirmed = leaving.check_in(control, &late);
-    record.line(&format!("a check-in of i-desk-1 from before the deregistration arrives, confirmed={confirmed}"));
+    record.line(&format!(
+        "a check-in of i-desk-1 from before the deregistration arrives, confirmed={confirmed}"
+    ));
     // From here on, all machines are in touch.
     sleep_until(STORE_BACK_AT + STABILITY);
     let before = leaving.runs.lock().unwrap().len();
@@ -107,5 +120,9 @@
         "{runs} requests reached the upstream later than {:?} after the confirmation",
         STORE_BACK_AT + STABILITY
     ));
-    if runs > 0 { Verdict::Broken } else { Verdict::Held }
+    if runs > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/cases/rejection.rs
+++ b/review/standin/cases/rejection.rs
@@ -39,7 +39,14 @@
     let routes = [route("book", "non_idempotent", "ledger", "1500ms")];
     store.configure(&desired_state(1, &routes, &["front", "ledger"], &[KEY]));
     let daemon = |name: &str, service: &str| {
-        Daemon::new(name, "a", service, store.address, &setting.temporary, record)
+        Daemon::new(
+            name,
+            "a",
+            service,
+            store.address,
+            &setting.temporary,
+            record,
+        )
     };
     let mut daemons = [daemon("front-1", "front"), daemon("ledger-1", "ledger")];
     for daemon in &mut daemons {
@@ -57,7 +64,9 @@
         move |_: &crate::http::Message| {
             let is_disturbed = disturbed.load(Ordering::Relaxed);
             if is_disturbed && draw(&seed) < REJECTED {
-                return Action::Reject { repeat: draw(&seed) < REPEATED };
+                return Action::Reject {
+                    repeat: draw(&seed) < REPEATED,
+                };
             }
             Action::Run(Duration::from_millis(20), b"booked".to_vec())
         }
@@ -81,7 +90,9 @@
                 number += 1;
                 let request = client_request("POST", "/book/1", &id, KEY, DEADLINE, b"quilt");
                 record.line(&format!("client sends {id}"));
-                let status = connection.send(&request, DEADLINE).map_or(0, |answer| answer.status());
+                let status = connection
+                    .send(&request, DEADLINE)
+                    .map_or(0, |answer| answer.status());
                 record.line(&format!("client gets {status} for {id}"));
                 answers.lock().unwrap().insert(id, status);
                 std::thread::sleep(INTERVAL.saturating_sub(sent_at.elapsed()));
@@ -105,14 +116,18 @@
     }
     let answers = answers.lock().unwrap();
     let twice = runs.iter().filter(|(_, count)| **count > 1).count();
-    let refused = answers.iter().filter(|(id, status)| {
-        [408, 421, 429, 503].contains(*status) && runs.contains_key(*id)
-    });
+    let refused = answers
+        .iter()
+        .filter(|(id, status)| [408, 421, 429, 503].contains(*status) && runs.contains_key(*id));
     let refused = refused.count();
     record.report(&format!(
         "{} requests sent, {} run; {twice} ran more than once (TWICE); {refused} were answered with a promise and had run (REFUSED)",
         answers.len(),
         runs.len()
     ));
-    if twice + refused > 0 { Verdict::Broken } else { Verdict::Held }
+    if twice + refused > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/cases/resume.rs
+++ b/review/standin/cases/resume.rs
@@ -1,8 +1,8 @@
 //! The daemon beside an upstream stands still for a moment, several times, while
 //! the daemons of the clients wait for its answers.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use super::{Client, KEY, await_served, client_request, desired_state, route};
@@ -39,7 +39,14 @@
     let routes = [route("lists", "idempotent", "dispatch", "10000ms")];
     store.configure(&desired_state(1, &routes, &["front", "dispatch"], &[KEY]));
     let daemon = |name: &str, service: &str| {
-        Daemon::new(name, "a", service, store.address, &setting.temporary, record)
+        Daemon::new(
+            name,
+            "a",
+            service,
+            store.address,
+            &setting.temporary,
+            record,
+        )
     };
     let mut daemons = [
         daemon("front-1", "front"),
@@ -59,7 +66,14 @@
             let work = 200 + number * 7_919 % 1_300;
             Action::Run(Duration::from_millis(work), body(id))
         };
-        let upstream = Upstream::start(&daemon.service, &instance, daemon.app, 265, record, behaviour);
+        let upstream = Upstream::start(
+            &daemon.service,
+            &instance,
+            daemon.app,
+            265,
+            record,
+            behaviour,
+        );
         upstream.register(daemon.control);
         upstreams.push(upstream);
     }
@@ -125,7 +139,11 @@
         "{} successes; {spoiled} with a body that is not the upstream's (MIXED)",
         answered.load(Ordering::Relaxed)
     ));
-    if spoiled > 0 { Verdict::Broken } else { Verdict::Held }
+    if spoiled > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 /// Records which parts of the upstream's body arrived in which order.
@@ -136,5 +154,8 @@
         place.map_or("?".to_owned(), |place| place.to_string())
     });
     let parts = parts.collect::<Vec<_>>();
-    record.report(&format!("{id}: parts of 32 KiB arrived in the order {}", parts.join(" ")));
+    record.report(&format!(
+        "{id}: parts of 32 KiB arrived in the order {}",
+        parts.join(" ")
+    ));
 }
--- a/review/standin/cases/revocation.rs
+++ b/review/standin/cases/revocation.rs
@@ -32,7 +32,14 @@
     let state = |version, keys: &[&str]| desired_state(version, &routes, &["front", "desk"], keys);
     store.configure(&state(1, &[KEY, OTHER_KEY]));
     let daemon = |name: &str, service: &str| {
-        Daemon::new(name, "a", service, store.address, &setting.temporary, record)
+        Daemon::new(
+            name,
+            "a",
+            service,
+            store.address,
+            &setting.temporary,
+            record,
+        )
     };
     let mut daemons = [
         daemon("desk-1", "desk"),
@@ -51,7 +58,9 @@
     if !await_ready(&daemons) {
         return Verdict::NotRun("the daemons are not ready".to_owned());
     }
-    let served = daemons.iter().all(|daemon| await_served(daemon.outbound, "GET", "/status/w", KEY));
+    let served = daemons
+        .iter()
+        .all(|daemon| await_served(daemon.outbound, "GET", "/status/w", KEY));
     if !served {
         return Verdict::NotRun("the deployment does not serve".to_owned());
     }
@@ -61,7 +70,8 @@
     let late = Arc::new(Mutex::new(Vec::new()));
     let clients = daemons.iter().map(|daemon| {
         let (to, name) = (daemon.outbound, daemon.name.clone());
-        let (stop, confirmed, late) = (Arc::clone(&stop), Arc::clone(&confirmed), Arc::clone(&late));
+        let (stop, confirmed, late) =
+            (Arc::clone(&stop), Arc::clone(&confirmed), Arc::clone(&late));
         let record = record.clone();
         std::thread::spawn(move || {
             let mut client = Client::new(to);
@@ -71,8 +81,12 @@
                 number += 1;
                 let request = client_request("GET", "/status/1", &id, KEY, DEADLINE, b"");
                 let since = confirmed.lock().unwrap().map(|at| at.elapsed());
-                let status = client.send(&request, DEADLINE).map_or(0, |answer| answer.status());
-                record.line(&format!("client gets {status} for {id}, sent {since:?} after the confirmation"));
+                let status = client
+                    .send(&request, DEADLINE)
+                    .map_or(0, |answer| answer.status());
+                record.line(&format!(
+                    "client gets {status} for {id}, sent {since:?} after the confirmation"
+                ));
                 if since.is_some_and(|since| since > REVOKE) {
                     late.lock().unwrap().push(id);
                 }
@@ -92,7 +106,9 @@
     record.line("the store confirms that a key is taken away");
     let at = Instant::now();
     *confirmed.lock().unwrap() = Some(at);
-    let sleep_until = |after: Duration| std::thread::sleep((at + after).saturating_duration_since(Instant::now()));
+    let sleep_until = |after: Duration| {
+        std::thread::sleep((at + after).saturating_duration_since(Instant::now()))
+    };
     let down_at = QUIET - REVOKED_AT;
     if setting.trouble {
         sleep_until(down_at);
@@ -124,5 +140,9 @@
         "{} requests with the key were sent later than {REVOKE:?} after the confirmation; {runs} of them ran",
         late.len()
     ));
-    if runs > 0 { Verdict::Broken } else { Verdict::Held }
+    if runs > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/cases/shutdown.rs
+++ b/review/standin/cases/shutdown.rs
@@ -36,7 +36,14 @@
     let routes = [route("maps", "idempotent", "catalog", "10000ms")];
     store.configure(&desired_state(1, &routes, &["front", "catalog"], &[KEY]));
     let daemon = |name: &str, service: &str| {
-        Daemon::new(name, "a", service, store.address, &setting.temporary, record)
+        Daemon::new(
+            name,
+            "a",
+            service,
+            store.address,
+            &setting.temporary,
+            record,
+        )
     };
     let mut daemons = [daemon("front-1", "front"), daemon("catalog-1", "catalog")];
     let run = |_: &crate::http::Message| Action::Run(Duration::from_millis(50), vec![b'm'; BODY]);
@@ -80,7 +87,11 @@
         "{CLIENTS} answers, {cut} of them cut; all had ended {:?} after the requests",
         started.elapsed()
     ));
-    if cut > 0 { Verdict::Broken } else { Verdict::Held }
+    if cut > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 /// Reads an answer slowly. Returns whether it was whole.
@@ -111,7 +122,10 @@
             && let Some(at) = received.windows(4).position(|part| part == b"\r\n\r\n")
         {
             let status = String::from_utf8_lossy(&received[..at.min(40)]).into_owned();
-            record.line(&format!("client gets the head for {id}: {}", status.lines().next().unwrap_or("")));
+            record.line(&format!(
+                "client gets the head for {id}: {}",
+                status.lines().next().unwrap_or("")
+            ));
             whole = at + 4 + BODY;
         }
         if received.len() >= whole {
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -57,7 +57,14 @@
 }
 
 impl Daemon {
-    pub fn new(name: &str, zone: &str, service: &str, store: SocketAddr, folder: &Path, record: &Record) -> Self {
+    pub fn new(
+        name: &str,
+        zone: &str,
+        service: &str,
+        store: SocketAddr,
+        folder: &Path,
+        record: &Record,
+    ) -> Self {
         Self {
             name: name.to_owned(),
             service: service.to_owned(),
@@ -83,7 +90,10 @@
             ("{{node}}", self.name.clone()),
             ("{{zone}}", self.zone.clone()),
             ("{{region}}", "r".to_owned()),
-            ("{{#zones}}\"{{@}}\"{{,}}{{/zones}}", format!("\"{}\"", self.zone)),
+            (
+                "{{#zones}}\"{{@}}\"{{,}}{{/zones}}",
+                format!("\"{}\"", self.zone),
+            ),
             ("{{listen.outbound}}", self.outbound.to_string()),
             ("{{listen.control}}", self.control.to_string()),
             ("{{listen.ready}}", self.ready.to_string()),
@@ -134,7 +144,8 @@
 
     fn signal(&self, signal: i32, name: &str) {
         if let Some(child) = &self.child {
-            self.record.line(&format!("daemon {} gets {name}", self.name));
+            self.record
+                .line(&format!("daemon {} gets {name}", self.name));
             // The process is a child that has not been waited for, so its id is valid.
             unsafe { kill(child.id() as i32, signal) };
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -37,7 +37,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn connect(address: SocketAddr) -> Result<Self> {
@@ -81,7 +84,9 @@
                 message.fields.push(field);
             }
         }
-        let chunked = message.get("transfer-encoding").is_some_and(|value| value == "chunked");
+        let chunked = message
+            .get("transfer-encoding")
+            .is_some_and(|value| value == "chunked");
         if chunked {
             loop {
                 let line = self.line()?;
@@ -97,7 +102,9 @@
                 }
             }
         }
-        let length = message.get("content-length").and_then(|value| value.parse().ok());
+        let length = message
+            .get("content-length")
+            .and_then(|value| value.parse().ok());
         if let Some(length) = length {
             while self.buffer.len() < length {
                 self.fill_or_fail()?;
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -182,7 +182,9 @@
 }
 
 fn escape(text: &str) -> String {
-    text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+    text.replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
 }
 
 /// Standard base64 with padding.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -60,7 +60,9 @@
             ExitCode::from(1)
         }
         Verdict::NotRun(cause) => {
-            setting.record.report(&format!("the case could not run: {cause}"));
+            setting
+                .record
+                .report(&format!("the case could not run: {cause}"));
             ExitCode::from(2)
         }
     }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -110,9 +110,12 @@
                 let (table, from) = (parameter("table"), parameter("from"));
                 let limit = parameter("limit").parse().unwrap_or(500);
                 let rows = state.rows.iter().filter(|((name, key), row)| {
-                    *name == table && *key >= from && row.as_ref().is_some_and(|row| row.version > 0)
+                    *name == table
+                        && *key >= from
+                        && row.as_ref().is_some_and(|row| row.version > 0)
                 });
-                let rows = rows.filter(|(_, row)| row.as_ref().is_some_and(|row| !row.value.is_empty()));
+                let rows =
+                    rows.filter(|(_, row)| row.as_ref().is_some_and(|row| !row.value.is_empty()));
                 let rows = rows.map(render).collect::<Vec<_>>();
                 let more = rows.len() > limit;
                 let rows = rows.into_iter().take(limit).collect::<Vec<_>>();
@@ -192,8 +195,14 @@
 }
 
 fn render(((table, key), row): (&(String, String), &Option<Row>)) -> String {
-    let (value, version) = row.as_ref().map_or(("", 0), |row| (&*row.value, row.version));
-    let removed = if value.is_empty() { ",\"removed\":true" } else { "" };
+    let (value, version) = row
+        .as_ref()
+        .map_or(("", 0), |row| (&*row.value, row.version));
+    let removed = if value.is_empty() {
+        ",\"removed\":true"
+    } else {
+        ""
+    };
     let text = |text: &str| Json::Text(text.to_owned());
     format!(
         "{{\"table\":{},\"part\":\"\",\"key\":{},\"value\":\"{value}\",\"ver\":{version}{removed}}}",
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -48,7 +48,9 @@
         behaviour: impl Fn(&Message) -> Action + Send + Sync + 'static,
     ) -> Arc<Self> {
         let listener = TcpListener::bind(address).expect("a free port");
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970");
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time after 1970");
         let upstream = Arc::new(Self {
             address,
             service: service.to_owned(),
@@ -79,7 +81,11 @@
         std::thread::spawn(move || {
             while !upstream.leaving.load(Ordering::Relaxed) {
                 let heartbeat = upstream.heartbeat(control);
-                let pause = if upstream.check_in(control, &heartbeat) { 1_500 } else { 300 };
+                let pause = if upstream.check_in(control, &heartbeat) {
+                    1_500
+                } else {
+                    300
+                };
                 std::thread::sleep(Duration::from_millis(pause));
             }
         });
@@ -142,7 +148,10 @@
         let load = self.load();
         if request.word(1) == "/health" {
             let ready = !self.leaving.load(Ordering::Relaxed);
-            let fields = [("x-upstream-instance", &*self.instance), ("x-upstream-load", &*load)];
+            let fields = [
+                ("x-upstream-instance", &*self.instance),
+                ("x-upstream-load", &*load),
+            ];
             return http::response(if ready { 200 } else { 503 }, &fields, b"");
         }
         let Some(id) = request.get("x-attempt-id").map(str::to_owned) else {
@@ -150,18 +159,31 @@
         };
         let expected = request.get("x-expected-instance");
         if expected.is_some_and(|expected| expected != self.instance) {
-            let fields = [("x-attempt-id", &*id), ("x-upstream-instance", &*self.instance)];
+            let fields = [
+                ("x-attempt-id", &*id),
+                ("x-upstream-instance", &*self.instance),
+            ];
             return http::response(421, &fields, b"");
         }
         let mut bytes = std::mem::take(late);
         if !bytes.is_empty() {
-            self.record.line(&format!("upstream {} sends a second answer late, before that to {id}", self.instance));
+            self.record.line(&format!(
+                "upstream {} sends a second answer late, before that to {id}",
+                self.instance
+            ));
         }
         match (self.behaviour)(request) {
             Action::Reject { repeat } => {
-                let fields = [("x-attempt-id", &*id), ("x-not-executed", "1"), ("x-upstream-load", &*load)];
+                let fields = [
+                    ("x-attempt-id", &*id),
+                    ("x-not-executed", "1"),
+                    ("x-upstream-load", &*load),
+                ];
                 let rejection = http::response(503, &fields, b"");
-                self.record.line(&format!("upstream {} rejects {id} repeat={repeat}", self.instance));
+                self.record.line(&format!(
+                    "upstream {} rejects {id} repeat={repeat}",
+                    self.instance
+                ));
                 if repeat {
                     late.clone_from(&rejection);
                 }
@@ -169,14 +191,21 @@
             }
             Action::Run(work, body) => {
                 let tenant = request.get("x-tenant").unwrap_or("");
-                self.record.line(&format!("upstream {} runs {id} tenant={tenant}", self.instance));
+                self.record.line(&format!(
+                    "upstream {} runs {id} tenant={tenant}",
+                    self.instance
+                ));
                 self.runs.lock().unwrap().push(id.clone());
                 self.running.fetch_add(1, Ordering::Relaxed);
                 std::thread::sleep(work);
                 self.running.fetch_sub(1, Ordering::Relaxed);
                 let load = self.load();
                 let seal = format!("{id}.{}", body.len());
-                let fields = [("x-attempt-id", &*id), ("x-server-seal", &*seal), ("x-upstream-load", &*load)];
+                let fields = [
+                    ("x-attempt-id", &*id),
+                    ("x-server-seal", &*seal),
+                    ("x-upstream-load", &*load),
+                ];
                 bytes.extend_from_slice(&http::response(200, &fields, &body));
             }
         }
