--- a/review/standin/cases/revocation.rs
+++ b/review/standin/cases/revocation.rs
@@ -20,9 +20,9 @@
 /// Time for which the store is down.
 const STORE_DOWN: Duration = Duration::from_secs(5);
 /// When the daemon is killed, counted from the confirmation.
-const KILLED_AT: Duration = Duration::from_millis(3_400);
+const KILLED_AT: Duration = Duration::from_millis(2_500);
 /// Time for which it is down.
-const RESTART_DELAY: Duration = Duration::from_millis(500);
+const RESTART_DELAY: Duration = Duration::from_millis(400);
 const DEADLINE: Duration = Duration::from_secs(1);
 
 pub fn run(setting: &Setting) -> Verdict {
