Review case 4: after a loss of all daemons the fleet stays in groups

A relay asks one daemon of another failure domain, drawn at random, and no other once it knows one. Zones that drew one another stay apart, each group with a lender for the whole allotment of every account.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# A daemon gets SIGTERM while clients still read their answers.
+# All daemons restart at once and find one another in two groups only.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/release/cardamomshed ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin shutdown "$folder"
+exec target/review/standin split "$folder"
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -6,6 +6,7 @@
 mod resume;
 mod revocation;
 mod shutdown;
+mod split;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,6 +21,7 @@
         "revocation" => revocation::run(setting),
         "resume" => resume::run(setting),
         "shutdown" => shutdown::run(setting),
+        "split" => split::run(setting),
         other => Verdict::NotRun(format!("no case {other}")),
     }
 }
@@ -39,6 +41,18 @@
 
 /// A desired state with one tenant without an allotment.
 pub fn desired_state(version: u64, routes: &[String], services: &[&str], keys: &[&str]) -> String {
+    limited_state(version, routes, services, keys, 0)
+}
+
+/// A desired state with one tenant, whose allotment is `rate` requests a second and
+/// as many at once; none if it is zero.
+pub fn limited_state(
+    version: u64,
+    routes: &[String],
+    services: &[&str],
+    keys: &[&str],
+    rate: u32,
+) -> String {
     let services = services.iter().map(|name| {
         format!("\"{name}\":{{\"health-path\":\"/health\",\"max-connections\":424,\"protocol\":\"h1\",\"tls\":false}}")
     });
@@ -47,7 +61,7 @@
         "{{\"version\":{version},\"routes\":{{{}}},\"services\":{{{}}},\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,\
          \"header-timeout\":\"3000ms\",\"idle-timeout\":\"15000ms\"}},\
-         \"tenants\":{{\"pulo780\":{{\"api-keys\":[{}],\"priority\":1,\"rate-per-s\":0,\"burst\":0}}}},\
+         \"tenants\":{{\"pulo780\":{{\"api-keys\":[{}],\"priority\":1,\"rate-per-s\":{rate},\"burst\":{rate}}}}},\
          \"base-version\":{}}}",
         routes.join(","),
         services.collect::<Vec<_>>().join(","),
--- a/review/standin/cases/departure.rs
+++ b/review/standin/cases/departure.rs
@@ -111,9 +111,9 @@
     ));
     // From here on, all machines are in touch.
     sleep_until(STORE_BACK_AT + STABILITY);
-    let before = leaving.runs.lock().unwrap().len();
+    let before = leaving.runs().len();
     sleep_until(ENDED_AT);
-    let runs = leaving.runs.lock().unwrap().len() - before;
+    let runs = leaving.runs().len() - before;
     stop.store(true, Ordering::Relaxed);
     let _ = client.join();
     record.report(&format!(
--- a/review/standin/cases/rejection.rs
+++ b/review/standin/cases/rejection.rs
@@ -111,8 +111,8 @@
         let _ = client.join();
     }
     let mut runs = HashMap::<String, u32>::new();
-    for id in books.runs.lock().unwrap().iter() {
-        *runs.entry(id.clone()).or_default() += 1;
+    for run in books.runs() {
+        *runs.entry(run.id).or_default() += 1;
     }
     let answers = answers.lock().unwrap();
     let twice = runs.iter().filter(|(_, count)| **count > 1).count();
--- a/review/standin/cases/revocation.rs
+++ b/review/standin/cases/revocation.rs
@@ -133,8 +133,8 @@
     let late = late.lock().unwrap();
     let mut runs = 0;
     for upstream in &upstreams {
-        let ran = upstream.runs.lock().unwrap();
-        runs += ran.iter().filter(|id| late.contains(id)).count();
+        let ran = upstream.runs();
+        runs += ran.iter().filter(|run| late.contains(&run.id)).count();
     }
     record.report(&format!(
         "{} requests with the key were sent later than {REVOKE:?} after the confirmation; {runs} of them ran",
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Connection};
+use crate::json::Json;
 use crate::record::Record;
 
 const SIGKILL: i32 = 9;
@@ -49,6 +50,8 @@
     peers: SocketAddr,
     admin: SocketAddr,
     zone: String,
+    /// All zones of the deployment.
+    pub zones: Vec<String>,
     store: SocketAddr,
     folder: PathBuf,
     first_start: bool,
@@ -75,6 +78,7 @@
             peers: free_address(),
             admin: free_address(),
             zone: zone.to_owned(),
+            zones: vec![zone.to_owned()],
             store,
             folder: folder.to_owned(),
             first_start: true,
@@ -86,14 +90,13 @@
     /// Fills the template of the deploy file in, as the platform does.
     fn settings(&self) -> String {
         let template = std::fs::read_to_string("deploy/settings.yaml").expect("the template");
+        let zones = self.zones.iter().map(|zone| format!("\"{zone}\""));
+        let zones = zones.collect::<Vec<_>>();
         let values = [
             ("{{node}}", self.name.clone()),
             ("{{zone}}", self.zone.clone()),
             ("{{region}}", "r".to_owned()),
-            (
-                "{{#zones}}\"{{@}}\"{{,}}{{/zones}}",
-                format!("\"{}\"", self.zone),
-            ),
+            ("{{#zones}}\"{{@}}\"{{,}}{{/zones}}", zones.join(",")),
             ("{{listen.outbound}}", self.outbound.to_string()),
             ("{{listen.control}}", self.control.to_string()),
             ("{{listen.ready}}", self.ready.to_string()),
@@ -176,6 +179,14 @@
         child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
     }
 
+    /// Number of members that the daemon's status lists, itself included.
+    pub fn members(&self) -> Option<usize> {
+        let mut connection = Connection::connect(self.admin).ok()?;
+        let request = http::request("GET", "/status", &[("host", "status")], b"");
+        let answer = connection.exchange(&request, Duration::from_secs(1)).ok()?;
+        Some(Json::parse(&answer.body)?.list("members").len())
+    }
+
     /// Whether the daemon answers the question of the platform with 200.
     pub fn is_ready(&self) -> bool {
         let Ok(mut connection) = Connection::connect(self.ready) else {
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Connection, Message};
 use crate::record::Record;
@@ -19,6 +19,13 @@
     Reject { repeat: bool },
 }
 
+/// A request that an upstream ran: when it began to, and its attempt id.
+#[derive(Clone)]
+pub struct Run {
+    pub at: Instant,
+    pub id: String,
+}
+
 type Behaviour = Arc<dyn Fn(&Message) -> Action + Send + Sync>;
 
 pub struct Upstream {
@@ -32,8 +39,8 @@
     born: u64,
     /// Whether it has begun to leave: it serves on, but its status check fails.
     pub leaving: AtomicBool,
-    /// Attempt ids of the requests that it ran, in order.
-    pub runs: Mutex<Vec<String>>,
+    /// Requests that it ran, in order.
+    runs: Mutex<Vec<Run>>,
     record: Record,
 }
 
@@ -128,6 +135,11 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// Requests that it ran so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap().clone()
+    }
+
     fn load(&self) -> String {
         format!("{},0,{}", self.running.load(Ordering::Relaxed), self.slots)
     }
@@ -195,7 +207,10 @@
                     "upstream {} runs {id} tenant={tenant}",
                     self.instance
                 ));
-                self.runs.lock().unwrap().push(id.clone());
+                self.runs.lock().unwrap().push(Run {
+                    at: Instant::now(),
+                    id: id.clone(),
+                });
                 self.running.fetch_add(1, Ordering::Relaxed);
                 std::thread::sleep(work);
                 self.running.fetch_sub(1, Ordering::Relaxed);
