--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -15,8 +15,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-/// Largest number of header fields in a response.
-const MAX_HEADERS: usize = 64;
+mod head;
+
+use head::{Framing, Head};
+
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Buffer space reserved for one read, in bytes.
@@ -29,11 +31,6 @@
 /// Largest size of the lines between chunks per byte of data, beside
 /// [`MAX_HEAD_BYTES`] for the whole body. A chunk of one byte needs five.
 const MAX_FRAMING_PER_BYTE: usize = 8;
-/// Time for which an idle connection is kept if the target sends no `keep-alive`
-/// timeout.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
-/// Fraction of the target's `keep-alive` timeout for which a connection is kept.
-const KEEP_ALIVE_FRACTION: f64 = 0.7;
 /// Idle time after which a connection is not used for a request that must not
 /// be repeated. The target may close such a connection while the request is
 /// sent, which leaves its outcome unknown.
@@ -68,6 +65,14 @@
     pub required: bool,
 }
 
+impl Correlation<'_> {
+    /// Whether a response whose field has this value, or that lacks the field, may
+    /// be the one to this request.
+    fn matches(self, value: Option<&str>) -> bool {
+        value.map_or(!self.required, |value| value == self.value)
+    }
+}
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -226,23 +231,6 @@
     Ok((response, keep_for))
 }
 
-/// How the end of a body is determined.
-#[derive(Clone, Copy, Debug)]
-enum Framing {
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
-#[derive(Debug)]
-struct Head {
-    status: u16,
-    headers: Vec<(String, String)>,
-    framing: Framing,
-    keep_alive: bool,
-    keep_for: Duration,
-}
-
 struct Reader<'a> {
     half: tokio::net::tcp::ReadHalf<'a>,
     buffer: BytesMut,
@@ -273,7 +261,9 @@
             if (100..200).contains(&head.status) {
                 continue;
             }
-            let is_match = request.correlation.is_none_or(|field| head.matches(field));
+            let is_match = request
+                .correlation
+                .is_none_or(|field| field.matches(head.get(field.name)));
             if is_match {
                 return Ok(head);
             }
@@ -293,7 +283,7 @@
 
     async fn head(&mut self) -> Result<Head, Error> {
         loop {
-            if let Some((head, length)) = parse_head(&self.buffer)? {
+            if let Some((head, length)) = head::parse(&self.buffer).map_err(Error::Sent)? {
                 self.buffer.advance(length);
                 return Ok(head);
             }
@@ -398,81 +388,3 @@
         self.fill_or_fail().await
     }
 }
-
-impl Head {
-    fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(field, _)| field == name);
-        found.map(|(_, value)| value.as_str())
-    }
-
-    fn matches(&self, field: Correlation<'_>) -> bool {
-        self.get(field.name)
-            .map_or(!field.required, |value| value == field.value)
-    }
-}
-
-/// Parses a head and returns it with its length in bytes, or `None` if the
-/// buffer holds only a part of it.
-fn parse_head(buffer: &[u8]) -> Result<Option<(Head, usize)>, Error> {
-    let invalid = |detail: &str| Error::Sent(format!("invalid response: {detail}"));
-    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut fields);
-    let length = match response.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(error) => return Err(invalid(&error.to_string())),
-    };
-    let mut headers = Vec::with_capacity(response.headers.len());
-    for field in response.headers.iter() {
-        let value = std::str::from_utf8(field.value).map_err(|_| invalid(field.name))?;
-        headers.push((field.name.to_ascii_lowercase(), value.trim().to_owned()));
-    }
-    let mut head = Head {
-        status: response.code.unwrap_or(0),
-        headers,
-        framing: Framing::UntilClose,
-        keep_alive: response.version == Some(1),
-        keep_for: DEFAULT_KEEP_ALIVE,
-    };
-    head.framing = framing(&head).ok_or_else(|| invalid("conflicting length fields"))?;
-    if let Some(connection) = head.get("connection") {
-        let is_closing = connection.to_ascii_lowercase().contains("close");
-        head.keep_alive &= !is_closing;
-    }
-    if let Some(seconds) = head.get("keep-alive").and_then(idle_seconds) {
-        head.keep_for = Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_FRACTION);
-    }
-    Ok(Some((head, length)))
-}
-
-/// Framing of a body by its header fields; `None` if they conflict.
-fn framing(head: &Head) -> Option<Framing> {
-    if let Some(encoding) = head.get("transfer-encoding") {
-        let chunked = encoding.eq_ignore_ascii_case("chunked");
-        return (chunked && head.get("content-length").is_none()).then_some(Framing::Chunked);
-    }
-    let lengths = head
-        .headers
-        .iter()
-        .filter(|(name, _)| name == "content-length");
-    let mut found = None;
-    for (_, value) in lengths {
-        let length = value.parse::<usize>().ok()?;
-        if found.is_some_and(|previous| previous != length) {
-            return None;
-        }
-        found = Some(length);
-    }
-    Some(found.map_or(Framing::UntilClose, Framing::Length))
-}
-
-/// Timeout in seconds of a `keep-alive` field such as `timeout=5, max=100`.
-fn idle_seconds(field: &str) -> Option<u64> {
-    let parameters = field
-        .split(',')
-        .filter_map(|parameter| parameter.split_once('='));
-    let timeout = parameters
-        .into_iter()
-        .find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
-    timeout?.1.trim().parse().ok()
-}
--- /dev/null
+++ b/crates/daemon/src/exchange/head.rs
@@ -0,0 +1,113 @@
+//! Heads of HTTP/1.1 responses.
+
+use std::time::Duration;
+
+/// Largest number of header fields in a response.
+const MAX_HEADERS: usize = 64;
+/// Time for which an idle connection is kept if the target sends no `keep-alive`
+/// timeout.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+/// Fraction of the target's `keep-alive` timeout for which a connection is kept.
+const KEEP_ALIVE_FRACTION: f64 = 0.7;
+
+/// How the end of a body is determined.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Framing {
+    /// By its length in bytes.
+    Length(usize),
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// A parsed response head.
+#[derive(Debug)]
+pub(super) struct Head {
+    pub(super) status: u16,
+    /// Header fields, with names in lower case.
+    pub(super) headers: Vec<(String, String)>,
+    pub(super) framing: Framing,
+    /// Whether the target keeps the connection open after the response.
+    pub(super) keep_alive: bool,
+    /// Time for which the idle connection may be kept.
+    pub(super) keep_for: Duration,
+}
+
+impl Head {
+    /// Value of the first header field with this name, in lower case.
+    pub(super) fn get(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(field, _)| field == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Parses a head and returns it with its length in bytes, or `None` if the
+/// buffer holds only a part of it.
+///
+/// # Errors
+///
+/// What is wrong with the head.
+pub(super) fn parse(buffer: &[u8]) -> Result<Option<(Head, usize)>, String> {
+    let invalid = |detail: &str| format!("invalid response: {detail}");
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut fields);
+    let length = match response.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(invalid(&error.to_string())),
+    };
+    let mut headers = Vec::with_capacity(response.headers.len());
+    for field in response.headers.iter() {
+        let value = std::str::from_utf8(field.value).map_err(|_| invalid(field.name))?;
+        headers.push((field.name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    let mut head = Head {
+        status: response.code.unwrap_or(0),
+        headers,
+        framing: Framing::UntilClose,
+        keep_alive: response.version == Some(1),
+        keep_for: DEFAULT_KEEP_ALIVE,
+    };
+    head.framing = framing(&head).ok_or_else(|| invalid("conflicting length fields"))?;
+    if let Some(connection) = head.get("connection") {
+        let is_closing = connection.to_ascii_lowercase().contains("close");
+        head.keep_alive &= !is_closing;
+    }
+    if let Some(seconds) = head.get("keep-alive").and_then(idle_seconds) {
+        head.keep_for = Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_FRACTION);
+    }
+    Ok(Some((head, length)))
+}
+
+/// Framing of a body by its header fields; `None` if they conflict.
+fn framing(head: &Head) -> Option<Framing> {
+    if let Some(encoding) = head.get("transfer-encoding") {
+        let chunked = encoding.eq_ignore_ascii_case("chunked");
+        return (chunked && head.get("content-length").is_none()).then_some(Framing::Chunked);
+    }
+    let lengths = head
+        .headers
+        .iter()
+        .filter(|(name, _)| name == "content-length");
+    let mut found = None;
+    for (_, value) in lengths {
+        let length = value.parse::<usize>().ok()?;
+        if found.is_some_and(|previous| previous != length) {
+            return None;
+        }
+        found = Some(length);
+    }
+    Some(found.map_or(Framing::UntilClose, Framing::Length))
+}
+
+/// Timeout in seconds of a `keep-alive` field such as `timeout=5, max=100`.
+fn idle_seconds(field: &str) -> Option<u64> {
+    let parameters = field
+        .split(',')
+        .filter_map(|parameter| parameter.split_once('='));
+    let timeout = parameters
+        .into_iter()
+        .find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    timeout?.1.trim().parse().ok()
+}
