Send no request over a connection that carried its id

Cause: a rejected call goes to the same target again if there is no other, and on the same kept connection. A late copy of the rejection bears the id of both sendings and counted as the answer to the second one, which was running.

Ruled out: the retry rules, which act on what is reported as not executed, and lost replies between daemons: both sendings and the copy share a connection.

Evidence: `exchange_framing::repeated_rejection_skipped` failed before ([Ok(""), Ok("")] for the second "one").

A late copy comes on the connection of its own request. A connection now remembers the ids of its requests that did not end in a success, and no request is sent on one that carried its id, so the copy finds its request gone.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -8,6 +8,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -35,6 +36,9 @@
 /// be repeated. The target may close such a connection while the request is
 /// sent, which leaves its outcome unknown.
 const MAX_UNREPEATABLE_IDLE: Duration = Duration::from_millis(1_500);
+/// Largest number of identifiers that are remembered for one connection. Once it
+/// is reached, the connection is closed.
+const MAX_REMEMBERED: usize = 64;
 
 /// A request to the target.
 #[derive(Debug)]
@@ -95,9 +99,20 @@
     TooLarge,
 }
 
+/// An open connection to the target.
 #[derive(Debug)]
-struct Idle {
+struct Connection {
     stream: TcpStream,
+    /// Identifiers of requests on this connection whose response was no success,
+    /// such as a rejection. Such a request may be sent to the target again, but not
+    /// over this connection: a late copy of its first response could not be told
+    /// from the response to the second sending. At most [`MAX_REMEMBERED`].
+    unsuccessful: Vec<Arc<str>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
     address: SocketAddr,
     released_at: Instant,
     expires_at: Instant,
@@ -129,15 +144,18 @@
         request: &Request<'_>,
         limit: usize,
     ) -> Result<Response, Error> {
-        let mut stream = match self.checkout(address, request.repeatable) {
-            Some(stream) => stream,
-            None => connect_to(address, connect).await?,
+        let mut connection = match self.checkout(address, request) {
+            Some(connection) => connection,
+            None => Connection::new(connect_to(address, connect).await?),
         };
-        let (response, keep_for) = round_trip(&mut stream, request, limit).await?;
-        if let Some(keep_for) = keep_for {
+        let (response, keep_for) = round_trip(&mut connection.stream, request, limit).await?;
+        connection.record(request, response.status);
+        if let Some(keep_for) = keep_for
+            && connection.unsuccessful.len() < MAX_REMEMBERED
+        {
             let now = Instant::now();
             self.idle.borrow_mut().push(Idle {
-                stream,
+                connection,
                 address,
                 released_at: now,
                 expires_at: now + keep_for,
@@ -146,30 +164,63 @@
         Ok(response)
     }
 
-    /// Takes the most recently used connection that is open and has no unread
-    /// bytes.
-    fn checkout(&self, address: SocketAddr, repeatable: bool) -> Option<TcpStream> {
+    /// Takes the most recently used connection on which the request may be sent,
+    /// and which is open and has no unread bytes.
+    fn checkout(&self, address: SocketAddr, request: &Request<'_>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|connection| connection.expires_at > now && connection.address == address);
-        while let Some(connection) = idle.pop() {
-            if !repeatable && now.duration_since(connection.released_at) > MAX_UNREPEATABLE_IDLE {
-                idle.push(connection);
-                return None;
-            }
-            let mut probe = [0; 1];
-            let is_open = matches!(
-                connection.stream.try_read(&mut probe),
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock
-            );
-            if is_open {
-                return Some(connection.stream);
+        idle.retain(|idle| idle.expires_at > now && idle.address == address);
+        let may_carry = |idle: &Idle| {
+            let idle_time = now.duration_since(idle.released_at);
+            (request.repeatable || idle_time <= MAX_UNREPEATABLE_IDLE)
+                && idle.connection.may_carry(request)
+        };
+        while let Some(index) = idle.iter().rposition(may_carry) {
+            let connection = idle.remove(index).connection;
+            if connection.is_quiet() {
+                return Some(connection);
             }
         }
         None
     }
 }
 
+impl Connection {
+    const fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            unsuccessful: Vec::new(),
+        }
+    }
+
+    /// Whether a late response on this connection can be told from the response to
+    /// the request.
+    fn may_carry(&self, request: &Request<'_>) -> bool {
+        request.correlation.is_none_or(|field| {
+            let mut carried = self.unsuccessful.iter();
+            carried.all(|id| **id != *field.value)
+        })
+    }
+
+    /// Records the end of an exchange.
+    fn record(&mut self, request: &Request<'_>, status: u16) {
+        if let Some(field) = request.correlation
+            && !(200..300).contains(&status)
+        {
+            self.unsuccessful.push(field.value.into());
+        }
+    }
+
+    /// Whether the connection is open and has no unread bytes.
+    fn is_quiet(&self) -> bool {
+        let mut probe = [0; 1];
+        matches!(
+            self.stream.try_read(&mut probe),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock
+        )
+    }
+}
+
 async fn connect_to(address: SocketAddr, connect: Duration) -> Result<TcpStream, Error> {
     let not_sent = |detail: String| Error::NotSent(detail);
     let connected = timeout(connect, TcpStream::connect(address)).await;
--- a/crates/daemon/tests/all/exchange_framing.rs
+++ b/crates/daemon/tests/all/exchange_framing.rs
@@ -142,6 +142,21 @@
     assert_eq!(responses, [Ok("one".to_owned()), Ok("two".to_owned())]);
 }
 
+#[test]
+fn repeated_rejection_skipped() {
+    // Guards against a request that runs twice: a late copy of its rejection is
+    // taken for the response to its second sending, which is running.
+    const REJECTED: Step =
+        Send("HTTP/1.1 503 Busy\r\nX-Attempt-Id: 1\r\nContent-Length: 0\r\n\r\n");
+    let rejecting: &[Step] = &[Read, REJECTED, Read, REJECTED, TWO, Read, REJECTED, ONE];
+    for ids in [&["1", "1"][..], &["1", "2", "1"]] {
+        let scripts: &'static [&'static [Step]] = Box::leak(Box::new([rejecting, &[Read, ONE]]));
+        let responses = exchange_all(scripts, ids);
+        let last = responses.last().expect("a response");
+        assert_eq!(*last, Ok("one".to_owned()), "{ids:?}: {responses:?}");
+    }
+}
+
 #[test]
 fn optional_identifier_checked() {
     // A target may return the identifier: a late response with that of an earlier
