Accept no key before the configuration is confirmed

Cause: the time of the last confirmation was zero before the first one, which is the start of the process. A configuration from a peer thus counted as confirmed at that start, and gossip told the others so. A peer's confirmation from before the start was dated at the start too, since a moment does not precede the clock's origin.

Ruled out: a late read of the store, which was down, and the dating of gossip on the sender's clock, which gave the right date before it was cut at zero.

There is now no confirmation until a read or a peer's date gives one, and a date may precede the start. Requests without a key are served as before.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -71,6 +71,7 @@
     NoteRejected = 401, "release note from the platform could not be applied";
     ConfigInForce = 402, "configuration in force";
     ConfigRejected = 403, "configuration from the platform could not be read";
+    ConfigConfirmed = 404, "configuration confirmed as the newest for the first time since the start";
     PlatformUnreachable = 410, "platform unreachable";
     PlatformReachable = 411, "platform reachable again";
     ShareLeased = 420, "quota share leased";
--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -58,8 +58,9 @@
     pub domain: String,
     /// Revision in force.
     pub revision: u64,
-    /// Time since the revision was last confirmed as the newest.
-    pub confirmed_ms_ago: u64,
+    /// Time since the revision was last confirmed as the newest, `None` if it has not
+    /// been since the daemon's start.
+    pub confirmed_ms_ago: Option<u64>,
     /// Whether the daemon is leaving the fleet.
     pub leaving: bool,
     /// Number of open root requests.
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -117,12 +117,17 @@
     if daemon.leaving {
         problems.push(format!("{} is leaving", daemon.node));
     }
-    if daemon.confirmed_ms_ago > STALE_REVISION_MS {
-        let seconds = daemon.confirmed_ms_ago / 1_000;
-        problems.push(format!(
-            "{} has not known its note to be the newest for {seconds} s",
+    match daemon.confirmed_ms_ago {
+        Some(age) if age <= STALE_REVISION_MS => {}
+        Some(age) => problems.push(format!(
+            "{} has not known its note to be the newest for {} s",
+            daemon.node,
+            age / 1_000
+        )),
+        None => problems.push(format!(
+            "{} has not known its note to be the newest since its start",
             daemon.node
-        ));
+        )),
     }
     let own = daemon
         .members
--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -7,6 +7,7 @@
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_note::{Config, Note};
 use cardamomshed_platform::Client;
+use cardamomshed_policy::confirmation::Date;
 
 use super::distribution::{apply_row, install, request_from_peer, row_key};
 use super::operator;
@@ -36,7 +37,7 @@
         if is_poller(&node) {
             match read(&node, &client).await {
                 Ok(()) => {
-                    node.configuration.confirm();
+                    node.confirm_configuration(Date::of(node.clock.now()), "store");
                     if unreachable {
                         node.log_event(Event::PlatformReachable, format_args!("notes"));
                     }
--- a/crates/daemon/src/actor/gossip.rs
+++ b/crates/daemon/src/actor/gossip.rs
@@ -55,7 +55,9 @@
                 let now = node.clock.now();
                 let output = {
                     let mut fleet = lock(&node.members.fleet);
-                    fleet.confirm(node.configuration.confirmed());
+                    if let Some(confirmed) = node.configuration.confirmed() {
+                        fleet.confirm(confirmed);
+                    }
                     fleet.tick(&mut rand::rng(), now)
                 };
                 apply_output(&node, output);
--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -9,7 +9,8 @@
 
 use cardamomshed_code::{Event, Failure};
 use cardamomshed_platform::{CONFIG_KEY, CONFIG_TABLE, Changes, Client, redact_config};
-use cardamomshed_policy::confirmation::read_age;
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::confirmation::{Date, read_age};
 use serde_json::Value;
 
 use super::distribution::{install_operator_config, request_from_peer};
@@ -89,7 +90,11 @@
 
     /// Whether this daemon, which is no poller, has to confirm its configuration.
     fn must_read(&self) -> bool {
-        let age = self.node.configuration.unconfirmed_for();
+        // Before the first confirmation, the time since the start counts, so that
+        // daemons that start together read one after the other.
+        let confirmed = self.node.configuration.confirmed();
+        let since = confirmed.unwrap_or(Date::of(Moment::ZERO));
+        let age = since.age(self.node.clock.now());
         match &self.node.current_settings().sidecar {
             Some(sidecar) => age > read_age(sidecar.withdraw_within.get(), rank(&self.node)),
             None => age > MAX_UNCONFIRMED,
@@ -98,6 +103,7 @@
 
     async fn read(&mut self) -> Result<(), Failure> {
         let sent = self.node.clock.now();
+        let asked = Date::of(sent);
         let Some(version) = self.version else {
             let (row, version) = self
                 .client
@@ -105,7 +111,7 @@
                 .await?;
             if let Some(row) = row {
                 install_value(&self.node, row.value);
-                self.node.configuration.confirm_at(sent);
+                self.node.confirm_configuration(asked, "store");
             }
             self.version = Some(version);
             return Ok(());
@@ -122,12 +128,12 @@
                 // An empty answer reflects the state at the end of the wait.
                 let waited = self.node.clock.now().since(sent) >= FEED_WAIT;
                 let confirmed = if is_unchanged && waited {
-                    sent + FEED_WAIT
+                    asked.after(FEED_WAIT)
                 } else {
-                    sent
+                    asked
                 };
                 let confirmed = confirmed.before(FEED_LAG);
-                self.node.configuration.confirm_at(confirmed);
+                self.node.confirm_configuration(confirmed, "store");
             }
             Changes::Compacted => self.version = None,
         }
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -1,16 +1,19 @@
 //! The current configuration and the time of its last confirmation as the newest.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use cardamomshed_note::{Config, Interner, Lookup};
 use cardamomshed_policy::Moment;
+use cardamomshed_policy::confirmation::Date;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::history::History;
 
+/// Value of [`Configuration::confirmed_us`] before the first confirmation.
+const UNCONFIRMED: i64 = i64::MIN;
 /// Shortest interval between two requests for a newer configuration.
 const MIN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -47,8 +50,9 @@
 pub struct Configuration {
     clock: Clock,
     lookup: RwLock<Arc<Lookup>>,
-    /// Moment of the last confirmation, in microseconds.
-    confirmed_us: AtomicU64,
+    /// Date of the last confirmation, in microseconds; [`UNCONFIRMED`] before the
+    /// first. A configuration from a peer does not change it.
+    confirmed_us: AtomicI64,
     /// Recent release notes.
     pub history: History,
     /// Newest configuration in the operators' JSON, with API keys replaced by
@@ -70,7 +74,7 @@
         Self {
             clock,
             lookup: RwLock::default(),
-            confirmed_us: AtomicU64::new(0),
+            confirmed_us: AtomicI64::new(UNCONFIRMED),
             history: History::default(),
             operator_config: Mutex::default(),
             newer_member: Mutex::default(),
@@ -97,25 +101,24 @@
         newer
     }
 
-    /// Records that the configuration is the newest now.
-    pub fn confirm(&self) {
-        self.confirm_at(self.clock.now());
+    /// Records that the configuration was the newest at `date`. An earlier date than
+    /// the recorded one is ignored. Returns whether this is the first confirmation.
+    pub fn confirm(&self, date: Date) -> bool {
+        let before = self
+            .confirmed_us
+            .fetch_max(date.as_micros(), Ordering::Relaxed);
+        before == UNCONFIRMED
     }
 
-    /// Records that it was the newest at `moment`. An earlier moment than the
-    /// recorded one is ignored.
-    pub fn confirm_at(&self, moment: Moment) {
-        self.confirmed_us
-            .fetch_max(moment.as_micros(), Ordering::Relaxed);
+    /// Date of the last confirmation, `None` if this process has received none.
+    pub fn confirmed(&self) -> Option<Date> {
+        let micros = self.confirmed_us.load(Ordering::Relaxed);
+        (micros != UNCONFIRMED).then(|| Date::from_micros(micros))
     }
 
-    /// Moment of the last confirmation.
-    pub fn confirmed(&self) -> Moment {
-        Moment::from_micros(self.confirmed_us.load(Ordering::Relaxed))
-    }
-
-    /// Time since the last confirmation.
-    pub fn unconfirmed_for(&self) -> Duration {
-        self.clock.now().since(self.confirmed())
+    /// Time since the last confirmation, `None` before the first.
+    pub fn unconfirmed_for(&self) -> Option<Duration> {
+        let confirmed = self.confirmed()?;
+        Some(confirmed.age(self.clock.now()))
     }
 }
--- a/crates/daemon/src/http/admin.rs
+++ b/crates/daemon/src/http/admin.rs
@@ -22,7 +22,7 @@
     domain: Arc<str>,
     region: Arc<str>,
     revision: u64,
-    confirmed_ms_ago: u64,
+    confirmed_ms_ago: Option<u64>,
     leaving: bool,
     open_requests: i64,
     links: usize,
@@ -43,7 +43,6 @@
 
 /// State of this daemon and its view of the fleet.
 pub async fn status(node: web::Data<Node>) -> HttpResponse {
-    let now = node.clock.now();
     let lookup = node.lookup();
     let fleet = lock(&node.members.fleet);
     let members = fleet.members().cloned().chain([fleet.own().clone()]);
@@ -52,7 +51,10 @@
         domain: node.settings.domain.to_arc(),
         region: node.settings.region.to_arc(),
         revision: lookup.config.revision,
-        confirmed_ms_ago: now.since(node.configuration.confirmed()).as_millis() as u64,
+        confirmed_ms_ago: node
+            .configuration
+            .unconfirmed_for()
+            .map(|age| age.as_millis() as u64),
         leaving: node.lifecycle.is_leaving(),
         open_requests: node.metrics.open.get(),
         links: node.links.len(),
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -279,8 +279,8 @@
 }
 
 /// Refuses all keys before the first configuration arrives. If unconfirmed keys
-/// are to be refused, also refuses them once the configuration has not been
-/// confirmed for the configured time.
+/// are to be refused, also refuses them before the first confirmation of the
+/// configuration and once it has not been confirmed for the configured time.
 ///
 /// # Errors
 ///
@@ -298,12 +298,15 @@
         let detail = "no release note has been received yet";
         return Err(Failure::new(Code::KeyUnconfirmed, detail));
     }
-    let age = node.configuration.unconfirmed_for();
-    if refuse && age > after {
-        let detail = format!("configuration not confirmed for {} s", age.as_secs());
-        return Err(Failure::new(Code::KeyUnconfirmed, detail));
+    if !refuse {
+        return Ok(());
     }
-    Ok(())
+    let detail = match node.configuration.unconfirmed_for() {
+        Some(age) if age <= after => return Ok(()),
+        Some(age) => format!("configuration not confirmed for {} s", age.as_secs()),
+        None => "configuration not confirmed since the start".to_owned(),
+    };
+    Err(Failure::new(Code::KeyUnconfirmed, detail))
 }
 
 /// Applies load shedding before any hop does work, then takes quota. A request
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -44,16 +44,19 @@
         node.configuration.wake.notify_one();
     }
     if let Some(confirmed) = output.confirmed {
-        node.configuration.confirm_at(confirmed);
+        node.confirm_configuration(confirmed, "peer");
     }
 }
 
 /// Broadcasts the time of the last confirmation of the configuration within the
 /// local failure domain.
 pub fn broadcast_confirmation(node: &Node) {
+    let Some(confirmed) = node.configuration.confirmed() else {
+        return;
+    };
     let output = {
         let mut fleet = lock(&node.members.fleet);
-        fleet.confirm(node.configuration.confirmed());
+        fleet.confirm(confirmed);
         fleet.broadcast(node.clock.now())
     };
     apply_output(node, output);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,6 +8,7 @@
 use cardamomshed_note::{Interner, Lookup, Settings};
 use cardamomshed_platform::{Budget, Client, Rates};
 use cardamomshed_policy::admission::{self, Admission};
+use cardamomshed_policy::confirmation::Date;
 use cardamomshed_policy::member::{self, Fleet, Profile};
 use cardamomshed_policy::registration::Registration;
 use cardamomshed_policy::route::ByteBudget;
@@ -225,6 +226,22 @@
         self.trace.record(request, self.clock.now(), event, detail);
     }
 
+    /// Records that the configuration was the newest at `date`, as known by a read of
+    /// the store or from a peer. Logs the first confirmation since the start.
+    pub fn confirm_configuration(&self, date: Date, source: &str) {
+        if self.configuration.confirm(date) {
+            let age = date.age(self.clock.now());
+            self.log_event(
+                Event::ConfigConfirmed,
+                format_args!(
+                    "revision={} by={source} age_ms={}",
+                    self.lookup().config.revision,
+                    age.as_millis()
+                ),
+            );
+        }
+    }
+
     /// Logs an event that does not concern a single request.
     pub fn log_event(&self, event: Event, detail: fmt::Arguments<'_>) {
         info!(self.log, "{}", event.text(); "event" => event.number(), "detail" => %detail);
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod retry_outcomes;
 mod signed_target;
 mod target_recovery;
+mod unconfirmed_start;
 
 use std::time::Duration;
 
--- a/crates/policy/src/confirmation.rs
+++ b/crates/policy/src/confirmation.rs
@@ -1,4 +1,5 @@
-//! When a daemon confirms its configuration by a read of its own.
+//! When the configuration was last confirmed as the newest, and when a daemon
+//! confirms it by a read of its own.
 //!
 //! The pollers of a failure domain confirm the configuration for all its members.
 //! If no confirmation arrives, the members read the store one after the other, and
@@ -6,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::moment::Moment;
+
 /// Fraction of the bound on withdrawn keys after which the first member reads.
 const FIRST_READ: f64 = 0.5;
 /// Fraction of that bound by which the last member reads. Keys are refused soon
@@ -22,3 +25,54 @@
     let age = withdraw_within.mul_f64(FIRST_READ) + delay;
     age.min(withdraw_within.mul_f64(LAST_READ))
 }
+
+/// When the configuration was known to be the newest, on the local clock.
+///
+/// Another process may have known it before this one started, so that a date may
+/// precede the origin of the clock, which no [`Moment`] does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Date(i64);
+
+impl Date {
+    /// The date of a moment.
+    pub fn of(moment: Moment) -> Self {
+        Self::from_micros(i64::try_from(moment.as_micros()).unwrap_or(i64::MAX))
+    }
+
+    /// The date `micros` microseconds after the origin.
+    pub const fn from_micros(micros: i64) -> Self {
+        Self(micros)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> i64 {
+        self.0
+    }
+
+    /// This date as a moment, `None` if it precedes the origin.
+    pub fn moment(self) -> Option<Moment> {
+        u64::try_from(self.0).ok().map(Moment::from_micros)
+    }
+
+    /// This date plus `length`.
+    #[must_use]
+    pub fn after(self, length: Duration) -> Self {
+        Self(self.0.saturating_add(micros(length)))
+    }
+
+    /// This date minus `length`.
+    #[must_use]
+    pub fn before(self, length: Duration) -> Self {
+        Self(self.0.saturating_sub(micros(length)))
+    }
+
+    /// Time elapsed since this date, zero if it is later than `now`.
+    pub fn age(self, now: Moment) -> Duration {
+        let age = Self::of(now).0.saturating_sub(self.0);
+        Duration::from_micros(u64::try_from(age).unwrap_or_default())
+    }
+}
+
+fn micros(length: Duration) -> i64 {
+    i64::try_from(length.as_micros()).unwrap_or(i64::MAX)
+}
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -31,6 +31,7 @@
 pub use record::{Profile, Record, State, rank_key};
 use updates::Updates;
 
+use crate::confirmation::Date;
 use crate::moment::Moment;
 
 /// Settings of a [`Fleet`].
@@ -98,9 +99,9 @@
     pub changes: Vec<Change>,
     /// Name of a member that advertises a newer release note than the local one.
     pub newer_note: Option<Arc<str>>,
-    /// When a member with the same release note last knew it to be the newest, on
-    /// the local clock. `None` as well if the member's clock is not known yet.
-    pub confirmed: Option<Moment>,
+    /// When a member with the same release note last knew it to be the newest.
+    /// `None` as well if the member's clock is not known yet.
+    pub confirmed: Option<Date>,
     /// Member whose digest keeps differing. The caller requests records from it.
     pub diverged: Option<Arc<str>>,
 }
@@ -134,8 +135,9 @@
     by_address: HashMap<SocketAddr, Arc<str>>,
     /// Revision of the newest release note in force here.
     revision: u64,
-    /// When `revision` was last known to be the newest.
-    confirmed: Moment,
+    /// When `revision` was last known to be the newest; `None` before the first
+    /// confirmation that this process received.
+    confirmed: Option<Date>,
     now: Moment,
     probe_order: Vec<Arc<str>>,
     probe: Option<Probe>,
@@ -179,7 +181,7 @@
             members: IndexMap::new(),
             by_address: HashMap::new(),
             revision: 0,
-            confirmed: Moment::ZERO,
+            confirmed: None,
             now: Moment::ZERO,
             probe_order: Vec::new(),
             probe: None,
@@ -239,18 +241,22 @@
     }
 
     /// Sets the revision of the newest release note in force and pushes it to a few
-    /// members. Older revisions are ignored.
+    /// members. Before the first confirmation, these are asked for theirs. Older
+    /// revisions are ignored.
     pub fn set_revision(&mut self, revision: u64, random: &mut impl Rng) -> Output {
         if revision <= self.revision {
             return Output::default();
         }
         self.revision = revision;
+        if self.confirmed.is_none() {
+            return self.request_confirmations(random);
+        }
         self.push(random)
     }
 
     /// Records when the release note in force was last known to be the newest.
-    pub fn confirm(&mut self, confirmed: Moment) {
-        self.confirmed = self.confirmed.max(confirmed);
+    pub fn confirm(&mut self, confirmed: Date) {
+        self.confirmed = self.confirmed.max(Some(confirmed));
     }
 
     /// Advances the time to `now`: sends due probes, expires suspicions and evicts
@@ -318,18 +324,21 @@
     /// packet may have been delayed, or queued while this process was paused, so
     /// only the sender's clock dates it.
     fn merge_confirmation(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
+        let Some(confirmed) = packet.confirmed() else {
+            return;
+        };
         let member = self.members.get(&packet.sender);
         let offset = member
             .and_then(|member| member.offset)
             .filter(|offset| offset.process == packet.process);
         if let Some(offset) = offset {
-            let confirmed = offset.local_moment(Moment::from_micros(packet.confirmed_us));
             // A remote clock that runs too fast must not confirm the future.
-            let confirmed = confirmed.min(now);
-            self.confirmed = self.confirmed.max(confirmed);
+            let confirmed = offset.local_date(confirmed).min(Date::of(now));
+            self.confirm(confirmed);
             output.confirmed = Some(confirmed);
         }
-        if matches!(packet.payload, Payload::Broadcast | Payload::Push) {
+        let is_sent_to_many = matches!(packet.payload, Payload::Broadcast | Payload::Push);
+        if is_sent_to_many || self.confirmed.is_none() {
             self.calibrate(packet, now, output);
         }
     }
@@ -454,7 +463,10 @@
             sender: Arc::clone(&self.own.name),
             revision: self.revision,
             process: self.process,
-            confirmed_us: self.confirmed.as_micros(),
+            confirmed_us: self
+                .confirmed
+                .and_then(Date::moment)
+                .map_or(0, Moment::as_micros),
             digest: self.full_digest(),
             payload,
             records: Vec::new(),
--- a/crates/policy/src/member/offset.rs
+++ b/crates/policy/src/member/offset.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::confirmation::Date;
 use crate::moment::Moment;
 
 /// Largest relative error of an interval measured on two clocks, each of which
@@ -12,8 +13,8 @@
 ///
 /// It comes from an exchange that this process started: the other clock read
 /// `remote` no earlier than the local clock read `local`. The time for which a
-/// message is in transit or queued therefore never makes a converted moment
-/// later than the true one.
+/// message is in transit or queued therefore never makes a converted date later
+/// than the true one.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Offset {
     /// Identity of the other process; a restart makes the offset void.
@@ -25,19 +26,20 @@
 }
 
 impl Offset {
-    /// The latest local moment that is certainly not after `remote` on the other
+    /// The latest local date that is certainly not after `remote` on the other
     /// clock.
-    pub(super) fn local_moment(&self, remote: Moment) -> Moment {
+    pub(super) fn local_date(&self, remote: Moment) -> Date {
+        let local = Date::of(self.local);
         let later = remote.since(self.remote);
         if later > Duration::ZERO {
-            return self.local + later.mul_f64(1.0 - MAX_DRIFT);
+            return local.after(later.mul_f64(1.0 - MAX_DRIFT));
         }
         let earlier = self.remote.since(remote);
-        self.local.before(earlier.mul_f64(1.0 + MAX_DRIFT))
+        local.before(earlier.mul_f64(1.0 + MAX_DRIFT))
     }
 
     /// Whether this offset bounds moments at least as tightly as `other`.
     pub(super) fn is_tighter(&self, other: &Self) -> bool {
-        self.process != other.process || self.local >= other.local_moment(self.remote)
+        self.process != other.process || Date::of(self.local) >= other.local_date(self.remote)
     }
 }
--- a/crates/policy/src/member/packet.rs
+++ b/crates/policy/src/member/packet.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Record;
+use crate::moment::Moment;
 
 /// One gossip packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +21,7 @@
     #[serde(rename = "b")]
     pub process: u64,
     /// When the sender last knew that release note to be the newest, in
-    /// microseconds on its clock.
+    /// microseconds on its clock; zero if it has not known it since its start.
     #[serde(rename = "c")]
     pub confirmed_us: u64,
     /// Digest of the members that are active in the sender's view, itself
@@ -35,6 +36,13 @@
     pub records: Vec<Record>,
 }
 
+impl Packet {
+    /// When the sender last knew its release note to be the newest, on its clock.
+    pub(super) fn confirmed(&self) -> Option<Moment> {
+        (self.confirmed_us > 0).then(|| Moment::from_micros(self.confirmed_us))
+    }
+}
+
 /// Request or response of a packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -12,6 +12,7 @@
 
 use super::offset::Offset;
 use super::{Fleet, Output, Packet, Payload, Send, State};
+use crate::confirmation::Date;
 use crate::moment::Moment;
 
 /// One probe in this many is sent to a failed member.
@@ -253,10 +254,26 @@
         self.sequence
     }
 
+    /// Pings a few random members. Their acknowledgements carry when they last knew
+    /// the release note in force to be the newest.
+    pub(super) fn request_confirmations(&mut self, random: &mut impl Rng) -> Output {
+        let mut output = Output::default();
+        for to in self.sample(self.config.fanout, None, random) {
+            let Some(subject) = self.by_address.get(&to).cloned() else {
+                continue;
+            };
+            let sequence = self.next_ping(&subject, self.now);
+            let packet = self.packet(Payload::Ping { sequence });
+            output.sends.push(Send { to, packet });
+        }
+        output
+    }
+
     /// Pings the sender of a packet to relate its clock to the local one, unless that was done
     /// recently or the ping would confirm nothing new.
     pub(super) fn calibrate(&mut self, packet: &Packet, now: Moment, output: &mut Output) {
-        if now.since(self.confirmed) < MIN_UNCONFIRMED {
+        let is_recent = |confirmed: Date| confirmed.age(now) < MIN_UNCONFIRMED;
+        if self.confirmed.is_some_and(is_recent) {
             return;
         }
         let Some(member) = self.members.get_mut(&packet.sender) else {
--- a/crates/policy/src/moment.rs
+++ b/crates/policy/src/moment.rs
@@ -29,13 +29,6 @@
         self.0
     }
 
-    /// This moment minus `length`, saturating at the origin.
-    #[must_use]
-    pub fn before(self, length: std::time::Duration) -> Self {
-        let micros = u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_sub(micros))
-    }
-
     /// Time elapsed since `earlier`, zero if `earlier` is later than this
     /// moment.
     pub const fn since(self, earlier: Self) -> Duration {
--- a/crates/policy/tests/all/member_confirmation.rs
+++ b/crates/policy/tests/all/member_confirmation.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::Moment;
+use cardamomshed_policy::confirmation::Date;
 use cardamomshed_policy::member::{Config, Fleet, Packet, Payload, Profile, Record, State};
 use quickcheck::TestResult;
 
@@ -33,6 +34,10 @@
     Moment::from_millis(millis)
 }
 
+fn date(millis: u64) -> Date {
+    Date::of(at(millis))
+}
+
 /// A receiver and a sender whose clocks run at different rates from different
 /// origins. Times are in milliseconds on the receiver's clock.
 struct Pair {
@@ -70,14 +75,14 @@
 
     /// Broadcast of the sender at a time, with a confirmation at an earlier one.
     fn broadcast(&mut self, time: u64, confirmed: u64) -> Packet {
-        self.sender.confirm(self.sender_clock(confirmed));
+        self.sender.confirm(Date::of(self.sender_clock(confirmed)));
         let output = self.sender.broadcast(self.sender_clock(time));
         output.sends[0].packet.clone()
     }
 
     /// Delivers a broadcast. Returns the date of its confirmation, and answers the
     /// receiver's ping, if any, after `delays` of request and response.
-    fn deliver(&mut self, packet: Packet, time: u64, delays: [u64; 2]) -> Option<Moment> {
+    fn deliver(&mut self, packet: Packet, time: u64, delays: [u64; 2]) -> Option<Date> {
         let output = self.receiver.receive(packet, address(2), at(time));
         for ping in output.sends {
             let clock = self.sender_clock(time + delays[0]);
@@ -103,8 +108,55 @@
     // The receiver is paused while this packet lies in its socket buffer.
     let second = pair.broadcast(3_000, 2_900);
     let confirmed = pair.deliver(second, 9_400, [1, 1]).expect("a date");
-    assert!(confirmed <= at(2_900), "dated {confirmed:?}");
-    assert!(confirmed >= at(2_890), "dated {confirmed:?}");
+    assert!(confirmed <= date(2_900), "dated {confirmed:?}");
+    assert!(confirmed >= date(2_890), "dated {confirmed:?}");
+}
+
+/// Guards against a withdrawn key that works again: a sender that nobody has
+/// confirmed anything to passed its own start on as a confirmation.
+#[test]
+fn unconfirmed_sender_ignored() {
+    let mut pair = Pair::new(500_000, 0);
+    for time in [2_000, 3_000] {
+        let output = pair.sender.broadcast(pair.sender_clock(time));
+        let packet = output.sends[0].packet.clone();
+        assert_eq!(pair.deliver(packet, time + 1, [1, 1]), None);
+    }
+}
+
+/// Guards against a withdrawn key that works again: a confirmation from before the
+/// receiver's start was dated at its start.
+#[test]
+fn earlier_confirmation_dated() {
+    let mut pair = Pair::new(500_000, 0);
+    let sender_start = Date::of(pair.sender_clock(0));
+    pair.sender
+        .confirm(sender_start.before(Duration::from_mins(1)));
+    let mut dates = [2_000, 3_000].map(|time| {
+        let output = pair.sender.broadcast(pair.sender_clock(time));
+        pair.deliver(output.sends[0].packet.clone(), time + 1, [1, 1])
+    });
+    let confirmed = dates[1].take().expect("a date");
+    assert!(confirmed.age(at(3_001)) >= Duration::from_secs(63));
+}
+
+#[test]
+fn first_confirmation_requested() {
+    let mut pair = Pair::new(500_000, 0);
+    pair.sender.confirm(Date::of(pair.sender_clock(1_900)));
+    pair.receiver = fleet("receiver", 1, 2);
+    pair.receiver
+        .merge_all(vec![pair.sender.own().clone()], at(2_000));
+    // The revision in force is pushed to members, which confirm it at once.
+    let pings = pair.receiver.set_revision(1, &mut random()).sends;
+    let clock = pair.sender_clock(2_001);
+    let answers = pair
+        .sender
+        .receive(pings[0].packet.clone(), address(1), clock);
+    let answer = answers.sends[0].packet.clone();
+    let output = pair.receiver.receive(answer, address(2), at(2_002));
+    let confirmed = output.confirmed.expect("a confirmation");
+    assert!(confirmed <= date(1_900), "dated {confirmed:?}");
 }
 
 #[test]
@@ -158,7 +210,7 @@
     let Some(confirmed) = pair.deliver(second, arrived, [1, 1]) else {
         return TestResult::discard();
     };
-    TestResult::from_bool(confirmed <= at(sent - 100))
+    TestResult::from_bool(confirmed <= date(sent - 100))
 }
 
 #[test]
