Date the confirmation of a read of the notes at its start

A read may take long, and a note written meanwhile may be missing from its answer. No test shows a caller that was served wrongly by it.

--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -35,9 +35,10 @@
     let mut unreachable = false;
     loop {
         if is_poller(&node) {
+            let asked = Date::of(node.clock.now());
             match read(&node, &client).await {
                 Ok(()) => {
-                    node.confirm_configuration(Date::of(node.clock.now()), "store");
+                    node.confirm_configuration(asked, "store");
                     if unreachable {
                         node.log_event(Event::PlatformReachable, format_args!("notes"));
                     }
