Take no release note from a peer for a confirmation

On the project's own interface, with `unconfirmed_keys: refuse`, callers were served by a daemon that started without the store, for `unconfirmed_after` from the arrival of a peer's configuration, though nobody could confirm it.

Cause: `distribution::install` confirmed whatever it installed.

Evidence: `unconfirmed_start::peer_notes_unconfirmed` failed before with 200 for 503.

Only a read of the notes, and gossip about such a read, now confirm.

--- a/crates/daemon/src/actor/distribution.rs
+++ b/crates/daemon/src/actor/distribution.rs
@@ -7,7 +7,6 @@
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_note::{Config, Note};
 use cardamomshed_platform::decode_config;
-use cardamomshed_policy::confirmation::Date;
 use cardamomshed_wire::Frame;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -47,9 +46,6 @@
     node.metrics
         .revision
         .set(i64::try_from(revision).unwrap_or(i64::MAX));
-    if node.settings.sidecar.is_none() {
-        node.confirm_configuration(Date::of(node.clock.now()), "note");
-    }
     node.quota.wake.notify_one();
     let output = lock(&node.members.fleet).set_revision(revision, &mut rand::rng());
     apply_output(node, output);
--- a/crates/daemon/tests/all/unconfirmed_start.rs
+++ b/crates/daemon/tests/all/unconfirmed_start.rs
@@ -8,23 +8,30 @@
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
+use cardamomshed_note::{Limits, Settings, Timespan, Unconfirmed};
 use cardamomshed_standin::client::{Reply, Request, eventually};
-use cardamomshed_standin::fleet::Member;
+use cardamomshed_standin::fleet::{Location, Member, settings};
 use cardamomshed_standin::platform::Faults;
 
+use crate::chain;
 use crate::platform_sidecar::{Deployment, eventually_status, sidecar};
 
 /// Time for which the requests of a withdrawn key are observed. It exceeds the
 /// time for which a confirmation is in force.
 const OBSERVATION: Duration = Duration::from_secs(4);
 
-/// Starts a daemon that knows a member of the deployment and cannot reach the
+/// Starts a sidecar that knows a member of the deployment and cannot reach the
 /// store.
-fn start_known(fleet: &Deployment) -> Member {
+fn start_sidecar(fleet: &Deployment) -> Member {
     let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
     let settings = sidecar("n-3", "s-one", unreachable, &fleet.platform);
+    start_beside(settings, &fleet.second.node)
+}
+
+/// Starts a daemon that knows another one.
+fn start_beside(settings: Settings, other: &Node) -> Member {
     let member = Member::start(settings, Options::default());
-    let known = own_record(&fleet.second.node);
+    let known = own_record(other);
     let output = {
         let mut members = member.node.members.fleet.lock().expect("not poisoned");
         members.merge_all(vec![known], member.node.clock.now())
@@ -61,7 +68,7 @@
     eventually_status(503, || fleet.get("/a/b").key("key-one").send());
     // By now no read that the store had accepted before is open.
     fleet.configure(4, "key-two");
-    let late = start_known(&fleet);
+    let late = start_sidecar(&fleet);
     eventually("a configuration from a peer", || {
         late.node.lookup().config.revision == 3
     });
@@ -79,6 +86,51 @@
     assert_eq!(send_with_key(&late.node, "key-one").status, 401);
 }
 
+/// Guards against a withdrawn key that works again: on the project's own interface
+/// a configuration from a peer counted as a confirmation.
+#[test]
+fn peer_notes_unconfirmed() {
+    let fleet = chain(1);
+    let mut note = fleet.blank_note("refuse-unconfirmed");
+    note.limits = Some(Limits {
+        unconfirmed_keys: Unconfirmed::Refuse,
+        unconfirmed_after: Timespan::from_millis(700),
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    let daemon = &fleet.daemons[0].node;
+    eventually("the note is in force", || {
+        daemon.lookup().config.revision == 2
+    });
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let send = |node: &Node| {
+        let request = Request::get(node.settings.callers, &fleet.shape.path());
+        request.key(&fleet.keys[0]).send()
+    };
+    eventually("the key is refused", || send(daemon).code() == 1104);
+    let place = Location {
+        node: "late".to_owned(),
+        domain: fleet.shape.domains[0].0.clone(),
+        region: fleet.shape.domains[0].1.clone(),
+    };
+    let settings = settings(&place, &fleet.shape.domains, &fleet.platform.base());
+    let late = start_beside(settings, daemon);
+    let until = Instant::now() + OBSERVATION;
+    while Instant::now() < until {
+        for node in [daemon, &late.node] {
+            let reply = send(node);
+            assert_eq!((reply.status, reply.code()), (503, 1104));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(late.node.lookup().config.revision, 2);
+    fleet.platform.set_faults(Faults::default());
+    eventually("the key is accepted", || send(&late.node).status == 200);
+}
+
 /// Guards against refusals for want of a confirmation that a peer has: one that is
 /// still in force also counts for a daemon that starts without the store.
 #[test]
@@ -91,6 +143,6 @@
         down: true,
         ..Faults::default()
     });
-    let late = start_known(&fleet);
+    let late = start_sidecar(&fleet);
     eventually_status(200, || send_with_key(&late.node, "key-one"));
 }
