Let groups of daemons that start together meet

Cause: a relay turned to another failure domain only while it knew none. Domains that had drawn one another at random thus turned to no further one, and groups that span two domains or more stayed apart, with a lender each.

Ruled out: lost gossip, and lender slots held twice: each group had one holder in each domain, and the groups never met with all daemons alive.

The relay of a domain now asks every contact of its own domain and one of each other domain in which it knows no member, again if there is no answer. Two groups have a domain in common, where their relays meet, or each lacks one of the other's.

--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -24,6 +24,10 @@
 const MAX_ROWS: usize = 256;
 /// Interval between two reads of the rows once all members are known.
 const POLL_INTERVAL: Duration = Duration::from_secs(30);
+/// Upper bound of the interval between two requests to contacts that have not
+/// answered, once the member list counts as complete. The rows are read again
+/// with each.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after the start in which no row of another daemon is replaced, since its
 /// daemon may not be known yet.
 const REPLACE_DELAY: Duration = Duration::from_secs(5);
@@ -62,7 +66,7 @@
                 }
             }
         }
-        request_from_contacts(&node, &contacts, round);
+        let requested = request_from_contacts(&node, &contacts, round);
         let live = lock(&node.members.fleet).live();
         if unchanged < UNCHANGED_LIMIT && live > 1 {
             unchanged = if live > last_live { 0 } else { unchanged + 1 };
@@ -77,6 +81,8 @@
         }
         let max_delay = if unchanged < UNCHANGED_LIMIT {
             REQUEST_INTERVAL
+        } else if requested > 0 {
+            CONTACT_INTERVAL
         } else {
             POLL_INTERVAL
         };
@@ -91,40 +97,17 @@
 }
 
 /// Requests members from daemons that the rows name and that are no members yet.
-fn request_from_contacts(node: &Node, contacts: &[Record], round: u32) {
-    let peers = {
+/// Returns the number of requests.
+fn request_from_contacts(node: &Node, contacts: &[Record], round: u32) -> usize {
+    let chosen = {
         let fleet = lock(&node.members.fleet);
-        select_contacts(&fleet, is_isolated(node, &fleet), contacts, round)
+        let is_isolated = is_isolated(node, &fleet);
+        fleet.choose_contacts(contacts, is_isolated, round, &mut rand::rng())
     };
-    for peer in peers {
-        request_members_at(node, &peer);
+    for contact in &chosen {
+        request_members_at(node, &peer_of(contact));
     }
-}
-
-/// Contacts to request members from. An isolated daemon turns to those of its
-/// failure domain and, from the second round on, to one of another; a relay that
-/// knows no other failure domain to one of these.
-fn select_contacts(fleet: &Fleet, is_isolated: bool, contacts: &[Record], round: u32) -> Vec<Peer> {
-    let domain = &fleet.own().profile.domain;
-    let is_local = |record: &Record| record.profile.domain == *domain;
-    let is_live = |record: &Record| record.state.is_active();
-    let unknown = contacts
-        .iter()
-        .filter(|contact| !fleet.get(&contact.name).is_some_and(is_live));
-    let (local, foreign): (Vec<_>, Vec<_>) = unknown.partition(|contact| is_local(contact));
-    let asks_foreign = if is_isolated {
-        round > 0 || local.is_empty()
-    } else {
-        let knows_foreign = fleet
-            .members()
-            .any(|record| is_live(record) && !is_local(record));
-        !knows_foreign && fleet.is_relay()
-    };
-    let mut chosen = if is_isolated { local } else { Vec::new() };
-    if asks_foreign && !foreign.is_empty() {
-        chosen.push(foreign[rand::random_range(0..foreign.len())]);
-    }
-    chosen.into_iter().map(peer_of).collect()
+    chosen.len()
 }
 
 fn peer_of(record: &Record) -> Peer {
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -1,14 +1,16 @@
-//! Daemons that start while rows of the platform name daemons that have ended.
+//! Daemons that find one another by the rows of the platform, some of which name
+//! daemons that have ended.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_policy::member::{Profile, Record, State, rank_key};
 use cardamomshed_standin::client::eventually;
-use cardamomshed_standin::fleet::Member;
+use cardamomshed_standin::fleet::{Member, name};
 use cardamomshed_standin::platform::{Capacity, Platform};
 
 use crate::platform_sidecar::sidecar;
@@ -71,3 +73,44 @@
     let took = started.elapsed();
     assert!(took < MAX_START, "a lender was found only after {took:?}");
 }
+
+/// Starts the only daemon of failure domain `domain`.
+fn start_in(domain: &str, platform: &Platform) -> Member {
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut settings = sidecar(&format!("n-{domain}"), "s-one", unreachable, platform);
+    settings.domain = name(domain);
+    Member::start(settings, Options::default())
+}
+
+/// Guards against a fleet that stays in groups, with a lender each: failure domains
+/// that had met one other turned to no further one.
+#[test]
+fn separate_groups_meet() {
+    // Each pair meets by rows of its own.
+    let platforms = [(); 2].map(|()| Platform::start(Capacity::default()));
+    let pairs = [["a", "b"], ["c", "d"]];
+    let members = [0, 1].map(|pair| pairs[pair].map(|domain| start_in(domain, &platforms[pair])));
+    let nodes = members
+        .iter()
+        .flatten()
+        .map(|member| Arc::clone(&member.node))
+        .collect::<Vec<_>>();
+    eventually("both pairs have met", || {
+        nodes.iter().all(|node| {
+            let has_exchanged = node.members.exchanged.load(Ordering::Relaxed);
+            has_exchanged && live(node) == 2
+        })
+    });
+    for node in &nodes[2..] {
+        let own = node
+            .members
+            .fleet
+            .lock()
+            .expect("not poisoned")
+            .own()
+            .clone();
+        let row = serde_json::to_value(&own).expect("a record");
+        platforms[0].write("seeds", &format!("{}-0", own.profile.domain), &row);
+    }
+    eventually("all have met", || nodes.iter().all(|node| live(node) == 4));
+}
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -8,6 +8,7 @@
 //! without an external store.
 
 mod broadcast;
+mod contact;
 mod exchange;
 mod merge;
 mod offset;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod gate_order;
 mod gate_reserve;
 mod member_confirmation;
+mod member_contacts;
 mod member_gossip;
 mod price_fanout;
 mod quota_bound;
