Count members that were not met since the start

Cause: a lender lends the part of the live members in those it knows. One that starts knows nobody, and took whomever it met first for the whole fleet.

Ruled out: the division of bounds and the taking of slots, which were right for the members known.

The poller of a failure domain keeps the number of its members in a row beside the contacts. Who starts counts the missing ones as failed until it has met as many, and lends nothing before it has the numbers, from the store or from a peer.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -67,6 +67,7 @@
     MemberSuspected = 321, "member suspected";
     MemberFailed = 322, "member failed";
     MemberLeft = 323, "member left";
+    FleetCounted = 324, "size of the fleet received for the first time since the start";
     NoteInForce = 400, "release note in force";
     NoteRejected = 401, "release note from the platform could not be applied";
     ConfigInForce = 402, "configuration in force";
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -116,12 +116,14 @@
     }
 }
 
-/// Whether the members known here suffice to tell the local rank. Before that, every
-/// member of a failure domain would take the same slot.
+/// Whether the members known here suffice to tell the local rank and the part of a
+/// bound that this daemon may lend. Before that, every member of a failure domain
+/// would take the same slot, and lend as if there were no others.
 fn knows_members(node: &Node, now: Moment) -> bool {
     let age = now.since(Moment::ZERO);
     let has_exchanged = node.members.exchanged.load(Ordering::Relaxed);
-    age >= LONELY_DELAY || (has_exchanged && age >= STARTUP_DELAY)
+    let is_counted = lock(&node.members.fleet).is_counted();
+    is_counted && (age >= LONELY_DELAY || (has_exchanged && age >= STARTUP_DELAY))
 }
 
 /// Time until the next evaluation of the members.
@@ -148,9 +150,9 @@
 
 /// Updates the shares held here to the current configuration and members.
 ///
-/// The first lender of an account has its whole bound less the part of the failed
-/// members, so that the shares in the parts of a partitioned fleet add up to the
-/// bound. Every other lender has one member's part, for the time in which the
+/// The first lender of an account has its whole bound less the part of the members
+/// that have failed or have not been met since the start, so that the shares in the
+/// parts of a divided fleet add up to the bound. Every other lender has one member's part, for the time in which the
 /// first does not answer.
 pub(super) fn update_shares(node: &Node) {
     let (live, known) = fleet_size(node);
@@ -202,17 +204,11 @@
     }
 }
 
-/// Number of live members, and of known members that have not left. Both include
-/// this daemon.
+/// Number of live members, and of all that have not left, as far as they are known
+/// or were counted before the start. Both include this daemon.
 fn fleet_size(node: &Node) -> (u32, u32) {
     let fleet = lock(&node.members.fleet);
-    let mut live = 1;
-    let mut known = 1;
-    for record in fleet.members() {
-        live += u32::from(record.state.is_active());
-        known += u32::from(record.state != State::Left);
-    }
-    (live, known)
+    (fleet.live() as u32, fleet.size())
 }
 
 /// Other live members of the local failure domain that hold slot `number`.
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -1,17 +1,19 @@
-//! Member discovery through a few seed rows in the platform's table service.
+//! Member discovery through a few seed rows in the platform's table service, and
+//! the size of each failure domain, kept in a row beside them.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cardamomshed_code::{Event, Failure};
+use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_platform::{Client, Condition, Row};
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::member::{Fleet, Record, State};
+use cardamomshed_policy::member::{Fleet, Record, Size, State};
 use rand::Rng;
+use tokio::time::{Instant, sleep_until};
 
-use crate::members::{is_poller, request_members, request_members_at};
+use crate::members::{is_poller, receive_sizes, request_members, request_members_at};
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -42,14 +44,27 @@
 /// Initial interval, doubled after each round.
 const INITIAL_DELAY: Duration = Duration::from_millis(100);
 
-/// Discovers other daemons until the task is dropped. Pollers also keep the seed
-/// rows of their failure domain current.
+/// Interval at which a poller compares the size of its failure domain with the row.
+const GROWTH_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What the rows say.
+struct Rows {
+    /// Daemons that have a row. Each may have ended since, so it becomes a member only
+    /// when it answers.
+    contacts: Vec<Record>,
+    /// Size of the local failure domain, once its row has been written.
+    size: Option<u32>,
+}
+
+/// Discovers other daemons until the task is dropped. Pollers also keep the rows of
+/// their failure domain current.
 pub(super) async fn discover(node: Arc<Node>) {
     let client = node.store_client();
     let mut delay = INITIAL_DELAY;
-    // Daemons named by the rows. Each may have ended since, so it becomes a member
-    // only when it answers.
-    let mut contacts = Vec::new();
+    let mut rows = Rows {
+        contacts: Vec::new(),
+        size: None,
+    };
     // Consecutive requests without a new live member.
     let mut unchanged = 0;
     let mut last_live = 0;
@@ -58,15 +73,17 @@
         let is_settled = unchanged >= UNCHANGED_LIMIT;
         // Before the members are known, every daemon takes itself for a poller.
         let is_isolated = is_isolated(&node, &lock(&node.members.fleet));
-        if is_isolated || (is_settled && is_poller(&node)) {
-            match poll(&node, &client).await {
-                Ok(records) => contacts = records,
+        let is_counted = lock(&node.members.fleet).is_counted();
+        let is_polling = is_poller(&node);
+        if is_isolated || (is_polling && (is_settled || !is_counted)) {
+            match poll(&node, &client, is_settled).await {
+                Ok(read) => rows = read,
                 Err(failure) => {
                     node.log_event(Event::PlatformUnreachable, format_args!("seeds: {failure}"));
                 }
             }
         }
-        let requested = request_from_contacts(&node, &contacts, round);
+        let requested = request_from_contacts(&node, &rows.contacts, round);
         let live = lock(&node.members.fleet).live();
         if unchanged < UNCHANGED_LIMIT && live > 1 {
             unchanged = if live > last_live { 0 } else { unchanged + 1 };
@@ -76,10 +93,10 @@
         round = round.wrapping_add(1);
         let jitter = 0.75 + rand::rng().random::<f64>() * 0.5;
         tokio::select! {
-            () = tokio::time::sleep(delay.mul_f64(jitter)) => {}
+            () = pause(&node, delay.mul_f64(jitter), rows.size) => {}
             () = node.members.rejoin.notified() => unchanged = unchanged.min(UNCHANGED_LIMIT - 1),
         }
-        let max_delay = if unchanged < UNCHANGED_LIMIT {
+        let max_delay = if unchanged < UNCHANGED_LIMIT || (is_polling && !is_counted) {
             REQUEST_INTERVAL
         } else if requested > 0 {
             CONTACT_INTERVAL
@@ -90,6 +107,29 @@
     }
 }
 
+/// Waits for `length`, or until the local failure domain has more members than its row
+/// says.
+async fn pause(node: &Node, length: Duration, counted: Option<u32>) {
+    let end = Instant::now() + length;
+    let Some(counted) = counted else {
+        return sleep_until(end).await;
+    };
+    while Instant::now() < end {
+        sleep_until(end.min(Instant::now() + GROWTH_INTERVAL)).await;
+        if is_poller(node) && local_size(&lock(&node.members.fleet)) > counted {
+            return;
+        }
+    }
+}
+
+/// Number of members of the local failure domain that have not left.
+fn local_size(fleet: &Fleet) -> u32 {
+    let domain = &fleet.own().profile.domain;
+    let sizes = fleet.sizes();
+    let own = sizes.iter().find(|size| size.domain == *domain);
+    own.map_or(1, |size| size.members)
+}
+
 /// Whether no other daemon has answered yet, or none is live.
 fn is_isolated(node: &Node, fleet: &Fleet) -> bool {
     let has_exchanged = node.members.exchanged.load(Ordering::Relaxed);
@@ -117,17 +157,65 @@
     }
 }
 
-/// Reads the rows, and writes one if this daemon should have it. Returns the other
-/// daemons that have one.
-async fn poll(node: &Arc<Node>, client: &Client) -> Result<Vec<Record>, Failure> {
+/// Reads the rows, and writes one if this daemon should have it. A poller whose
+/// members are known also records the size of its failure domain.
+async fn poll(node: &Arc<Node>, client: &Client, is_settled: bool) -> Result<Rows, Failure> {
     let rows = client.list(TABLE, "", MAX_ROWS).await?;
     let records = rows
         .iter()
         .filter_map(|row| serde_json::from_value::<Record>(row.value.clone()).ok())
         .filter(|record| record.state.is_active() && record.name != node.name)
         .collect();
+    let sizes = rows.iter().filter_map(size_of);
+    receive_sizes(node, sizes.collect(), "store");
     claim_row(node, client, &rows).await?;
-    Ok(records)
+    let size = if is_settled && is_poller(node) {
+        Some(store_size(node, client, &rows).await?)
+    } else {
+        None
+    };
+    Ok(Rows {
+        contacts: records,
+        size,
+    })
+}
+
+/// Size in a row, `None` if the row is another one.
+fn size_of(row: &Row) -> Option<Size> {
+    serde_json::from_value::<Size>(row.value.clone()).ok()
+}
+
+/// Writes the size of the local failure domain if the row has another one, and returns
+/// it. Members that are expected but have not been met since the start keep it as it
+/// is.
+async fn store_size(node: &Node, client: &Client, rows: &[Row]) -> Result<u32, Failure> {
+    let (members, awaits_more) = {
+        let fleet = lock(&node.members.fleet);
+        (local_size(&fleet), fleet.awaits_local_members())
+    };
+    let domain = node.settings.domain.to_arc();
+    let key = format!("{domain}-size");
+    let row = rows.iter().find(|row| row.key == key);
+    let stored = row.and_then(size_of).map(|size| size.members);
+    let is_current =
+        stored == Some(members) || (awaits_more && stored.is_some_and(|stored| stored > members));
+    if is_current {
+        return Ok(members);
+    }
+    let expect = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
+    let written = client
+        .put(TABLE, &key, expect, &Size { domain, members })
+        .await;
+    ignore_conflict(written)?;
+    Ok(members)
+}
+
+/// On a conflict another daemon has written the row, which is as good.
+fn ignore_conflict(written: Result<u64, Failure>) -> Result<(), Failure> {
+    match written {
+        Err(failure) if failure.code == Code::PlatformConflict => Ok(()),
+        other => other.map(|_| ()),
+    }
 }
 
 /// Writes this daemon's record to a seed row of its failure domain that is free or
@@ -175,11 +263,7 @@
             Some(_) => continue,
         };
         let written = client.put(TABLE, &key, expect, &own).await;
-        // On a conflict another daemon has written the row, which is as good.
-        return match written {
-            Err(failure) if failure.code == cardamomshed_code::Code::PlatformConflict => Ok(()),
-            other => other.map(|_| ()),
-        };
+        return ignore_conflict(written);
     }
     Ok(())
 }
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -98,8 +98,19 @@
                 }
             });
         }
-        Frame::RequestMembers { digests, record } => {
-            let records = lock(&node.members.fleet).differing(&digests);
+        Frame::RequestMembers {
+            digests,
+            record,
+            uncounted,
+        } => {
+            let (records, sizes) = {
+                let fleet = lock(&node.members.fleet);
+                let sizes = (uncounted && fleet.is_counted()).then(|| fleet.sizes());
+                (fleet.differing(&digests), sizes)
+            };
+            if let Some(sizes) = sizes {
+                send(out, Frame::Sizes(sizes));
+            }
             if let Some(record) = record {
                 merge_members(node, vec![*record]);
             }
@@ -128,6 +139,7 @@
             merge_members(node, records);
             node.members.exchanged.store(true, Ordering::Relaxed);
         }
+        Frame::Sizes(sizes) => crate::members::receive_sizes(node, sizes, "peer"),
         Frame::Note { revision } => crate::actor::distribution::receive(node, revision, chunk),
         Frame::GrantTokens(grant) => crate::actor::quota::receive(node, &grant),
         _ => {}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
-use cardamomshed_policy::member::{Change, Fleet, Output, Record, State, rank_key};
+use cardamomshed_policy::member::{Change, Fleet, Output, Record, Size, State, rank_key};
 use cardamomshed_wire::Frame;
 
 use crate::node::Node;
@@ -155,11 +155,29 @@
         Frame::RequestMembers {
             digests: fleet.group_digests(),
             record: Some(Box::new(fleet.own().clone())),
+            uncounted: !fleet.is_counted(),
         }
     };
     node.links.send(peer, request);
 }
 
+/// Takes over the sizes of the failure domains unless some have been received since
+/// the start. `source` is whether they come from the store or a peer.
+pub fn receive_sizes(node: &Node, sizes: Vec<Size>, source: &str) {
+    let size = {
+        let mut fleet = lock(&node.members.fleet);
+        if !fleet.receive_sizes(sizes, node.clock.now()) {
+            return;
+        }
+        fleet.size()
+    };
+    node.log_event(
+        Event::FleetCounted,
+        format_args!("members={size} by={source}"),
+    );
+    node.quota.wake.notify_one();
+}
+
 /// Live members of the local failure domain except this one.
 fn local_members(fleet: &Fleet) -> impl Iterator<Item = &Record> {
     let domain = &fleet.own().profile.domain;
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -11,9 +11,11 @@
 use cardamomshed_policy::member::{Profile, Record, State, rank_key};
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Member, name};
-use cardamomshed_standin::platform::{Capacity, Platform};
+use cardamomshed_standin::platform::{Capacity, Faults, Platform};
+use serde_json::json;
 
-use crate::platform_sidecar::sidecar;
+use crate::platform_sidecar::{config, sidecar};
+use crate::unconfirmed_start::start_beside;
 
 /// Time within which a lender is to be found after a start of the whole fleet. A
 /// member that stops answering fails after more than four seconds.
@@ -74,6 +76,73 @@
     assert!(took < MAX_START, "a lender was found only after {took:?}");
 }
 
+/// Guards against lenders that together exceed a bound: one that started took the
+/// members it had met for the whole fleet.
+#[test]
+fn unmet_members_counted() {
+    let platform = Platform::start(Capacity::default());
+    platform.write("op", "config", &config(3, "key-one"));
+    // Earlier processes have counted eight members.
+    for domain in ["a", "b"] {
+        let row = json!({"d": domain, "n": 4});
+        platform.write("seeds", &format!("{domain}-size"), &row);
+    }
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    let members = ["n-1", "n-2"].map(|name| {
+        let settings = sidecar(name, "s-one", unreachable, &platform);
+        Member::start(settings, Options::default())
+    });
+    let nodes = members.each_ref().map(|member| Arc::clone(&member.node));
+    let share = |node: &Node| node.quota.primary_share.load(Ordering::Relaxed);
+    let until = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < until {
+        for node in nodes.iter().filter(|node| slots(node) > 0) {
+            assert!(share(node) <= 250_000, "{} millionths", share(node));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(nodes.iter().map(|node| slots(node)).sum::<usize>(), 1);
+    let lender = nodes.iter().find(|node| slots(node) > 0);
+    assert_eq!(share(lender.expect("a lender")), 250_000);
+}
+
+/// The poller of a failure domain records how many members it has.
+#[test]
+fn members_counted_in_store() {
+    let platform = Platform::start(Capacity::default());
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    let start = |name| {
+        let settings = sidecar(name, "s-one", unreachable, &platform);
+        Member::start(settings, Options::default())
+    };
+    let size = || platform.peek("seeds", "a-size").map(|row| row["n"].clone());
+    let mut members = vec![start("n-1"), start("n-2")];
+    eventually("two members are counted", || size() == Some(json!(2)));
+    members.push(start("n-3"));
+    eventually("the third is counted", || size() == Some(json!(3)));
+}
+
+/// A daemon that starts without the store learns the size of the fleet from a peer.
+#[test]
+fn count_taken_over() {
+    let platform = Platform::start(Capacity::default());
+    platform.write("seeds", "b-size", &json!({"d": "b", "n": 4}));
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    let start = |name| sidecar(name, "s-one", unreachable, &platform);
+    let first = Member::start(start("n-1"), Options::default());
+    let size = |node: &Node| {
+        let fleet = node.members.fleet.lock().expect("not poisoned");
+        fleet.is_counted().then(|| fleet.size())
+    };
+    eventually("a count from the store", || size(&first.node) == Some(5));
+    platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let late = start_beside(start("n-2"), &first.node);
+    eventually("a count from the peer", || size(&late.node) == Some(6));
+}
+
 /// Starts the only daemon of failure domain `domain`.
 fn start_in(domain: &str, platform: &Platform) -> Member {
     let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
--- a/crates/daemon/tests/all/unconfirmed_start.rs
+++ b/crates/daemon/tests/all/unconfirmed_start.rs
@@ -29,7 +29,7 @@
 }
 
 /// Starts a daemon that knows another one.
-fn start_beside(settings: Settings, other: &Node) -> Member {
+pub(crate) fn start_beside(settings: Settings, other: &Node) -> Member {
     let member = Member::start(settings, Options::default());
     let known = own_record(other);
     let output = {
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -8,6 +8,7 @@
 //! without an external store.
 
 mod broadcast;
+mod census;
 mod contact;
 mod exchange;
 mod merge;
@@ -22,11 +23,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use census::Census;
 use indexmap::IndexMap;
 use merge::Source;
 use offset::Offset;
 use rand::Rng;
 
+pub use census::Size;
 pub use packet::{Packet, Payload};
 use probe::{Forwarded, Ping, Probe};
 pub use record::{Profile, Record, State, rank_key};
@@ -161,6 +164,8 @@
     differing_packets: u32,
     /// When an exchange was last requested.
     exchanged_at: Moment,
+    /// Size of the fleet as counted before this process started.
+    census: Census,
 }
 
 impl Fleet {
@@ -197,6 +202,7 @@
             others_digest: 0,
             differing_packets: 0,
             exchanged_at: Moment::ZERO,
+            census: Census::default(),
         }
     }
 
@@ -274,6 +280,7 @@
         self.probe_indirectly(random, now, &mut output);
         if now >= self.next_probe_at {
             self.next_probe_at = now + self.config.probe_interval;
+            self.review_census(now);
             self.end_probe(now, &mut output);
             self.start_probe(random, now, &mut output);
         }
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
+mod member_census;
 mod member_confirmation;
 mod member_contacts;
 mod member_gossip;
--- /dev/null
+++ b/crates/policy/tests/all/member_census.rs
@@ -0,0 +1,112 @@
+//! The size of the fleet as earlier processes counted it, until as many members
+//! have been met.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::member::{Config, Fleet, Profile, Record, Size, State};
+
+use crate::random;
+
+fn record(domain: &str, number: u16) -> Record {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
+    Record {
+        name: format!("{domain}-{number}").into(),
+        incarnation: 1,
+        state: State::Alive,
+        profile: Profile {
+            domain: domain.into(),
+            region: "region".into(),
+            gossip: address,
+            peer: address,
+            admin: address,
+            service: None,
+            slots: 0,
+            open: true,
+            lender_slots: Vec::new(),
+        },
+    }
+}
+
+/// Member `a-0`, which has just started.
+fn started() -> Fleet {
+    let own = record("a", 0);
+    Fleet::new(Config::default(), own.name, 1, own.profile)
+}
+
+fn size(domain: &str, members: u32) -> Size {
+    Size {
+        domain: domain.into(),
+        members,
+    }
+}
+
+fn at(seconds: u64) -> Moment {
+    Moment::ZERO + Duration::from_secs(seconds)
+}
+
+#[test]
+fn unmet_members_counted() {
+    let mut fleet = started();
+    assert!(!fleet.is_counted());
+    assert!(fleet.receive_sizes(vec![size("a", 2), size("b", 3)], at(1)));
+    assert!(fleet.is_counted());
+    assert_eq!((fleet.size(), fleet.live()), (5, 1));
+    assert!(fleet.awaits_local_members());
+    fleet.merge_all(vec![record("b", 11), record("b", 12)], at(1));
+    assert_eq!((fleet.size(), fleet.live()), (5, 3));
+    fleet.merge_all(vec![record("b", 13), record("b", 14)], at(1));
+    assert_eq!(fleet.size(), 6, "the domain has grown");
+}
+
+#[test]
+fn met_members_tracked() {
+    let mut fleet = started();
+    fleet.receive_sizes(vec![size("a", 2)], at(1));
+    fleet.merge_all(vec![record("a", 1)], at(1));
+    fleet.tick(&mut random(), at(2));
+    assert!(!fleet.awaits_local_members());
+    let left = Record {
+        state: State::Left,
+        ..record("a", 1)
+    };
+    fleet.merge_all(vec![left], at(3));
+    assert_eq!(
+        fleet.size(),
+        1,
+        "a member that has left is no longer expected"
+    );
+}
+
+#[test]
+fn failed_members_counted() {
+    let mut fleet = started();
+    fleet.receive_sizes(vec![size("a", 3)], at(1));
+    let failed = Record {
+        state: State::Failed,
+        ..record("a", 1)
+    };
+    fleet.merge_all(vec![failed], at(1));
+    assert_eq!((fleet.size(), fleet.live()), (3, 1));
+}
+
+#[test]
+fn first_count_kept() {
+    let mut fleet = started();
+    assert!(fleet.receive_sizes(vec![size("a", 3)], at(1)));
+    assert!(!fleet.receive_sizes(vec![size("a", 1), size("b", 9)], at(2)));
+    assert_eq!(fleet.sizes(), [size("a", 3)]);
+}
+
+#[test]
+fn lost_members_forgotten() {
+    let mut fleet = started();
+    fleet.receive_sizes(vec![size("a", 1), size("b", 4)], at(1));
+    assert_eq!(fleet.size(), 5);
+    let retention = Config::default().retention;
+    fleet.tick(&mut random(), at(0) + retention);
+    assert_eq!(fleet.size(), 5);
+    fleet.tick(&mut random(), at(2) + retention);
+    assert_eq!(fleet.size(), 1);
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,7 +9,7 @@
 
 use cardamomshed_code::{Code, Ran};
 use cardamomshed_policy::admission::{Level, Rank};
-use cardamomshed_policy::member::Record;
+use cardamomshed_policy::member::{Record, Size};
 use cardamomshed_policy::{Priority, gate};
 use serde::{Deserialize, Serialize};
 
@@ -76,7 +76,13 @@
         /// Record of the sender, which the receiver may not have yet.
         #[serde(default)]
         record: Option<Box<Record>>,
+        /// Whether the sender does not know the size of the fleet yet. If the receiver
+        /// does, it sends [`Frame::Sizes`] first.
+        #[serde(default)]
+        uncounted: bool,
     },
+    /// Number of members of each failure domain.
+    Sizes(Vec<Size>),
     /// Membership records that the sender holds.
     Members(Vec<Record>),
     /// Requests the release notes after a revision.
