Send the reply to a call once on each connection

Cause: a call that completed after its caller had connected again, and before the caller's question for it was read, was answered at once and again on the question. Parts of an answer are told apart by the id of the call, which both copies have.

Ruled out: answers of one chunk, whose second copy finds no call, and answers begun on an earlier connection, which the receiver discards.

Evidence: `link_resume::answer_sent_once` saw two answers begin before, and `link_faults::repeated_answer_fails` a success with the body.

A completed call now knows the connection on which its reply was sent, and is sent again on a newer one only. A receiver ends a call whose answer begins twice on one connection, as an older daemon may send it, with an unknown outcome.

--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -364,6 +364,16 @@
         link.complete(id, Reply::Refused(refused));
         return Some(id);
     }
+    // Answers that were begun on an earlier connection have been discarded.
+    let is_repeated = lock(&link.calls)
+        .get(&id)
+        .is_some_and(|pending| pending.partial.is_some());
+    if is_repeated {
+        let detail = "answer begun twice on one connection";
+        let refused = Refused::unknown(Code::FrameInvalid, detail, answer.tokens);
+        link.complete(id, Reply::Refused(refused));
+        return Some(id);
+    }
     if answer.length == chunk.len() as u64 {
         link.complete(id, Reply::Answer(complete_answer(answer, chunk.clone())));
         return Some(id);
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -17,7 +17,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::handshake::{Remote, Socket};
-use super::sessions::Progress;
+use super::sessions::{Completed, Outlet, Progress};
 use super::writer::{self, Outbound};
 use crate::job::Job;
 use crate::lifecycle::Reservation;
@@ -53,10 +53,10 @@
         })
     };
     let handle = reader.abort_handle();
-    let previous = node.links.sessions.update(boot, |session| {
-        session.out = Some(out.clone());
-        session.reader.replace(handle)
-    });
+    let previous = node
+        .links
+        .sessions
+        .update(boot, |session| session.connect(out.clone(), handle));
     if let Some(previous) = previous {
         // Frames still buffered on the previous connection must not be
         // processed after those of this one.
@@ -69,7 +69,7 @@
         let current = session
             .out
             .as_ref()
-            .is_some_and(|now| now.same_channel(&out));
+            .is_some_and(|now| now.queue.same_channel(&out));
         if current {
             session.out = None;
             session.reader = None;
@@ -269,15 +269,28 @@
 /// Stores the reply of a call and sends it over the newest connection.
 fn finish(node: &Node, boot: u64, id: u64, reply: Reply, deadline: Moment) {
     node.links.sessions.update(boot, |session| {
+        let mut completed = Completed {
+            reply,
+            deadline,
+            sent_on: None,
+        };
         if let Some(out) = &session.out {
-            send_reply(out, id, &reply);
+            completed.send(out, id);
         }
-        session
-            .calls
-            .insert(id, Progress::Completed(reply, deadline));
+        session.calls.insert(id, Progress::Completed(completed));
     });
 }
 
+impl Completed {
+    /// Sends the reply over a connection, unless it was sent there before.
+    fn send(&mut self, out: &Outlet, id: u64) {
+        if self.sent_on != Some(out.key) {
+            self.sent_on = Some(out.key);
+            send_reply(&out.queue, id, &self.reply);
+        }
+    }
+}
+
 fn send_reply(out: &mpsc::UnboundedSender<Outbound>, id: u64, reply: &Reply) {
     let message = match reply {
         Reply::Answer(answer) => {
@@ -325,22 +338,24 @@
     });
 }
 
-/// Sends the reply of a completed call again; that of a running call follows
-/// when it completes. A call that was not received in full is refused as not
-/// run.
+/// Sends the reply of a completed call over the newest connection, unless it was sent
+/// there already; that of a running call follows when it completes. A call that was
+/// not received in full is refused as not run.
 fn resume(node: &Node, boot: u64, out: &mpsc::UnboundedSender<Outbound>, id: u64, timeout_ms: u32) {
     let deadline = node.clock.now() + Duration::from_millis(u64::from(timeout_ms));
-    let not_received = node
-        .links
-        .sessions
-        .update(boot, |session| match session.calls.get(&id) {
-            Some(Progress::Running(..)) => false,
-            Some(Progress::Completed(reply, _)) => {
-                send_reply(out, id, reply);
-                false
-            }
-            Some(Progress::Receiving(..) | Progress::Rejected(_)) | None => true,
-        });
+    let not_received =
+        node.links
+            .sessions
+            .update(boot, |session| match session.calls.get_mut(&id) {
+                Some(Progress::Running(..)) => false,
+                Some(Progress::Completed(completed)) => {
+                    if let Some(out) = &session.out {
+                        completed.send(out, id);
+                    }
+                    false
+                }
+                Some(Progress::Receiving(..) | Progress::Rejected(_)) | None => true,
+            });
     if not_received {
         let refused = Refused::not_run(Code::LinkFailed, "call not received", 0);
         reject(node, boot, out, id, deadline, refused);
--- a/crates/daemon/src/link/sessions.rs
+++ b/crates/daemon/src/link/sessions.rs
@@ -27,33 +27,72 @@
     /// The call is queued or running. Aborting the task cancels it.
     Running(AbortHandle, Moment),
     /// The call completed; the caller has not yet confirmed the reply.
-    Completed(Reply, Moment),
+    Completed(Completed),
     /// The call was reported as not run, so it must not be started later.
     Rejected(Moment),
 }
 
+/// Reply to a completed call.
+#[derive(Debug)]
+pub(super) struct Completed {
+    pub(super) reply: Reply,
+    pub(super) deadline: Moment,
+    /// Connection on which the reply was sent last. It is not sent on that one again:
+    /// the parts of two copies of one body could not be told apart.
+    pub(super) sent_on: Option<ConnectionKey>,
+}
+
 impl Progress {
     const fn deadline(&self) -> Moment {
         match self {
             Self::Receiving(_, _, deadline, _)
             | Self::Running(_, deadline)
-            | Self::Completed(_, deadline)
             | Self::Rejected(deadline) => *deadline,
+            Self::Completed(completed) => completed.deadline,
         }
     }
 }
 
+/// Number of a connection among those of one process of another daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct ConnectionKey(u64);
+
+/// Sending end of a connection.
+#[derive(Debug)]
+pub(super) struct Outlet {
+    pub(super) key: ConnectionKey,
+    pub(super) queue: mpsc::UnboundedSender<Outbound>,
+}
+
 /// Calls of one process of another daemon, across all its connections.
 #[derive(Debug, Default)]
 pub(super) struct Session {
-    /// Queue of the newest connection, which replaces all earlier ones.
-    pub(super) out: Option<mpsc::UnboundedSender<Outbound>>,
+    /// Sending end of the newest connection, which replaces all earlier ones.
+    pub(super) out: Option<Outlet>,
+    /// Key of the newest connection so far.
+    last_connection: ConnectionKey,
     /// Reader task of that connection.
     pub(super) reader: Option<AbortHandle>,
     /// Calls by id.
     pub(super) calls: HashMap<u64, Progress>,
 }
 
+impl Session {
+    /// Replaces the connection. Returns the reader of the previous one.
+    pub(super) fn connect(
+        &mut self,
+        queue: mpsc::UnboundedSender<Outbound>,
+        reader: AbortHandle,
+    ) -> Option<AbortHandle> {
+        self.last_connection.0 += 1;
+        self.out = Some(Outlet {
+            key: self.last_connection,
+            queue,
+        });
+        self.reader.replace(reader)
+    }
+}
+
 /// Sessions of other daemons, by the `boot` number of their process.
 #[derive(Debug, Default)]
 pub struct Sessions {
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -210,6 +210,29 @@
     assert_eq!(&answer.body[..], b"0123456789");
 }
 
+/// Guards against an answer whose parts are mixed: those of two copies on one
+/// connection can't be told apart.
+#[test]
+fn repeated_answer_fails() {
+    let reply = run_script(|listener| async move {
+        let mut fake = Fake::accept(&listener, 1).await;
+        let id = id_of(fake.receive().await);
+        fake.answer(id, 10, b"0123").await;
+        fake.answer(id, 10, b"0123").await;
+        for _ in 0..2 {
+            fake.send(Frame::AnswerData { id }, b"456").await;
+        }
+        fake.receive().await;
+    });
+    let Reply::Refused(refused) = reply else {
+        panic!("the call was answered: {reply:?}");
+    };
+    assert_eq!(
+        (refused.code, refused.ran),
+        (Code::FrameInvalid, Ran::Unknown)
+    );
+}
+
 #[test]
 fn peer_restart_unknown() {
     let reply = run_script(|listener| async move {
--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -118,6 +118,49 @@
     assert_eq!(fleet.executions(), 1);
 }
 
+/// Guards against an answer whose parts are mixed: one that completed on the new
+/// connection was sent again when the caller's question for it arrived.
+#[test]
+fn answer_sent_once() {
+    const LENGTH: usize = 1 << 20;
+    let fleet = chain(1);
+    fleet.targets[0].change(|behaviour| {
+        behaviour.slowdown = 100.0;
+        behaviour.body_len = LENGTH;
+    });
+    let (heads, body) = with_daemon(&fleet, |node| async move {
+        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let sent = (0..LENGTH).map(|index| (index / 1_000) as u8);
+        let sent = sent.collect::<Vec<_>>();
+        let call = Frame::Call(Box::new(call(1, LENGTH as u64)));
+        fake.send(&call, &sent).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        drop(fake);
+        let mut fake = dial(&node, SECRET).await.expect("a second connection");
+        let first = fake.receive().await.expect("an answer");
+        // The answer has begun before the daemon reads this.
+        let resume = Frame::Resume {
+            id: 1,
+            timeout_ms: 5_000,
+        };
+        fake.send(&resume, &[]).await;
+        fake.send(&Frame::Ping, &[]).await;
+        let (mut heads, mut body) = (1, first.1.to_vec());
+        let mut has_answered_ping = false;
+        while !has_answered_ping || body.len() < LENGTH {
+            let (frame, chunk) = fake.receive().await.expect("a frame");
+            match frame {
+                Frame::Answer(_) => heads += 1,
+                Frame::Pong => has_answered_ping = true,
+                _ => {}
+            }
+            body.extend_from_slice(&chunk);
+        }
+        (heads, body.starts_with(&sent))
+    });
+    assert_eq!((heads, body), (1, true));
+}
+
 #[test]
 fn resume_unknown_call() {
     let fleet = chain(1);
