Keep a request open until its response is written

Cause: the count of open requests, on which a stop waits, fell when the handler returned the response, before anything was written.

Ruled out: the listeners, which leave open connections alone, and short answers, which the kernel's buffers hold.

Evidence: `process_signals::stop_awaits_readers` failed before ("the response ended after 3919872 bytes" of 12 MiB).

The body of a response carries the count and is handed out in parts, each once the connection has written most of the one before. The bound of the wait is as it was.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod head;
 pub mod ingress;
+mod open;
 pub mod outbound;
 pub mod problem;
 pub mod server;
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -15,7 +15,7 @@
 use cardamomshed_wire::Request;
 use futures_util::StreamExt;
 
-use super::{head, problem};
+use super::{head, open, problem};
 use crate::actor::quota;
 use crate::claim;
 use crate::context::{self, Context};
@@ -55,23 +55,6 @@
     headers: Vec<(String, String)>,
 }
 
-/// Guard that counts an open root request in the metrics. The count is correct
-/// even if the caller disconnects and the handler is dropped.
-pub(super) struct Guard<'a>(&'a Node);
-
-impl<'a> Guard<'a> {
-    pub(super) fn new(node: &'a Node) -> Self {
-        node.metrics.open.inc();
-        Self(node)
-    }
-}
-
-impl Drop for Guard<'_> {
-    fn drop(&mut self) {
-        self.0.metrics.open.dec();
-    }
-}
-
 /// Serves a request of an external caller.
 pub async fn from_caller(
     node: web::Data<Node>,
@@ -81,16 +64,15 @@
     let node = node.into_inner();
     let id = Request::random();
     let started = node.clock.now();
-    let guard = Guard::new(&node);
+    let guard = open::Guard::new(&node);
     let served = serve_root(&node, id, &request, payload).await;
-    drop(guard);
-    match served {
+    guard.attach(match served {
         Ok((origin, reply)) => complete(&node, id, &origin, started, &reply),
         Err(failure) => {
             let refused = Refused::not_run(failure.code, failure.detail, 0);
             refuse(&node, id, None, &refused)
         }
-    }
+    })
 }
 
 /// Serves a call that the local target makes in a call context.
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -13,7 +13,7 @@
 use cardamomshed_policy::{AccountKey, Moment, Priority};
 use cardamomshed_wire::Request;
 
-use super::{head, ingress, problem};
+use super::{head, ingress, open, problem};
 use crate::actor::quota;
 use crate::backpressure::Adjustment;
 use crate::context::{self, Context};
@@ -62,7 +62,7 @@
     let started = node.clock.now();
     let attempt = head::text(request.headers(), header::ATTEMPT).unwrap_or_default();
     let id = Request::from_label(attempt);
-    let guard = ingress::Guard::new(&node);
+    let guard = open::Guard::new(&node);
     let response = match identify(&node, &request, started) {
         Ok(origin) => {
             let reply = match run(&node, id, &origin, &request, payload).await {
@@ -76,8 +76,7 @@
             refuse(&node, id, None, &refused)
         }
     };
-    drop(guard);
-    add_common_headers(&node, attempt, response)
+    guard.attach(add_common_headers(&node, attempt, response))
 }
 
 /// Identifies route and client account. The checks run in the order that the
--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -8,9 +8,11 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use cardamomshed_note::{Limits, Size};
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::Fleet;
 use cardamomshed_standin::target::{Behaviour, Config, Target};
+use socket2::SockRef;
 
 use crate::chain;
 
@@ -153,6 +155,58 @@
     );
 }
 
+/// Guards against a response that is cut: a daemon ended as soon as it had begun to
+/// send the last one.
+#[test]
+fn stop_awaits_readers() {
+    /// Length of the response body. It exceeds what the kernel buffers.
+    const LENGTH: usize = 12 << 20;
+    /// Part of the response that is read at once; with the pause, 4 MiB a second.
+    const PART: usize = 64 << 10;
+    const PAUSE: Duration = Duration::from_millis(16);
+    let fleet = chain(1);
+    let mut note = fleet.blank_note("long-bodies");
+    note.limits = Some(Limits {
+        body: Size::from_bytes(2 * LENGTH as u64),
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    let long = Behaviour {
+        body_len: LENGTH,
+        ..Behaviour::default()
+    };
+    for target in &fleet.targets {
+        target.change(|behaviour| behaviour.body_len = LENGTH);
+    }
+    let mut process = Process::start(&fleet, long);
+    eventually("the process serves", || get(&fleet, process.callers) == 200);
+    let mut caller = TcpStream::connect(process.callers).expect("a connection");
+    SockRef::from(&caller)
+        .set_recv_buffer_size(64 << 10)
+        .expect("a socket");
+    let key = &fleet.keys[0];
+    let request = format!("GET /hop-0 HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\r\n");
+    caller
+        .write_all(request.as_bytes())
+        .expect("the request is sent");
+    let mut received = 0;
+    let mut part = vec![0; PART];
+    let mut is_stopped = false;
+    while received < LENGTH {
+        let length = caller.read(&mut part).expect("the connection is not reset");
+        assert!(length > 0, "the response ended after {received} bytes");
+        received += length;
+        if !is_stopped {
+            process.signal("TERM");
+            is_stopped = true;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    drop(caller);
+    let status = process.child.wait().expect("the daemon exits");
+    assert!(status.success());
+}
+
 /// Sends requests one after the other over kept connections until no new
 /// connection is accepted. Returns the requests that were answered, and those
 /// whose connection ended without a complete response.
