Count only active members for the time after a restart

After a restart of all daemons, client accounts were refused inside their rate where machines had been replaced before.

Cause: the row with the size of a failure domain counted members that had failed, and those of replaced machines never return, so lenders kept their part back.

`failed_members_uncounted` timed out before.

A poller now records the active members of its domain. A peer still passes on all that have not left, so that a lender that restarts during a partition is not misled.

--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -116,20 +116,12 @@
     };
     while Instant::now() < end {
         sleep_until(end.min(Instant::now() + GROWTH_INTERVAL)).await;
-        if is_poller(node) && local_size(&lock(&node.members.fleet)) > counted {
+        if is_poller(node) && lock(&node.members.fleet).live_in_domain() > counted {
             return;
         }
     }
 }
 
-/// Number of members of the local failure domain that have not left.
-fn local_size(fleet: &Fleet) -> u32 {
-    let domain = &fleet.own().profile.domain;
-    let sizes = fleet.sizes();
-    let own = sizes.iter().find(|size| size.domain == *domain);
-    own.map_or(1, |size| size.members)
-}
-
 /// Whether no other daemon has answered yet, or none is live.
 fn is_isolated(node: &Node, fleet: &Fleet) -> bool {
     let has_exchanged = node.members.exchanged.load(Ordering::Relaxed);
@@ -185,13 +177,13 @@
     serde_json::from_value::<Size>(row.value.clone()).ok()
 }
 
-/// Writes the size of the local failure domain if the row has another one, and returns
-/// it. Members that are expected but have not been met since the start keep it as it
-/// is.
+/// Writes the number of active members of the local failure domain if the row has
+/// another one, and returns it. Members that have failed are left out, since many were
+/// replaced. The row is not lowered while some that it counts have not been met.
 async fn store_size(node: &Node, client: &Client, rows: &[Row]) -> Result<u32, Failure> {
     let (members, awaits_more) = {
         let fleet = lock(&node.members.fleet);
-        (local_size(&fleet), fleet.awaits_local_members())
+        (fleet.live_in_domain(), fleet.awaits_local_members())
     };
     let domain = node.settings.domain.to_arc();
     let key = format!("{domain}-size");
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -122,6 +122,30 @@
     eventually("the third is counted", || size() == Some(json!(3)));
 }
 
+/// Guards against bounds that are cut after a start for members that were replaced
+/// before it: those that have failed are not counted.
+#[test]
+fn failed_members_uncounted() {
+    let platform = Platform::start(Capacity::default());
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    let start = |name| {
+        let settings = sidecar(name, "s-one", unreachable, &platform);
+        Member::start(settings, Options::default())
+    };
+    let members = ["n-1", "n-2"].map(start);
+    let failed = Record {
+        state: State::Failed,
+        ..ended("n-3")
+    };
+    for member in &members {
+        let mut fleet = member.node.members.fleet.lock().expect("not poisoned");
+        fleet.merge_all(vec![failed.clone()], member.node.clock.now());
+    }
+    let size = || platform.peek("seeds", "a-size").map(|row| row["n"].clone());
+    eventually("a size is recorded", || size().is_some());
+    eventually("two members are counted", || size() == Some(json!(2)));
+}
+
 /// A daemon that starts without the store learns the size of the fleet from a peer.
 #[test]
 fn count_taken_over() {
--- a/crates/policy/src/member/census.rs
+++ b/crates/policy/src/member/census.rs
@@ -12,7 +12,8 @@
 use super::{Fleet, State};
 use crate::moment::Moment;
 
-/// Number of members of a failure domain that have not left.
+/// Number of members of a failure domain. Rows of the store have those that are
+/// active there, and a peer passes on all that have not left.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Size {
@@ -79,6 +80,14 @@
         self.sizes().iter().map(|size| size.members).sum()
     }
 
+    /// Number of active members of the local failure domain, this one included.
+    pub fn live_in_domain(&self) -> u32 {
+        let peers = self
+            .members()
+            .filter(|record| record.state.is_active() && self.is_local(record));
+        peers.count() as u32 + 1
+    }
+
     /// Whether more members are expected in the local failure domain than have been
     /// met.
     pub fn awaits_local_members(&self) -> bool {
