--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -35,10 +35,10 @@
     let mut unreachable = false;
     loop {
         if is_poller(&node) {
-            let asked = Date::of(node.clock.now());
+            let sent = Date::of(node.clock.now());
             match read(&node, &client).await {
                 Ok(()) => {
-                    node.confirm_configuration(asked, "store");
+                    node.confirm_configuration(sent, "store");
                     if unreachable {
                         node.log_event(Event::PlatformReachable, format_args!("notes"));
                     }
--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -102,8 +102,8 @@
     }
 
     async fn read(&mut self) -> Result<(), Failure> {
-        let sent = self.node.clock.now();
-        let asked = Date::of(sent);
+        let sent_at = self.node.clock.now();
+        let sent = Date::of(sent_at);
         let Some(version) = self.version else {
             let (row, version) = self
                 .client
@@ -111,7 +111,7 @@
                 .await?;
             if let Some(row) = row {
                 install_value(&self.node, row.value);
-                self.node.confirm_configuration(asked, "store");
+                self.node.confirm_configuration(sent, "store");
             }
             self.version = Some(version);
             return Ok(());
@@ -126,11 +126,11 @@
                 }
                 self.version = Some(feed.version);
                 // An empty answer reflects the state at the end of the wait.
-                let waited = self.node.clock.now().since(sent) >= FEED_WAIT;
+                let waited = self.node.clock.now().since(sent_at) >= FEED_WAIT;
                 let confirmed = if is_unchanged && waited {
-                    asked.after(FEED_WAIT)
+                    sent.after(FEED_WAIT)
                 } else {
-                    asked
+                    sent
                 };
                 let confirmed = confirmed.before(FEED_LAG);
                 self.node.confirm_configuration(confirmed, "store");
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -152,8 +152,8 @@
 ///
 /// The first lender of an account has its whole bound less the part of the members
 /// that have failed or have not been met since the start, so that the shares in the
-/// parts of a divided fleet add up to the bound. Every other lender has one member's part, for the time in which the
-/// first does not answer.
+/// parts of a divided fleet add up to the bound. Every other lender has one member's
+/// part, for the time in which the first does not answer.
 pub(super) fn update_shares(node: &Node) {
     let (live, known) = fleet_size(node);
     let now = node.clock.now();
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -1,5 +1,7 @@
-//! Member discovery through a few seed rows in the platform's table service, and
-//! the size of each failure domain, kept in a row beside them.
+//! Member discovery through rows of the platform's table service.
+//!
+//! Each failure domain has a few seed rows, which name daemons to turn to, and one
+//! with its size, by which daemons that start know how many others there are.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,16 +45,16 @@
 const UNCHANGED_LIMIT: u32 = 3;
 /// Initial interval, doubled after each round.
 const INITIAL_DELAY: Duration = Duration::from_millis(100);
-
 /// Interval at which a poller compares the size of its failure domain with the row.
 const GROWTH_INTERVAL: Duration = Duration::from_secs(2);
 
-/// What the rows say.
-struct Rows {
-    /// Daemons that have a row. Each may have ended since, so it becomes a member only
+/// Contents of the table after the last read.
+#[derive(Default)]
+struct Table {
+    /// Other daemons that have a seed row. Each may have ended since, so it becomes a member only
     /// when it answers.
     contacts: Vec<Record>,
-    /// Size of the local failure domain, once its row has been written.
+    /// Size of the local failure domain; `None` unless this daemon keeps its row.
     size: Option<u32>,
 }
 
@@ -61,29 +63,28 @@
 pub(super) async fn discover(node: Arc<Node>) {
     let client = node.store_client();
     let mut delay = INITIAL_DELAY;
-    let mut rows = Rows {
-        contacts: Vec::new(),
-        size: None,
-    };
+    let mut table = Table::default();
     // Consecutive requests without a new live member.
     let mut unchanged = 0;
     let mut last_live = 0;
     let mut round = 0_u32;
     loop {
         let is_settled = unchanged >= UNCHANGED_LIMIT;
-        // Before the members are known, every daemon takes itself for a poller.
-        let is_isolated = is_isolated(&node, &lock(&node.members.fleet));
-        let is_counted = lock(&node.members.fleet).is_counted();
-        let is_polling = is_poller(&node);
-        if is_isolated || (is_polling && (is_settled || !is_counted)) {
+        // Before the members are known, every daemon takes itself for the poller.
+        let is_poller = is_poller(&node);
+        let (is_isolated, needs_sizes) = {
+            let fleet = lock(&node.members.fleet);
+            (is_isolated(&node, &fleet), is_poller && !fleet.is_counted())
+        };
+        if is_isolated || needs_sizes || (is_poller && is_settled) {
             match poll(&node, &client, is_settled).await {
-                Ok(read) => rows = read,
+                Ok(read) => table = read,
                 Err(failure) => {
                     node.log_event(Event::PlatformUnreachable, format_args!("seeds: {failure}"));
                 }
             }
         }
-        let requested = request_from_contacts(&node, &rows.contacts, round);
+        let requested = request_from_contacts(&node, &table.contacts, round);
         let live = lock(&node.members.fleet).live();
         if unchanged < UNCHANGED_LIMIT && live > 1 {
             unchanged = if live > last_live { 0 } else { unchanged + 1 };
@@ -93,10 +94,10 @@
         round = round.wrapping_add(1);
         let jitter = 0.75 + rand::rng().random::<f64>() * 0.5;
         tokio::select! {
-            () = pause(&node, delay.mul_f64(jitter), rows.size) => {}
+            () = pause(&node, delay.mul_f64(jitter), table.size) => {}
             () = node.members.rejoin.notified() => unchanged = unchanged.min(UNCHANGED_LIMIT - 1),
         }
-        let max_delay = if unchanged < UNCHANGED_LIMIT || (is_polling && !is_counted) {
+        let max_delay = if unchanged < UNCHANGED_LIMIT || needs_sizes {
             REQUEST_INTERVAL
         } else if requested > 0 {
             CONTACT_INTERVAL
@@ -107,16 +108,16 @@
     }
 }
 
-/// Waits for `length`, or until the local failure domain has more members than its row
-/// says.
-async fn pause(node: &Node, length: Duration, counted: Option<u32>) {
+/// Waits for `length`, or until the local failure domain has more active members than
+/// its row says, which is `recorded`.
+async fn pause(node: &Node, length: Duration, recorded: Option<u32>) {
     let end = Instant::now() + length;
-    let Some(counted) = counted else {
+    let Some(recorded) = recorded else {
         return sleep_until(end).await;
     };
     while Instant::now() < end {
         sleep_until(end.min(Instant::now() + GROWTH_INTERVAL)).await;
-        if is_poller(node) && lock(&node.members.fleet).live_in_domain() > counted {
+        if is_poller(node) && lock(&node.members.fleet).live_in_domain() > recorded {
             return;
         }
     }
@@ -149,11 +150,12 @@
     }
 }
 
-/// Reads the rows, and writes one if this daemon should have it. A poller whose
-/// members are known also records the size of its failure domain.
-async fn poll(node: &Arc<Node>, client: &Client, is_settled: bool) -> Result<Rows, Failure> {
+/// Reads the rows, and writes a seed row if this daemon should have one. A poller that
+/// knows its members, which is what `is_settled` tells, also records the size of its
+/// failure domain.
+async fn poll(node: &Arc<Node>, client: &Client, is_settled: bool) -> Result<Table, Failure> {
     let rows = client.list(TABLE, "", MAX_ROWS).await?;
-    let records = rows
+    let contacts = rows
         .iter()
         .filter_map(|row| serde_json::from_value::<Record>(row.value.clone()).ok())
         .filter(|record| record.state.is_active() && record.name != node.name)
@@ -162,14 +164,11 @@
     receive_sizes(node, sizes.collect(), "store");
     claim_row(node, client, &rows).await?;
     let size = if is_settled && is_poller(node) {
-        Some(store_size(node, client, &rows).await?)
+        Some(record_size(node, client, &rows).await?)
     } else {
         None
     };
-    Ok(Rows {
-        contacts: records,
-        size,
-    })
+    Ok(Table { contacts, size })
 }
 
 /// Size in a row, `None` if the row is another one.
@@ -177,21 +176,22 @@
     serde_json::from_value::<Size>(row.value.clone()).ok()
 }
 
-/// Writes the number of active members of the local failure domain if the row has
-/// another one, and returns it. Members that have failed are left out, since many were
-/// replaced. The row is not lowered while some that it counts have not been met.
-async fn store_size(node: &Node, client: &Client, rows: &[Row]) -> Result<u32, Failure> {
-    let (members, awaits_more) = {
+/// Writes the number of active members of the local failure domain if its row has
+/// another one, and returns the number. Failed members are left out, since those of
+/// replaced VMs never return. The row is not lowered as long as this daemon has not
+/// met as many members as the row said at its start: the rest may be cut off.
+async fn record_size(node: &Node, client: &Client, rows: &[Row]) -> Result<u32, Failure> {
+    let (members, may_lower) = {
         let fleet = lock(&node.members.fleet);
-        (fleet.live_in_domain(), fleet.awaits_local_members())
+        (fleet.live_in_domain(), !fleet.awaits_local_members())
     };
     let domain = node.settings.domain.to_arc();
     let key = format!("{domain}-size");
     let row = rows.iter().find(|row| row.key == key);
-    let stored = row.and_then(size_of).map(|size| size.members);
-    let is_current =
-        stored == Some(members) || (awaits_more && stored.is_some_and(|stored| stored > members));
-    if is_current {
+    let recorded = row.and_then(size_of).map(|size| size.members);
+    let is_kept =
+        recorded.is_some_and(|recorded| recorded == members || (recorded > members && !may_lower));
+    if is_kept {
         return Ok(members);
     }
     let expect = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
@@ -202,7 +202,8 @@
     Ok(members)
 }
 
-/// On a conflict another daemon has written the row, which is as good.
+/// Result of a write without its version. A conflict is no failure: another daemon has
+/// written the row, which is as good.
 fn ignore_conflict(written: Result<u64, Failure>) -> Result<(), Failure> {
     match written {
         Err(failure) if failure.code == Code::PlatformConflict => Ok(()),
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -36,9 +36,8 @@
 /// be repeated. The target may close such a connection while the request is
 /// sent, which leaves its outcome unknown.
 const MAX_UNREPEATABLE_IDLE: Duration = Duration::from_millis(1_500);
-/// Largest number of identifiers that are remembered for one connection. Once it
-/// is reached, the connection is closed.
-const MAX_REMEMBERED: usize = 64;
+/// Requests without a success after which a connection is closed rather than kept.
+const MAX_UNSUCCESSFUL: usize = 64;
 
 /// A request to the target.
 #[derive(Debug)]
@@ -106,10 +105,11 @@
     /// Identifiers of requests on this connection whose response was no success,
     /// such as a rejection. Such a request may be sent to the target again, but not
     /// over this connection: a late copy of its first response could not be told
-    /// from the response to the second sending. At most [`MAX_REMEMBERED`].
+    /// from the response to the second sending. At most [`MAX_UNSUCCESSFUL`].
     unsuccessful: Vec<Arc<str>>,
 }
 
+/// A connection on which no request is open.
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -151,7 +151,7 @@
         let (response, keep_for) = round_trip(&mut connection.stream, request, limit).await?;
         connection.record(request, response.status);
         if let Some(keep_for) = keep_for
-            && connection.unsuccessful.len() < MAX_REMEMBERED
+            && connection.unsuccessful.len() < MAX_UNSUCCESSFUL
         {
             let now = Instant::now();
             self.idle.borrow_mut().push(Idle {
@@ -170,12 +170,13 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|idle| idle.expires_at > now && idle.address == address);
-        let may_carry = |idle: &Idle| {
+        let is_suitable = |idle: &Idle| {
             let idle_time = now.duration_since(idle.released_at);
             (request.repeatable || idle_time <= MAX_UNREPEATABLE_IDLE)
                 && idle.connection.may_carry(request)
         };
-        while let Some(index) = idle.iter().rposition(may_carry) {
+        // Connections are released at the end of the list.
+        while let Some(index) = idle.iter().rposition(is_suitable) {
             let connection = idle.remove(index).connection;
             if connection.is_quiet() {
                 return Some(connection);
@@ -202,7 +203,7 @@
         })
     }
 
-    /// Records the end of an exchange.
+    /// Records that a request was answered with this status.
     fn record(&mut self, request: &Request<'_>, status: u16) {
         if let Some(field) = request.correlation
             && !(200..300).contains(&status)
--- a/crates/daemon/src/http/open.rs
+++ b/crates/daemon/src/http/open.rs
@@ -1,5 +1,8 @@
-//! Count of the open requests of callers. A request is open until its response has
-//! been handed to the connection, which takes as long as the caller reads.
+//! Count of the open requests of callers, for which a stopping daemon waits.
+//!
+//! A request is open until its response has been handed to the connection. Long
+//! bodies are handed over in parts, because the connection takes one of any size at
+//! once and writes it as fast as the caller reads.
 
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -13,7 +16,7 @@
 use crate::node::Node;
 
 /// Largest part of a body that is handed to the connection at once, in bytes. The
-/// connection takes the next one when most of it is written.
+/// connection asks for the next one once less than this is left to write.
 const PART_BYTES: usize = 32 * 1024;
 
 /// Guard that counts an open request in the metrics. The count is correct even if the
--- a/crates/daemon/src/link/sessions.rs
+++ b/crates/daemon/src/link/sessions.rs
@@ -32,16 +32,6 @@
     Rejected(Moment),
 }
 
-/// Reply to a completed call.
-#[derive(Debug)]
-pub(super) struct Completed {
-    pub(super) reply: Reply,
-    pub(super) deadline: Moment,
-    /// Connection on which the reply was sent last. It is not sent on that one again:
-    /// the parts of two copies of one body could not be told apart.
-    pub(super) sent_on: Option<ConnectionKey>,
-}
-
 impl Progress {
     const fn deadline(&self) -> Moment {
         match self {
@@ -53,6 +43,16 @@
     }
 }
 
+/// Reply to a completed call.
+#[derive(Debug)]
+pub(super) struct Completed {
+    pub(super) reply: Reply,
+    pub(super) deadline: Moment,
+    /// Connection on which the reply was sent last. It is not sent on that one again:
+    /// the parts of two copies of one body could not be told apart.
+    pub(super) sent_on: Option<ConnectionKey>,
+}
+
 /// Number of a connection among those of one process of another daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct ConnectionKey(u64);
@@ -69,16 +69,17 @@
 pub(super) struct Session {
     /// Sending end of the newest connection, which replaces all earlier ones.
     pub(super) out: Option<Outlet>,
-    /// Key of the newest connection so far.
-    last_connection: ConnectionKey,
     /// Reader task of that connection.
     pub(super) reader: Option<AbortHandle>,
+    /// Key of the newest connection so far, which may have ended.
+    last_connection: ConnectionKey,
     /// Calls by id.
     pub(super) calls: HashMap<u64, Progress>,
 }
 
 impl Session {
-    /// Replaces the connection. Returns the reader of the previous one.
+    /// Replaces the connection. Returns the reader of the previous one, which the
+    /// caller must abort.
     pub(super) fn connect(
         &mut self,
         queue: mpsc::UnboundedSender<Outbound>,
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -8,6 +8,7 @@
 
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::node::Node;
+use cardamomshed_note::Settings;
 use cardamomshed_policy::member::{Profile, Record, State, rank_key};
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Member, name};
@@ -15,7 +16,7 @@
 use serde_json::json;
 
 use crate::platform_sidecar::{config, sidecar};
-use crate::unconfirmed_start::start_beside;
+use crate::unconfirmed_start::{own_record, start_beside};
 
 /// Time within which a lender is to be found after a start of the whole fleet. A
 /// member that stops answering fails after more than four seconds.
@@ -42,6 +43,21 @@
     }
 }
 
+/// Settings of a daemon of failure domain `a` without a target.
+fn lone(name: &str, platform: &Platform) -> Settings {
+    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+    sidecar(name, "s-one", unreachable, platform)
+}
+
+fn start(name: &str, platform: &Platform) -> Member {
+    Member::start(lone(name, platform), Options::default())
+}
+
+/// Size of failure domain `a` by its row.
+fn size(platform: &Platform) -> Option<u64> {
+    platform.peek("seeds", "a-size")?["n"].as_u64()
+}
+
 fn slots(node: &Node) -> usize {
     node.quota.lenders.lock().expect("not poisoned").len()
 }
@@ -61,12 +77,8 @@
         let row = serde_json::to_value(ended(&name)).expect("a record");
         platform.write("seeds", &format!("a-{number}"), &row);
     }
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
     let started = Instant::now();
-    let members = ["n-1", "n-2"].map(|name| {
-        let settings = sidecar(name, "s-one", unreachable, &platform);
-        Member::start(settings, Options::default())
-    });
+    let members = ["n-1", "n-2"].map(|name| start(name, &platform));
     let nodes = members.each_ref().map(|member| Arc::clone(&member.node));
     eventually("one lender", || {
         nodes.iter().map(|node| slots(node)).sum::<usize>() == 1
@@ -87,11 +99,7 @@
         let row = json!({"d": domain, "n": 4});
         platform.write("seeds", &format!("{domain}-size"), &row);
     }
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let members = ["n-1", "n-2"].map(|name| {
-        let settings = sidecar(name, "s-one", unreachable, &platform);
-        Member::start(settings, Options::default())
-    });
+    let members = ["n-1", "n-2"].map(|name| start(name, &platform));
     let nodes = members.each_ref().map(|member| Arc::clone(&member.node));
     let share = |node: &Node| node.quota.primary_share.load(Ordering::Relaxed);
     let until = Instant::now() + Duration::from_secs(6);
@@ -110,16 +118,10 @@
 #[test]
 fn members_counted_in_store() {
     let platform = Platform::start(Capacity::default());
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let start = |name| {
-        let settings = sidecar(name, "s-one", unreachable, &platform);
-        Member::start(settings, Options::default())
-    };
-    let size = || platform.peek("seeds", "a-size").map(|row| row["n"].clone());
-    let mut members = vec![start("n-1"), start("n-2")];
-    eventually("two members are counted", || size() == Some(json!(2)));
-    members.push(start("n-3"));
-    eventually("the third is counted", || size() == Some(json!(3)));
+    let mut members = vec![start("n-1", &platform), start("n-2", &platform)];
+    eventually("two members are counted", || size(&platform) == Some(2));
+    members.push(start("n-3", &platform));
+    eventually("the third is counted", || size(&platform) == Some(3));
 }
 
 /// Guards against bounds that are cut after a start for members that were replaced
@@ -127,12 +129,7 @@
 #[test]
 fn failed_members_uncounted() {
     let platform = Platform::start(Capacity::default());
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let start = |name| {
-        let settings = sidecar(name, "s-one", unreachable, &platform);
-        Member::start(settings, Options::default())
-    };
-    let members = ["n-1", "n-2"].map(start);
+    let members = ["n-1", "n-2"].map(|name| start(name, &platform));
     let failed = Record {
         state: State::Failed,
         ..ended("n-3")
@@ -141,9 +138,7 @@
         let mut fleet = member.node.members.fleet.lock().expect("not poisoned");
         fleet.merge_all(vec![failed.clone()], member.node.clock.now());
     }
-    let size = || platform.peek("seeds", "a-size").map(|row| row["n"].clone());
-    eventually("a size is recorded", || size().is_some());
-    eventually("two members are counted", || size() == Some(json!(2)));
+    eventually("two members are counted", || size(&platform) == Some(2));
 }
 
 /// A daemon that starts without the store learns the size of the fleet from a peer.
@@ -151,26 +146,25 @@
 fn count_taken_over() {
     let platform = Platform::start(Capacity::default());
     platform.write("seeds", "b-size", &json!({"d": "b", "n": 4}));
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let start = |name| sidecar(name, "s-one", unreachable, &platform);
-    let first = Member::start(start("n-1"), Options::default());
-    let size = |node: &Node| {
+    let first = start("n-1", &platform);
+    let fleet_size = |node: &Node| {
         let fleet = node.members.fleet.lock().expect("not poisoned");
         fleet.is_counted().then(|| fleet.size())
     };
-    eventually("a count from the store", || size(&first.node) == Some(5));
+    eventually("sizes from the store", || {
+        fleet_size(&first.node) == Some(5)
+    });
     platform.set_faults(Faults {
         down: true,
         ..Faults::default()
     });
-    let late = start_beside(start("n-2"), &first.node);
-    eventually("a count from the peer", || size(&late.node) == Some(6));
+    let late = start_beside(lone("n-2", &platform), &first.node);
+    eventually("sizes from the peer", || fleet_size(&late.node) == Some(6));
 }
 
 /// Starts the only daemon of failure domain `domain`.
 fn start_in(domain: &str, platform: &Platform) -> Member {
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let mut settings = sidecar(&format!("n-{domain}"), "s-one", unreachable, platform);
+    let mut settings = lone(&format!("n-{domain}"), platform);
     settings.domain = name(domain);
     Member::start(settings, Options::default())
 }
@@ -195,13 +189,7 @@
         })
     });
     for node in &nodes[2..] {
-        let own = node
-            .members
-            .fleet
-            .lock()
-            .expect("not poisoned")
-            .own()
-            .clone();
+        let own = own_record(node);
         let row = serde_json::to_value(&own).expect("a record");
         platforms[0].write("seeds", &format!("{}-0", own.profile.domain), &row);
     }
--- a/crates/daemon/tests/all/unconfirmed_start.rs
+++ b/crates/daemon/tests/all/unconfirmed_start.rs
@@ -1,5 +1,5 @@
-//! A daemon that starts while the platform's store is away has a configuration
-//! that nothing has confirmed yet.
+//! A daemon that starts while the platform's store is away gets a configuration from a
+//! peer. It accepts keys by it only after a confirmation.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,9 +9,10 @@
 use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_note::{Limits, Settings, Timespan, Unconfirmed};
+use cardamomshed_policy::member::Record;
 use cardamomshed_standin::client::{Reply, Request, eventually};
 use cardamomshed_standin::fleet::{Location, Member, settings};
-use cardamomshed_standin::platform::Faults;
+use cardamomshed_standin::platform::{Faults, Platform};
 
 use crate::chain;
 use crate::platform_sidecar::{Deployment, eventually_status, sidecar};
@@ -20,6 +21,22 @@
 /// time for which a confirmation is in force.
 const OBSERVATION: Duration = Duration::from_secs(4);
 
+/// A deployment that accepts `key-one`.
+fn serving_deployment() -> Deployment {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    eventually_status(200, || fleet.get("/a/b").key("key-one").send());
+    fleet
+}
+
+fn set_store_down(platform: &Platform) {
+    platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+}
+
 /// Starts a sidecar that knows a member of the deployment and cannot reach the
 /// store.
 fn start_sidecar(fleet: &Deployment) -> Member {
@@ -40,7 +57,7 @@
     member
 }
 
-fn own_record(node: &Node) -> cardamomshed_policy::member::Record {
+pub(crate) fn own_record(node: &Node) -> Record {
     let members = node.members.fleet.lock().expect("not poisoned");
     members.own().clone()
 }
@@ -57,14 +74,8 @@
 /// store took a configuration from a peer as confirmed at its own start.
 #[test]
 fn withdrawn_key_refused() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/a/b").key("key-one").send());
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    let mut fleet = serving_deployment();
+    set_store_down(&fleet.platform);
     eventually_status(503, || fleet.get("/a/b").key("key-one").send());
     // By now no read that the store had accepted before is open.
     fleet.configure(4, "key-two");
@@ -102,10 +113,7 @@
     eventually("the note is in force", || {
         daemon.lookup().config.revision == 2
     });
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    set_store_down(&fleet.platform);
     let send = |node: &Node| {
         let request = Request::get(node.settings.callers, &fleet.shape.path());
         request.key(&fleet.keys[0]).send()
@@ -135,14 +143,8 @@
 /// still in force also counts for a daemon that starts without the store.
 #[test]
 fn confirmation_taken_over() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/a/b").key("key-one").send());
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    let fleet = serving_deployment();
+    set_store_down(&fleet.platform);
     let late = start_sidecar(&fleet);
     eventually_status(200, || send_with_key(&late.node, "key-one"));
 }
--- a/crates/policy/src/member/census.rs
+++ b/crates/policy/src/member/census.rs
@@ -1,8 +1,9 @@
-//! Size of the fleet, as far as it is known from before the start.
+//! Size of the fleet.
 //!
-//! A process that starts knows the members that it has met. Others may live that it
-//! has not met yet, or cannot reach. Earlier processes have counted them, and a daemon
-//! takes their count for the size of the fleet until it has met as many.
+//! A process that starts knows only the members that it has met. It takes the size of
+//! each failure domain from the rows of the store, or from a peer, and expects that many
+//! members until it has met them. Expected members count as not live, so that what a
+//! daemon may lend does not depend on the order in which members meet.
 
 use std::sync::Arc;
 
@@ -12,8 +13,11 @@
 use super::{Fleet, State};
 use crate::moment::Moment;
 
-/// Number of members of a failure domain. Rows of the store have those that are
-/// active there, and a peer passes on all that have not left.
+/// Number of members of a failure domain.
+///
+/// A row of the store has the active ones, since failed ones of replaced VMs never
+/// return. A peer passes on all that have not left, since those that it takes for failed
+/// may be cut off.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Size {
@@ -25,25 +29,25 @@
     pub members: u32,
 }
 
-/// Count that this process received.
+/// Members that are expected.
 #[derive(Debug, Default)]
 pub(super) struct Census {
-    /// When it was received; `None` before that.
+    /// When the sizes were received; `None` before that.
     received_at: Option<Moment>,
-    /// Members of each failure domain. A domain is removed once as many of its
-    /// members have been met: what happens to them is known from then on.
+    /// Size of each failure domain of which fewer members have been met. Once they have
+    /// been met, their departures and failures are known, and the domain is removed.
     expected: IndexMap<Arc<str>, u32>,
 }
 
 impl Fleet {
-    /// Whether the size of the fleet has been received since the start. Before that,
-    /// it may have any number of members that are not known here.
+    /// Whether sizes have been received since the start. Before that, the fleet may
+    /// have any number of members that are not known here.
     pub const fn is_counted(&self) -> bool {
         self.census.received_at.is_some()
     }
 
-    /// Takes over the count of an earlier process, or of a member that has one. Later
-    /// counts are ignored. Returns whether it was the first.
+    /// Expects as many members as `sizes` say. Only the first call has an effect; later
+    /// changes are learned from the members. Returns whether this was the first call.
     pub fn receive_sizes(&mut self, sizes: Vec<Size>, now: Moment) -> bool {
         if self.is_counted() {
             return false;
@@ -57,8 +61,8 @@
         true
     }
 
-    /// Number of members that have not left, this one included, in each failure
-    /// domain.
+    /// Number of members of each failure domain that have not left, expected ones and
+    /// this one included.
     pub fn sizes(&self) -> Vec<Size> {
         let mut sizes = self.known_by_domain();
         for (domain, expected) in &self.census.expected {
@@ -71,7 +75,7 @@
             .collect()
     }
 
-    /// Number of members that have not left, this one included.
+    /// Number of all members that have not left, expected ones and this one included.
     pub fn size(&self) -> u32 {
         if self.census.expected.is_empty() {
             let known = self.members().filter(|record| record.state != State::Left);
@@ -94,8 +98,9 @@
         self.census.expected.contains_key(&self.own.profile.domain)
     }
 
-    /// Drops what the known members meet. A member that was never met counts as gone
-    /// after the time for which a failed one is remembered.
+    /// Removes the failure domains of which as many members are known as were expected.
+    /// Members that were never met count as gone after the time for which failed ones
+    /// are remembered.
     pub(super) fn review_census(&mut self, now: Moment) {
         if self.census.expected.is_empty() {
             return;
@@ -111,6 +116,8 @@
             .retain(|domain, expected| known.get(domain).is_none_or(|known| known < expected));
     }
 
+    /// Number of known members of each failure domain that have not left, this one
+    /// included. Those that have failed count as met.
     fn known_by_domain(&self) -> IndexMap<Arc<str>, u32> {
         let mut known = IndexMap::<_, u32>::new();
         for record in self.members().chain([&self.own]) {
--- a/crates/policy/src/member/contact.rs
+++ b/crates/policy/src/member/contact.rs
@@ -1,12 +1,17 @@
 //! Choice of the daemons to request members from, among those that rows of the
 //! platform name.
 //!
-//! Rows may name daemons that have ended, so that a contact becomes a member only when
-//! it answers. Daemons that start together may form groups that know nothing of each
-//! other. Each group has a relay in each of its failure domains, and a relay turns to
-//! every contact of its own domain and to one of every other domain, unless members
-//! there are known. So two groups meet if they have a domain in common or the rows
-//! name a member of one in a domain that the other lacks.
+//! A contact becomes a member only when it answers, since rows may name daemons that
+//! have ended.
+//!
+//! Daemons that start together may form groups that know nothing of each other. Each
+//! group has a relay in each of its failure domains. A relay turns to
+//!
+//! - every contact of its own domain that is not a known active member, and
+//! - one contact of each other domain of which it knows no active member.
+//!
+//! Two groups that have members in one domain meet by the first rule, and two that have
+//! none by the second, since each lacks the domains of the other.
 
 use std::sync::Arc;
 
@@ -16,8 +21,10 @@
 use super::{Fleet, Record};
 
 impl Fleet {
-    /// Contacts to request members from. `is_isolated` is whether no other daemon has
-    /// answered yet: such a daemon turns to the contacts of its failure domain and,
+    /// Contacts to request members from.
+    ///
+    /// `is_isolated` is whether no other daemon has answered yet. Such a daemon does not
+    /// know whether it is a relay; it turns to the contacts of its failure domain and,
     /// from the second round on, to one of another.
     pub fn choose_contacts<'a>(
         &self,
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -20,6 +20,9 @@
 mod wallet_prefetch;
 mod window_backpressure;
 
+use std::net::SocketAddr;
+
+use cardamomshed_policy::member::{Profile, Record, State};
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -41,6 +44,27 @@
     StdRng::seed_from_u64(seed())
 }
 
+/// Record of a member of a failure domain that has just joined.
+fn member_record(domain: &str, name: &str, port: u16) -> Record {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    Record {
+        name: name.into(),
+        incarnation: 1,
+        state: State::Alive,
+        profile: Profile {
+            domain: domain.into(),
+            region: "region".into(),
+            gossip: address,
+            peer: address,
+            admin: address,
+            service: None,
+            slots: 0,
+            open: true,
+            lender_slots: Vec::new(),
+        },
+    }
+}
+
 /// Checks a property on generated cases. Properties take their arguments by
 /// value, as the library passes them.
 fn check(property: impl Testable) {
--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -1,32 +1,15 @@
-//! The size of the fleet as earlier processes counted it, until as many members
-//! have been met.
+//! A member that starts expects as many others as earlier processes counted, until it
+//! has met them.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::member::{Config, Fleet, Profile, Record, Size, State};
+use cardamomshed_policy::member::{Config, Fleet, Record, Size, State};
 
-use crate::random;
+use crate::{member_record, random};
 
 fn record(domain: &str, number: u16) -> Record {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
-    Record {
-        name: format!("{domain}-{number}").into(),
-        incarnation: 1,
-        state: State::Alive,
-        profile: Profile {
-            domain: domain.into(),
-            region: "region".into(),
-            gossip: address,
-            peer: address,
-            admin: address,
-            service: None,
-            slots: 0,
-            open: true,
-            lender_slots: Vec::new(),
-        },
-    }
+    member_record(domain, &format!("{domain}-{number}"), 1_000 + number)
 }
 
 /// Member `a-0`, which has just started.
--- a/crates/policy/tests/all/member_contacts.rs
+++ b/crates/policy/tests/all/member_contacts.rs
@@ -2,43 +2,31 @@
 //! rows of the platform.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::member::{Config, Fleet, Profile, Record, State};
+use cardamomshed_policy::member::{Config, Fleet, Record};
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use crate::{check, random};
+use crate::{check, member_record, random};
 
 /// Rows of each failure domain.
 const ROWS: usize = 3;
 /// Rounds within which all groups are to meet.
 const ROUNDS: u32 = 12;
 
+/// Number from which daemons that have ended are counted in their failure domain.
+const ENDED: usize = 40;
+
 fn record(domain: usize, number: usize) -> Record {
+    let name = format!("node-{domain}-{number}");
     let port = (1_000 + domain * 50 + number) as u16;
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
-    Record {
-        name: format!("node-{domain}-{number}").into(),
-        incarnation: 1,
-        state: State::Alive,
-        profile: Profile {
-            domain: format!("domain-{domain}").into(),
-            region: "region".into(),
-            gossip: address,
-            peer: address,
-            admin: address,
-            service: None,
-            slots: 0,
-            open: true,
-            lender_slots: Vec::new(),
-        },
-    }
+    member_record(&format!("domain-{domain}"), &name, port)
 }
 
-/// Groups of daemons that know all members of their group and no others.
-struct Start {
+/// Start of a fleet whose daemons have met in groups. Each knows all members of its
+/// group and no others.
+struct Startup {
     /// Members of each group, by index of their record.
     groups: Vec<BTreeSet<usize>>,
     records: Vec<Record>,
@@ -46,7 +34,7 @@
     random: StdRng,
 }
 
-impl Start {
+impl Startup {
     fn new(records: Vec<Record>, contacts: Vec<Record>, groups: Vec<BTreeSet<usize>>) -> Self {
         Self {
             groups,
@@ -102,9 +90,9 @@
 fn paired_domains_meet() {
     let records = (0..4).map(|domain| record(domain, 0)).collect::<Vec<_>>();
     let pairs = [[0, 1], [2, 3]].map(BTreeSet::from);
-    let mut start = Start::new(records.clone(), records, pairs.to_vec());
-    start.meet(1);
-    assert_eq!(start.groups.len(), 1);
+    let mut startup = Startup::new(records.clone(), records, pairs.to_vec());
+    startup.meet(1);
+    assert_eq!(startup.groups.len(), 1);
 }
 
 /// Whether daemons in `domains` failure domains that are spread over groups by `seed`
@@ -123,7 +111,7 @@
         contacts.push(daemons[draw.random_range(0..per_domain)].clone());
         for row in 1..ROWS {
             let number = draw.random_range(0..per_domain * 2);
-            let ended = record(domain, 40 + row);
+            let ended = record(domain, ENDED + row);
             contacts.push(daemons.get(number).cloned().unwrap_or(ended));
         }
         records.extend(daemons);
@@ -133,11 +121,11 @@
         groups[draw.random_range(0..count)].insert(index);
     }
     groups.retain(|group| !group.is_empty());
-    let mut start = Start::new(records, contacts, groups);
+    let mut startup = Startup::new(records, contacts, groups);
     for round in 0..ROUNDS {
-        start.meet(round);
+        startup.meet(round);
     }
-    start.groups.len() == 1
+    startup.groups.len() == 1
 }
 
 #[test]
@@ -149,11 +137,11 @@
 #[test]
 fn met_contacts_left_alone() {
     let records = (0..3).map(|domain| record(domain, 0)).collect::<Vec<_>>();
-    let start = Start::new(records.clone(), records, Vec::new());
+    let startup = Startup::new(records.clone(), records, Vec::new());
     let all = BTreeSet::from([0, 1, 2]);
     for member in 0..3 {
-        let fleet = start.view(member, &all);
-        let chosen = fleet.choose_contacts(&start.contacts, false, 1, &mut random());
+        let fleet = startup.view(member, &all);
+        let chosen = fleet.choose_contacts(&startup.contacts, false, 1, &mut random());
         assert!(chosen.is_empty(), "{chosen:?}");
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -81,7 +81,8 @@
         #[serde(default)]
         uncounted: bool,
     },
-    /// Number of members of each failure domain.
+    /// Number of members of each failure domain, sent only to a peer that asked for
+    /// it, since older daemons do not know this frame.
     Sizes(Vec<Size>),
     /// Membership records that the sender holds.
     Members(Vec<Record>),
