Add a soak of the daemon's program with faults from outside it

They are suspended, killed, terminated and reloaded; targets reject, answer twice or late, lose and spoil answers, hang and crash; the platform is down, slow and loses answers. All of it is drawn from a seed, in series and overlapping.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod peer;
 pub mod platform;
 pub mod shape;
+pub mod soak;
 pub mod target;
 pub mod thread;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -163,6 +163,11 @@
         format!("http://{}", self.address)
     }
 
+    /// Address that the platform listens on.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Replaces the injected faults.
     pub fn set_faults(&self, faults: Faults) {
         self.state.lock().faults = faults;
--- /dev/null
+++ b/crates/standin/src/soak/fault.rs
@@ -0,0 +1,423 @@
+//! Seeded schedule of faults that come in series and overlap.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Result, bail};
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+use rustix::process::Signal;
+use tokio::time::{Instant, sleep};
+
+use super::ledger::Ledger;
+use super::process::Process;
+use super::target::{Faults, Target};
+use crate::platform::{Faults as PlatformFaults, Platform};
+
+/// Interval at which ended daemons are looked for.
+const SUPERVISION: Duration = Duration::from_millis(50);
+/// Delay after which a daemon that ended by itself is started again.
+const RESTART: Duration = Duration::from_millis(300);
+/// Time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Class of faults that can be left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Daemons are suspended with SIGSTOP.
+    Pause,
+    /// Daemons are killed, some or all at once.
+    Kill,
+    /// Daemons get SIGTERM and start again, or SIGHUP.
+    Terminate,
+    /// Targets reject requests.
+    Reject,
+    /// Targets send responses twice, the second time late.
+    Copy,
+    /// Targets lose or spoil responses, fail, hang, slow down or crash.
+    Target,
+    /// Targets answer 503 without the mark to requests that ran.
+    Unmarked,
+    /// The platform is down, slow or loses answers, and configurations change.
+    Platform,
+}
+
+impl Group {
+    /// All groups by name.
+    pub const ALL: [(&str, Self); 8] = [
+        ("pause", Self::Pause),
+        ("kill", Self::Kill),
+        ("terminate", Self::Terminate),
+        ("reject", Self::Reject),
+        ("copy", Self::Copy),
+        ("target", Self::Target),
+        ("unmarked", Self::Unmarked),
+        ("platform", Self::Platform),
+    ];
+
+    /// Parses names that are separated by commas.
+    ///
+    /// # Errors
+    ///
+    /// If a name is not known.
+    pub fn parse(names: &str) -> Result<Vec<Self>> {
+        let mut groups = Vec::new();
+        for name in names.split(',').filter(|name| !name.is_empty()) {
+            let mut known = Self::ALL.iter();
+            match known.find(|(other, _)| *other == name) {
+                Some((_, group)) => groups.push(*group),
+                None => bail!("unknown group of faults `{name}`"),
+            }
+        }
+        Ok(groups)
+    }
+}
+
+/// A daemon that is started again whenever it has ended.
+#[derive(Debug)]
+pub struct Supervised {
+    process: RefCell<Process>,
+    /// Time before which it is not started again.
+    down_until: Cell<Instant>,
+    /// Whether its end is expected.
+    ending: Cell<bool>,
+}
+
+impl Supervised {
+    /// Starts the daemon and its supervision, which ends with the task.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn start(mut process: Process, ledger: &Ledger) -> Result<Rc<Self>> {
+        process.start()?;
+        let supervised = Rc::new(Self {
+            process: RefCell::new(process),
+            down_until: Cell::new(Instant::now()),
+            ending: Cell::new(false),
+        });
+        let (daemon, ledger) = (Rc::clone(&supervised), ledger.clone());
+        actix_rt::spawn(async move {
+            loop {
+                sleep(SUPERVISION).await;
+                daemon.supervise(&ledger);
+            }
+        });
+        Ok(supervised)
+    }
+
+    /// Kills the daemon for good.
+    pub fn end(&self) {
+        self.down_until
+            .set(Instant::now() + Duration::from_hours(1));
+        self.process.borrow_mut().kill();
+    }
+
+    fn supervise(&self, ledger: &Ledger) {
+        let mut process = self.process.borrow_mut();
+        if !process.has_ended() || Instant::now() < self.down_until.get() {
+            return;
+        }
+        let name = Rc::clone(&process.vm().name);
+        if !self.ending.replace(false) {
+            ledger.event(format!("{name} ended by itself"));
+            self.down_until.set(Instant::now() + RESTART);
+            self.ending.set(true);
+            return;
+        }
+        match process.start() {
+            Ok(()) => ledger.event(format!("{name} starts")),
+            Err(error) => ledger.event(format!("{name} does not start: {error:#}")),
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        self.process.borrow_mut().signal(signal);
+    }
+
+    fn kill(&self, down: Duration) {
+        self.ending.set(true);
+        self.down_until.set(Instant::now() + down);
+        self.process.borrow_mut().kill();
+    }
+
+    fn name(&self) -> Rc<str> {
+        Rc::clone(&self.process.borrow().vm().name)
+    }
+}
+
+/// What faults act on.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Daemons, each with the target of the same index beside it.
+    pub daemons: Vec<Rc<Supervised>>,
+    /// Targets.
+    pub targets: Vec<Rc<Target>>,
+    /// Store of the platform.
+    pub platform: Rc<Platform>,
+    /// Record of the run.
+    pub ledger: Ledger,
+    /// Writes the next version of the configuration.
+    pub configure: fn(&Platform, u64),
+    /// Newest version of the configuration.
+    pub version: Cell<u64>,
+}
+
+/// Draws and applies faults until `end`; each reverts by itself.
+pub async fn run(fleet: Rc<Fleet>, groups: Vec<Group>, seed: u64, end: Instant) {
+    if groups.is_empty() {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed);
+    // A loss of all daemons leaves little else to observe for some seconds.
+    let mut losses_left = 2;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(random.random_range(100..900))).await;
+        let group = groups[random.random_range(0..groups.len())];
+        let for_ms = random.random_range(300..4_500);
+        let duration =
+            Duration::from_millis(for_ms).min(end.saturating_duration_since(Instant::now()));
+        let task = match group {
+            Group::Pause => pause(&fleet, &mut random, duration),
+            Group::Kill => kill(&fleet, &mut random, duration, &mut losses_left),
+            Group::Terminate => terminate(&fleet, &mut random),
+            Group::Reject | Group::Copy | Group::Target | Group::Unmarked => {
+                misbehave(&fleet, &mut random, group, duration)
+            }
+            Group::Platform => disturb_platform(&fleet, &mut random, duration),
+        };
+        actix_rt::spawn(task);
+    }
+}
+
+type Task = std::pin::Pin<Box<dyn Future<Output = ()>>>;
+
+/// Up to `most` different elements.
+fn pick<T>(random: &mut StdRng, from: &[Rc<T>], most: usize) -> Vec<Rc<T>> {
+    let count = random.random_range(1..=most.min(from.len()));
+    let chosen = rand::seq::index::sample(random, from.len(), count);
+    chosen.iter().map(|index| Rc::clone(&from[index])).collect()
+}
+
+fn names(daemons: &[Rc<Supervised>]) -> String {
+    let names = daemons.iter().map(|daemon| daemon.name().to_string());
+    names.collect::<Vec<_>>().join(" ")
+}
+
+fn pause(fleet: &Rc<Fleet>, random: &mut StdRng, duration: Duration) -> Task {
+    let chosen = pick(random, &fleet.daemons, 4);
+    fleet.ledger.event(format!(
+        "pause for {} ms: {}",
+        duration.as_millis(),
+        names(&chosen)
+    ));
+    Box::pin(async move {
+        for daemon in &chosen {
+            daemon.signal(Signal::STOP);
+        }
+        sleep(duration).await;
+        for daemon in &chosen {
+            daemon.signal(Signal::CONT);
+        }
+    })
+}
+
+fn kill(fleet: &Rc<Fleet>, random: &mut StdRng, duration: Duration, losses_left: &mut u32) -> Task {
+    let all = *losses_left > 0 && random.random_bool(0.15);
+    let chosen = if all {
+        *losses_left -= 1;
+        fleet.daemons.clone()
+    } else {
+        pick(random, &fleet.daemons, 4)
+    };
+    let down = duration / 2;
+    let text = if all {
+        "all daemons".to_owned()
+    } else {
+        names(&chosen)
+    };
+    fleet
+        .ledger
+        .event(format!("kill for {} ms: {text}", down.as_millis()));
+    for daemon in &chosen {
+        daemon.kill(down);
+    }
+    Box::pin(async {})
+}
+
+fn terminate(fleet: &Rc<Fleet>, random: &mut StdRng) -> Task {
+    let chosen = pick(random, &fleet.daemons, 4);
+    if random.random_bool(0.2) {
+        fleet.ledger.event(format!("SIGHUP: {}", names(&chosen)));
+        for daemon in &chosen {
+            // A daemon reads what it had; that the file is written is the change.
+            let _ = daemon.process.borrow().write_settings();
+            daemon.signal(Signal::HUP);
+        }
+        return Box::pin(async {});
+    }
+    fleet.ledger.event(format!("SIGTERM: {}", names(&chosen)));
+    Box::pin(async move {
+        for daemon in &chosen {
+            daemon.ending.set(true);
+            daemon.signal(Signal::TERM);
+        }
+        sleep(GRACE).await;
+        // Those that have started again in the meantime are not known here, so only
+        // processes that still end are killed.
+        for daemon in &chosen {
+            if daemon.ending.get() {
+                daemon.kill(Duration::ZERO);
+            }
+        }
+    })
+}
+
+/// Changes one kind of fault of some targets of one service for a while.
+fn misbehave(fleet: &Rc<Fleet>, random: &mut StdRng, group: Group, duration: Duration) -> Task {
+    let service = fleet.targets[random.random_range(0..fleet.targets.len())].service();
+    let of_service = fleet.targets.iter();
+    let of_service = of_service.filter(|target| target.service() == service);
+    let of_service = of_service.cloned().collect::<Vec<_>>();
+    let chosen = if random.random_bool(0.5) {
+        of_service
+    } else {
+        pick(random, &of_service, of_service.len())
+    };
+    let crashes = group == Group::Target && random.random_bool(0.15);
+    if crashes {
+        let target = Rc::clone(&chosen[0]);
+        fleet
+            .ledger
+            .event(format!("target crashes: {}", target.vm()));
+        target.crash();
+        return Box::pin(async move {
+            sleep(duration).await;
+            if !target.is_up() {
+                target.start();
+            }
+        });
+    }
+    let (name, change) = draw_fault(random, group);
+    fleet.ledger.event(format!(
+        "{name} for {} ms: {} of {service}",
+        duration.as_millis(),
+        chosen.len()
+    ));
+    Box::pin(async move {
+        for target in &chosen {
+            let mut faults = target.faults();
+            change.apply(&mut faults);
+            target.set_faults(faults);
+        }
+        sleep(duration).await;
+        for target in &chosen {
+            let mut faults = target.faults();
+            change.revert(&mut faults);
+            target.set_faults(faults);
+        }
+    })
+}
+
+/// Change of one field of a target's faults.
+#[derive(Clone, Copy, Debug)]
+struct FaultChange {
+    field: fn(&mut Faults) -> &mut f64,
+    value: f64,
+    forget: Duration,
+}
+
+impl FaultChange {
+    fn apply(self, faults: &mut Faults) {
+        *(self.field)(faults) = self.value;
+        if !self.forget.is_zero() {
+            faults.forget = self.forget;
+        }
+    }
+
+    fn revert(self, faults: &mut Faults) {
+        *(self.field)(faults) = 0.0;
+        if !self.forget.is_zero() {
+            faults.forget = Duration::ZERO;
+        }
+    }
+}
+
+fn draw_fault(random: &mut StdRng, group: Group) -> (&'static str, FaultChange) {
+    let strength: f64 = random.random_range(0.1..1.0);
+    let change = |field: fn(&mut Faults) -> &mut f64, value: f64| FaultChange {
+        field,
+        value,
+        forget: Duration::ZERO,
+    };
+    match group {
+        Group::Reject => (
+            "reject",
+            change(|faults| &mut faults.reject, strength * 0.6),
+        ),
+        Group::Copy => ("copy", change(|faults| &mut faults.copy, strength * 0.3)),
+        Group::Unmarked => {
+            let change = change(|faults| &mut faults.unmarked, strength * 0.3);
+            ("unmarked", change)
+        }
+        _ => match random.random_range(0..7) {
+            0 => ("lose", change(|faults| &mut faults.lose, strength * 0.4)),
+            1 => ("reset", change(|faults| &mut faults.reset, strength * 0.4)),
+            2 => {
+                let change = change(|faults| &mut faults.truncate, strength * 0.1);
+                ("truncate", change)
+            }
+            3 => ("fail", change(|faults| &mut faults.fail, strength * 0.4)),
+            4 => ("hang", change(|faults| &mut faults.hang, strength * 0.1)),
+            5 => (
+                "slow",
+                change(|faults| &mut faults.slow, 1.0 + strength * 7.0),
+            ),
+            _ => {
+                let mut change = change(|faults| &mut faults.slow, 1.0);
+                change.forget = Duration::from_millis(320);
+                ("forget", change)
+            }
+        },
+    }
+}
+
+fn disturb_platform(fleet: &Rc<Fleet>, random: &mut StdRng, duration: Duration) -> Task {
+    let (platform, ledger) = (Rc::clone(&fleet.platform), &fleet.ledger);
+    let faults = match random.random_range(0..5) {
+        0 => PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        },
+        1 => PlatformFaults {
+            delay: Duration::from_millis(250),
+            ..PlatformFaults::default()
+        },
+        2 => PlatformFaults {
+            lose_answers: 0.3,
+            ..PlatformFaults::default()
+        },
+        3 => {
+            ledger.event("the platform drops its history".to_owned());
+            platform.clear_history();
+            return Box::pin(async {});
+        }
+        _ => {
+            let version = fleet.version.get() + 1;
+            fleet.version.set(version);
+            ledger.event(format!("configuration {version}"));
+            (fleet.configure)(&platform, version);
+            return Box::pin(async {});
+        }
+    };
+    ledger.event(format!(
+        "platform for {} ms: {faults:?}",
+        duration.as_millis()
+    ));
+    platform.set_faults(faults);
+    Box::pin(async move {
+        sleep(duration).await;
+        platform.set_faults(PlatformFaults::default());
+    })
+}
