Do not pass on a target's unmarked 503 as a promise

Callers read 408, 429 and 503 as "has not run and will not run".

Such a response now counts as an unknown outcome: 502 for a request that may not be repeated, another target for one that may. Rejections with the mark and 421 stay what they were.

The test failed before with status 408 for 502.

--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -434,14 +434,15 @@
     })
 }
 
-/// Checks whether a response on the platform shows that the request ran. Unsigned
-/// responses other than successes are passed on.
+/// Checks whether a response on the platform shows that the request ran. Other failures
+/// are passed on, signed or not.
 ///
 /// # Errors
 ///
 /// [`Code::TargetRefused`] if the target reports that it did not run the request.
-/// [`Code::TargetFailed`] for a success that the target did not sign, after which
-/// it is unknown whether the request ran.
+/// [`Code::TargetFailed`] for a success that the target did not sign, and for a status
+/// that would promise the caller that the request did not run, without the target's
+/// word for it. After either it is unknown whether the request ran.
 fn check_response(response: &Response) -> Result<(), Refused> {
     match answer::classify(response.status, &response.headers) {
         answer::Kind::NotExecuted => {
@@ -451,6 +452,10 @@
             );
             Err(Refused::not_run(Code::TargetRefused, detail, 0))
         }
+        answer::Kind::Unproven => {
+            let detail = format!("status {} without the mark of a rejection", response.status);
+            Err(Refused::unknown(Code::TargetFailed, detail, 0))
+        }
         answer::Kind::Unsigned if (200..300).contains(&response.status) => {
             let detail = "success response without a signature";
             Err(Refused::unknown(Code::TargetFailed, detail, 0))
--- a/crates/daemon/tests/all/platform_sidecar.rs
+++ b/crates/daemon/tests/all/platform_sidecar.rs
@@ -61,6 +61,8 @@
             "r-a": {"host": "h.example", "prefix": "/a/", "kind": "idempotent",
                 "timeout": "2s", "priority": 0, "service": "s-two", "max-attempts": 2},
             "r-open": {"host": "h.example", "prefix": "/open/", "kind": "idempotent",
+                "timeout": "2s", "priority": 1, "service": "s-two", "public": true},
+            "r-once": {"host": "h.example", "prefix": "/once/", "kind": "non_idempotent",
                 "timeout": "2s", "priority": 1, "service": "s-two", "public": true}
         },
         "services": {"s-two": {"max-connections": 50, "health-path": "/health"}},
--- a/crates/daemon/tests/all/retry_outcomes.rs
+++ b/crates/daemon/tests/all/retry_outcomes.rs
@@ -47,3 +47,19 @@
         "a request that ran was said not to have run"
     );
 }
+
+/// Guards against a promise that a request has not run, passed on from a target that
+/// ran it and did not mark its response as a rejection.
+#[test]
+fn unmarked_status_unknown() {
+    let fleet = serving();
+    for status in [408, 429, 503] {
+        fleet.observed.unmarked.store(status, Ordering::Relaxed);
+        for path in ["/once/", "/open/"] {
+            let runs = fleet.observed.runs.load(Ordering::Relaxed);
+            let reply = fleet.get(path).send();
+            assert!(fleet.observed.runs.load(Ordering::Relaxed) > runs);
+            assert_eq!(reply.status, 502, "{status} at {path}");
+        }
+    }
+}
--- a/crates/daemon/tests/all/signed_target.rs
+++ b/crates/daemon/tests/all/signed_target.rs
@@ -2,7 +2,7 @@
 //! responses and records the requests that it receives.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
@@ -21,6 +21,9 @@
     pub(crate) rejections: AtomicUsize,
     /// Whether responses break off in their body.
     pub(crate) breaks_off: AtomicBool,
+    /// Status of further responses to requests that ran, which carry neither the
+    /// signature nor the mark of a rejection; zero for proper responses.
+    pub(crate) unmarked: AtomicU16,
     headers: Mutex<Vec<(String, String)>>,
 }
 
@@ -91,6 +94,11 @@
         return response.finish();
     }
     observed.runs.fetch_add(1, Ordering::Relaxed);
+    let unmarked = observed.unmarked.load(Ordering::Relaxed);
+    if unmarked > 0 {
+        let status = actix_web::http::StatusCode::from_u16(unmarked).expect("a status");
+        return response.status(status).finish();
+    }
     if observed.breaks_off.load(Ordering::Relaxed) {
         let part = Ok::<_, std::io::Error>(web::Bytes::from_static(b"part"));
         let end = Err(std::io::Error::other("broken off"));
