Trust a peer's "call not received" only while it would remember the call

A daemon forgets a call 1 s after its deadline. A caller's daemon that resumes the call after that is told "call not received" and reported it as not run, though it may have run: 503 to the client, or a second execution on another target (rules REFUSED, TWICE). It needs a caller's daemon whose timers are late, such as one on a VM that was suspended, and a lost connection.

The sender now keeps until when the peer knows each call, on the clock that counts suspension. After that an unknown call has an unknown outcome. An attempt whose link has closed is also reported as not run only if it was never sent: links send open calls by themselves when they connect, on the own interface from another thread.

forgotten_call_unknown failed before (No for Unknown); unreceived_call_not_run holds the other side, a true "not run" in time.

--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event};
 use cardamomshed_note::Timing;
+use cardamomshed_policy::Moment;
 use cardamomshed_wire::{Answer, Frame, Refusal, decode};
 use futures_util::StreamExt;
 use tokio::sync::mpsc;
@@ -13,6 +14,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::handshake::{self, Socket};
+use super::sessions::RETENTION;
 use super::table::{Command, Link, Pending};
 use super::writer::{self, Outbound};
 use crate::node::Node;
@@ -122,7 +124,7 @@
 /// them, so they cannot be resumed.
 fn fail_sent_calls(link: &Link, detail: &str) {
     let sent = lock(&link.calls)
-        .extract_if(|_, pending| pending.sent)
+        .extract_if(|_, pending| pending.is_sent())
         .collect::<Vec<_>>();
     for (_, pending) in sent {
         let refused = Refused::unknown(Code::OutcomeUnknown, detail, 0);
@@ -254,7 +256,7 @@
     let mut calls = lock(&link.calls);
     for (id, pending) in calls.iter_mut() {
         pending.partial = None;
-        if pending.sent {
+        if pending.is_sent() {
             node.metrics.resumed.inc();
             node.log_decision(
                 Event::CallResumed,
@@ -268,16 +270,17 @@
             };
             let _ = out.send(Outbound::Frame(frame));
         } else {
-            pending.send(link.remaining_at_peer(pending.deadline, now), out);
+            pending.send(link.remaining_at_peer(pending.deadline, now), now, out);
         }
     }
 }
 
 impl Pending {
     /// Sends the call with the time that it has at the peer.
-    fn send(&mut self, remaining: Duration, out: &mpsc::UnboundedSender<Outbound>) {
-        self.sent = true;
-        self.call.timeout_ms = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
+    fn send(&mut self, remaining: Duration, now: Moment, out: &mpsc::UnboundedSender<Outbound>) {
+        let timeout_ms = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
+        self.known_until = Some(now + Duration::from_millis(u64::from(timeout_ms)) + RETENTION);
+        self.call.timeout_ms = timeout_ms;
         let frame = Frame::Call(Box::new(self.call.clone()));
         let _ = out.send(Outbound::Body(frame, self.body.clone()));
     }
@@ -288,12 +291,12 @@
         Command::Start(id) => {
             let now = node.clock.now();
             let mut calls = lock(&link.calls);
-            if let Some(pending) = calls.get_mut(&id).filter(|pending| !pending.sent) {
+            if let Some(pending) = calls.get_mut(&id).filter(|pending| !pending.is_sent()) {
                 node.metrics
                     .bytes
                     .with_label_values(&["calls"])
                     .inc_by(pending.body.len() as u64);
-                pending.send(link.remaining_at_peer(pending.deadline, now), out);
+                pending.send(link.remaining_at_peer(pending.deadline, now), now, out);
             }
         }
         Command::Cancel(id) => {
@@ -320,7 +323,7 @@
         Frame::AnswerData { id } => continue_answer(link, id, &chunk),
         Frame::Refusal(refusal) => {
             let id = refusal.id;
-            link.complete(id, Reply::Refused(refused_from_wire(*refusal)));
+            link.refuse(id, refused_from_wire(*refusal), node.clock.now());
             Some(id)
         }
         Frame::Pong => {
--- a/crates/daemon/src/link/sessions.rs
+++ b/crates/daemon/src/link/sessions.rs
@@ -17,7 +17,7 @@
 
 /// Time after its deadline for which the state of a call is retained, so that
 /// the caller can still resume it.
-const RETENTION: Duration = Duration::from_secs(1);
+pub(super) const RETENTION: Duration = Duration::from_secs(1);
 
 /// State of a call received over a link.
 #[derive(Debug)]
--- a/crates/daemon/src/link/table.rs
+++ b/crates/daemon/src/link/table.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use cardamomshed_code::{Code, Event};
+use cardamomshed_code::{Code, Event, Ran};
 use cardamomshed_policy::Moment;
 use cardamomshed_wire::{Answer, Call, Frame};
 use slog::{Logger, info};
@@ -34,13 +34,21 @@
     pub(super) call: Call,
     pub(super) body: Bytes,
     pub(super) deadline: Moment,
-    /// Whether any part of the call may have reached the peer.
-    pub(super) sent: bool,
+    /// Until when the peer knows the call, if it received it; `None` if no part of the
+    /// call has been sent.
+    pub(super) known_until: Option<Moment>,
     /// Answer whose body has been received in part.
     pub(super) partial: Option<(Answer, BytesMut)>,
     pub(super) reply: oneshot::Sender<Reply>,
 }
 
+impl Pending {
+    /// Whether any part of the call may have reached the peer.
+    pub(super) const fn is_sent(&self) -> bool {
+        self.known_until.is_some()
+    }
+}
+
 /// Calls to one other daemon.
 #[derive(Debug)]
 pub struct Link {
@@ -113,7 +121,7 @@
             call,
             body,
             deadline,
-            sent: false,
+            known_until: None,
             partial: None,
             reply,
         };
@@ -121,7 +129,8 @@
         lock(&link.calls).insert(id, pending);
         let guard = Guard { link: &link, id };
         if link.commands.send(Command::Start(id)).is_err() {
-            return Reply::Refused(Refused::not_run(Code::LinkFailed, "link closed", tokens));
+            // A call is also sent when the link connects, so it may have been.
+            return guard.expire(tokens);
         }
         let outcome = tokio::time::timeout(limit, completion).await;
         let Ok(reply) = outcome else {
@@ -215,6 +224,20 @@
         remaining.saturating_sub(round_trip).max(remaining / 2)
     }
 
+    /// Completes a call that the peer refuses. A peer that does not know a call has not
+    /// received it, unless it has had the time to forget it.
+    pub(super) fn refuse(&self, id: u64, mut refused: Refused, now: Moment) {
+        if refused.code == Code::LinkFailed {
+            let calls = lock(&self.calls);
+            let known_until = calls.get(&id).and_then(|pending| pending.known_until);
+            if known_until.is_none_or(|until| until <= now) {
+                refused.ran = Ran::Unknown;
+                "the peer no longer knows the call".clone_into(&mut refused.detail);
+            }
+        }
+        self.complete(id, Reply::Refused(refused));
+    }
+
     /// Completes a call with `reply`; an unknown id is ignored.
     pub(super) fn complete(&self, id: u64, reply: Reply) {
         if let Some(pending) = lock(&self.calls).remove(&id) {
@@ -227,10 +250,10 @@
     /// ones too, with an unknown outcome.
     pub(super) fn fail(&self, also_sent: bool, detail: &str) {
         let failed = lock(&self.calls)
-            .extract_if(|_, pending| also_sent || !pending.sent)
+            .extract_if(|_, pending| also_sent || !pending.is_sent())
             .collect::<Vec<_>>();
         for (_, pending) in failed {
-            let refused = if pending.sent {
+            let refused = if pending.is_sent() {
                 Refused::unknown(Code::OutcomeUnknown, detail, 0)
             } else {
                 Refused::not_run(Code::LinkFailed, detail, pending.call.tokens)
@@ -244,7 +267,9 @@
     /// Gives the call up. A call that was not sent by then never will be.
     fn expire(self, tokens: u8) -> Reply {
         let mut calls = lock(&self.link.calls);
-        let is_unsent = calls.get(&self.id).is_some_and(|pending| !pending.sent);
+        let is_unsent = calls
+            .get(&self.id)
+            .is_some_and(|pending| !pending.is_sent());
         if is_unsent {
             calls.remove(&self.id);
         }
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -20,7 +20,7 @@
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_standin::thread;
 use cardamomshed_wire::{
-    Answer, Call, Frame, Load, Request, Secret, Side, Welcome, decode, encode,
+    Answer, Call, Frame, Load, Refusal, Request, Secret, Side, Welcome, decode, encode,
 };
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -83,6 +83,23 @@
         }
     }
 
+    /// Says that a resumed call was not received, as a daemon does of each call that it
+    /// does not know.
+    async fn refuse_resumed(&mut self, id: u64) {
+        let refusal = Refusal {
+            id,
+            code: Code::LinkFailed,
+            ran: Ran::No,
+            detail: "call not received".to_owned(),
+            load: Load::default(),
+            level: ADMIT_ALL,
+            price: 0.0,
+            pressure: 0.0,
+            tokens: 0,
+        };
+        self.send(Frame::Refusal(Box::new(refusal)), b"").await;
+    }
+
     async fn answer(&mut self, id: u64, length: u64, chunk: &[u8]) {
         let answer = Answer {
             price: 0.0,
@@ -109,6 +126,12 @@
 
 /// Sends a call over the daemon's link to the fake peer.
 async fn call(node: &Arc<Node>, peer: &Peer, body: &'static str) -> Reply {
+    call_within(node, peer, body, Duration::from_secs(8)).await
+}
+
+/// Sends a call whose deadline is this far away. The runtime's timers count less time
+/// than the daemon's clock, as after a suspension of the VM.
+async fn call_within(node: &Arc<Node>, peer: &Peer, body: &'static str, time: Duration) -> Reply {
     let call = Call {
         route: "route".into(),
         repeatable: false,
@@ -127,7 +150,7 @@
         headers: Vec::new(),
         length: body.len() as u64,
     };
-    let deadline = node.clock.now() + Duration::from_secs(8);
+    let deadline = node.clock.now() + time;
     node.links
         .call(
             peer,
@@ -142,6 +165,17 @@
 /// Runs a script of the fake peer while the daemon makes one call, and returns
 /// the outcome of the call.
 fn run_script<F>(script: impl FnOnce(TcpListener) -> F + Send + 'static) -> Reply
+where
+    F: Future<Output = ()> + 'static,
+{
+    run_script_within(Duration::from_secs(8), script)
+}
+
+/// Does the same with a call whose deadline is this far away.
+fn run_script_within<F>(
+    time: Duration,
+    script: impl FnOnce(TcpListener) -> F + Send + 'static,
+) -> Reply
 where
     F: Future<Output = ()> + 'static,
 {
@@ -154,7 +188,7 @@
             address: listener.local_addr().expect("a bound port"),
         };
         let fake = actix_rt::spawn(script(listener));
-        let reply = call(&node, &peer, "body").await;
+        let reply = call_within(&node, &peer, "body", time).await;
         fake.await.expect("the script completes");
         reply
     })
@@ -233,6 +267,49 @@
     );
 }
 
+/// Makes a call within this time, has the peer lose the connection after a pause and
+/// deny that it received the call.
+fn deny_resumed(time: Duration, pause: Duration) -> Ran {
+    let reply = run_script_within(time, move |listener| async move {
+        let mut first = Fake::accept(&listener, 1).await;
+        id_of(first.receive().await);
+        let heartbeats = actix_rt::spawn(async move {
+            // Keeps the link from being replaced for its silence.
+            loop {
+                first.send(Frame::Pong, b"").await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+        tokio::time::sleep(pause).await;
+        heartbeats.abort();
+        let mut second = Fake::accept(&listener, 1).await;
+        let id = id_of(second.receive().await);
+        second.refuse_resumed(id).await;
+        second.receive().await;
+    });
+    match reply {
+        Reply::Refused(refused) => refused.ran,
+        Reply::Answer(answer) => panic!("the call was answered: {answer:?}"),
+    }
+}
+
+/// Guards against a call that ran and is reported as not run: it was resumed after the
+/// peer had forgotten it.
+#[test]
+fn forgotten_call_unknown() {
+    let pause = Duration::from_millis(1_500);
+    assert_eq!(
+        deny_resumed(Duration::from_millis(200), pause),
+        Ran::Unknown
+    );
+}
+
+#[test]
+fn unreceived_call_not_run() {
+    let pause = Duration::from_millis(200);
+    assert_eq!(deny_resumed(Duration::from_secs(8), pause), Ran::No);
+}
+
 #[test]
 fn peer_restart_unknown() {
     let reply = run_script(|listener| async move {
