--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -132,18 +132,7 @@
             return progress.conclude(reply);
         }
         node.metrics.retries.inc();
-        node.log_decision(
-            Event::CallRetried,
-            context.request,
-            format_args!(
-                "service={} reroutes={} rejections={} tokens={} after={}",
-                route.service,
-                progress.reroutes,
-                progress.rejections,
-                context.tokens(),
-                attempt.selection.peer.node
-            ),
-        );
+        log_retry(node, context, route, &progress, &attempt, &reply);
         progress.last = Some(reply);
     }
 }
@@ -396,6 +385,35 @@
     );
 }
 
+/// Logs that another attempt follows this one, with what is known of its execution.
+fn log_retry(
+    node: &Node,
+    context: &Context,
+    route: &Route,
+    progress: &Progress,
+    attempt: &Attempt<'_>,
+    reply: &Reply,
+) {
+    let Reply::Refused(refused) = reply else {
+        return;
+    };
+    node.log_decision(
+        Event::CallRetried,
+        context.request,
+        format_args!(
+            "service={} reroutes={} rejections={} tokens={} after={} code={} ran={} {}",
+            route.service,
+            progress.reroutes,
+            progress.rejections,
+            context.tokens(),
+            attempt.selection.peer.node,
+            refused.code.number(),
+            refused.ran.as_str(),
+            refused.detail
+        ),
+    );
+}
+
 fn log_transition(
     node: &Node,
     route: &Route,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -85,6 +85,8 @@
     pub headers: Vec<(String, String)>,
     /// Complete body, without transfer encoding.
     pub body: Bytes,
+    /// Late responses to earlier requests that were skipped before this one.
+    pub late: u64,
 }
 
 /// Why there is no complete response.
@@ -248,6 +250,7 @@
     let mut reader = Reader {
         half: read_half,
         buffer: BytesMut::new(),
+        late: 0,
     };
     let mut written = false;
     let head = {
@@ -279,6 +282,7 @@
         status: head.status,
         headers: head.headers,
         body,
+        late: reader.late,
     };
     Ok((response, keep_for))
 }
@@ -286,6 +290,8 @@
 struct Reader<'a> {
     half: tokio::net::tcp::ReadHalf<'a>,
     buffer: BytesMut,
+    /// Late responses that were skipped.
+    late: u64,
 }
 
 impl Reader<'_> {
@@ -319,6 +325,7 @@
             if is_match {
                 return Ok(head);
             }
+            self.late += 1;
             self.body(&head, false, limit)
                 .await
                 .map_err(|error| match error {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,6 +30,8 @@
     pub retries: IntCounter,
     /// Calls resumed on a new link.
     pub resumed: IntCounter,
+    /// Late responses of the local target that were skipped.
+    pub late_responses: IntCounter,
     /// Bytes sent to other daemons, by purpose.
     pub bytes: IntCounterVec,
     /// Open root requests.
@@ -79,6 +81,10 @@
             )?,
             retries: IntCounter::new("cardamomshed_retries_total", "Further attempts of calls")?,
             resumed: IntCounter::new("cardamomshed_resumed_total", "Calls resumed on a new link")?,
+            late_responses: IntCounter::new(
+                "cardamomshed_late_responses_total",
+                "Late responses of the target that were skipped",
+            )?,
             bytes: counters(
                 "cardamomshed_bytes_total",
                 "Bytes sent to other daemons, by purpose",
@@ -102,6 +108,8 @@
         self.registry.register(Box::new(self.wait.clone()))?;
         self.registry.register(Box::new(self.retries.clone()))?;
         self.registry.register(Box::new(self.resumed.clone()))?;
+        self.registry
+            .register(Box::new(self.late_responses.clone()))?;
         self.registry.register(Box::new(self.bytes.clone()))?;
         self.registry.register(Box::new(self.open.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -356,6 +356,7 @@
             .exchange(self.permit.address, connect, &request, limit)
             .await
             .map_err(exchange_error)?;
+        node.metrics.late_responses.inc_by(response.late);
         if platform {
             check_response(&response)?;
         }
