Do not confirm the configuration by a read that stopped at a note

On the project's own interface a read of the notes ends at one that can't be decoded, and the configuration before it counted as confirmed: a key that this note or a later one withdraws worked on, also where unconfirmed keys are to be refused.

--- a/crates/daemon/src/actor/follower.rs
+++ b/crates/daemon/src/actor/follower.rs
@@ -37,8 +37,10 @@
         if is_poller(&node) {
             let sent = Date::of(node.clock.now());
             match read(&node, &client).await {
-                Ok(()) => {
-                    node.confirm_configuration(sent, "store");
+                Ok(read) => {
+                    if read == Read::Complete {
+                        node.confirm_configuration(sent, "store");
+                    }
                     if unreachable {
                         node.log_event(Event::PlatformReachable, format_args!("notes"));
                     }
@@ -63,10 +65,19 @@
     }
 }
 
+/// How far a read of the notes came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Read {
+    /// Every note was applied.
+    Complete,
+    /// It stopped at a note that cannot be decoded. The configuration in force may lack
+    /// what that note and later ones say, such as the withdrawal of a key.
+    Stopped,
+}
+
 /// Reads and applies the notes after the current revision. A daemon without a
-/// configuration reads the snapshot first. Stops at a note that cannot be
-/// decoded.
-async fn read(node: &Arc<Node>, client: &Client) -> Result<(), Failure> {
+/// configuration reads the snapshot first.
+async fn read(node: &Arc<Node>, client: &Client) -> Result<Read, Failure> {
     if node.lookup().config.revision == 0
         && let Some(snapshot) = client.get_object(SNAPSHOT).await?
         && let Ok(config) = serde_json::from_slice::<Config>(&snapshot)
@@ -82,14 +93,14 @@
                 Ok(note) => note,
                 Err(error) => {
                     node.log_event(Event::NoteRejected, format_args!("row={} {error}", row.key));
-                    return Ok(());
+                    return Ok(Read::Stopped);
                 }
             };
             apply_row(node, &row.key, &note);
             write_snapshot(node, client).await?;
         }
         if count < PAGE_ROWS {
-            return Ok(());
+            return Ok(Read::Complete);
         }
     }
 }
--- a/crates/daemon/tests/all/unconfirmed_start.rs
+++ b/crates/daemon/tests/all/unconfirmed_start.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
+use cardamomshed_daemon::actor::distribution::row_key;
 use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_note::{Limits, Settings, Timespan, Unconfirmed};
@@ -139,6 +140,30 @@
     eventually("the key is accepted", || send(&late.node).status == 200);
 }
 
+/// Guards against a withdrawn key that works on: a read of the notes that stopped at one
+/// that can't be decoded confirmed the configuration before it.
+#[test]
+fn undecodable_note_unconfirmed() {
+    let fleet = chain(1);
+    let mut note = fleet.blank_note("refuse-unconfirmed");
+    note.limits = Some(Limits {
+        unconfirmed_keys: Unconfirmed::Refuse,
+        unconfirmed_after: Timespan::from_millis(700),
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    let daemon = &fleet.daemons[0].node;
+    eventually("the note is in force", || {
+        daemon.lookup().config.revision == 2
+    });
+    let send = || crate::get(&fleet, &fleet.shape.path()).send();
+    eventually("the key is accepted", || send().status == 200);
+    let row = row_key(3);
+    let contents = serde_json::json!({"keys": "not a list"});
+    fleet.platform.write("notes", &row, &contents);
+    eventually("the key is refused", || send().code() == 1104);
+}
+
 /// Guards against refusals for want of a confirmation that a peer has: one that is
 /// still in force also counts for a daemon that starts without the store.
 #[test]
