Test that refused and cancelled calls never run

One test for each place that says "not run" without one so far: a call that is cancelled or refused while it waits for a slot, and one whose target leaves.

--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -24,11 +24,11 @@
 
 /// Opens a connection of the fake daemon. `BOOT` is the same each time, so that
 /// the connections belong to one process.
-async fn dial(node: &Node, secret: &str) -> Option<Dialler> {
+pub(crate) async fn dial(node: &Node, secret: &str) -> Option<Dialler> {
     Dialler::dial(node.settings.peers, NAME, BOOT, secret).await
 }
 
-fn call(id: u64, length: u64) -> Call {
+pub(crate) fn call(id: u64, length: u64) -> Call {
     Call {
         route: "route".into(),
         repeatable: false,
@@ -50,7 +50,10 @@
 }
 
 /// Runs a future with the first daemon of a fleet and returns its output.
-fn with_daemon<T, F>(fleet: &Fleet, test: impl FnOnce(Arc<Node>) -> F + Send + 'static) -> T
+pub(crate) fn with_daemon<T, F>(
+    fleet: &Fleet,
+    test: impl FnOnce(Arc<Node>) -> F + Send + 'static,
+) -> T
 where
     T: Send + 'static,
     F: Future<Output = T>,
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod platform_sidecar;
 mod process_signals;
 mod quota_fleet;
+mod refused_calls;
 mod request_heads;
 mod retry_outcomes;
 mod signed_target;
