--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -32,8 +32,10 @@
 
 /// Host of all routes.
 pub const HOST: &str = "coop.example";
-/// Key of the client account.
-const KEY: &str = "6wsjnbanfqasnmgkcuyj";
+/// Client accounts. Requests are spread evenly over them.
+const ACCOUNTS: usize = 8;
+/// Rate and burst of each account, relative to the requests that it sends.
+const QUOTA_FACTOR: f64 = 1.6;
 
 /// Failure domains and their regions.
 const DOMAINS: [(&str, &str); 6] = [
@@ -185,7 +187,8 @@
         reads: 6_000.0,
         writes: 1_200.0,
     }));
-    configure(&platform, 1);
+    let account_rate = options.rate / ACCOUNTS as f64 * QUOTA_FACTOR;
+    configure(&platform, 1, account_rate);
     let site = Rc::new(Site {
         program: options.program.clone(),
         template: process::template(&options.template)?,
@@ -201,6 +204,7 @@
         platform,
         ledger: ledger.clone(),
         configure,
+        account_rate,
         version: Cell::new(1),
     };
     let mut clients = Vec::new();
@@ -223,7 +227,8 @@
         let process = Process::new(vm.clone(), Rc::clone(&site));
         fleet.daemons.push(Supervised::start(process, &ledger)?);
         let draws = StdRng::from_rng(&mut random);
-        let vm_clients = Clients::new(vm, &KINDS, Rc::from(KEY), ledger.clone(), draws);
+        let key = Rc::from(key(number % ACCOUNTS));
+        let vm_clients = Clients::new(vm, &KINDS, key, ledger.clone(), draws);
         actix_rt::spawn(Rc::clone(&vm_clients).probe());
         clients.push(vm_clients);
     }
@@ -274,8 +279,14 @@
     waited.await.is_ok()
 }
 
-/// Writes a version of the configuration. Every second one has other timeouts.
-fn configure(platform: &Platform, version: u64) {
+/// Key of an account.
+fn key(account: usize) -> String {
+    format!("6wsjnbanfqasnmgkcuy{account}")
+}
+
+/// Writes a version of the configuration, in which each account has this rate a second
+/// and as much burst. Every second version has other timeouts.
+fn configure(platform: &Platform, version: u64, account_rate: f64) {
     let long_ms = if version.is_multiple_of(2) {
         5_500
     } else {
@@ -295,6 +306,12 @@
     let services = services
         .into_iter()
         .collect::<serde_json::Map<String, serde_json::Value>>();
+    let accounts = (0..ACCOUNTS).map(|account| {
+        let rate = account_rate.ceil() as u64;
+        let settings = json!({"api-keys": [key(account)], "rate-per-s": rate, "burst": rate});
+        (format!("socio-{account}"), settings)
+    });
+    let accounts = accounts.collect::<serde_json::Map<String, serde_json::Value>>();
     let config = json!({
         "version": version,
         "routes": {
@@ -306,7 +323,7 @@
         },
         "services": services,
         "limits": {},
-        "tenants": {"socios": {"api-keys": [KEY], "rate-per-s": 0, "burst": 0}}
+        "tenants": accounts
     });
     platform.write("op", "config", &config);
 }
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -158,8 +158,10 @@
     pub platform: Rc<Platform>,
     /// Record of the run.
     pub ledger: Ledger,
-    /// Writes the next version of the configuration.
-    pub configure: fn(&Platform, u64),
+    /// Writes a version of the configuration with this rate for each account.
+    pub configure: fn(&Platform, u64, f64),
+    /// Requests a second that each account may send.
+    pub account_rate: f64,
     /// Newest version of the configuration.
     pub version: Cell<u64>,
 }
@@ -407,7 +409,7 @@
             let version = fleet.version.get() + 1;
             fleet.version.set(version);
             ledger.event(format!("configuration {version}"));
-            (fleet.configure)(&platform, version);
+            (fleet.configure)(&platform, version, fleet.account_rate);
             return Box::pin(async {});
         }
     };
