--- a/crates/standin/examples/soak.rs
+++ b/crates/standin/examples/soak.rs
@@ -95,6 +95,9 @@
     );
     let windows = verdict.served.iter().map(|served| format!("{served:.2}"));
     println!("  served by 2 s: {}", windows.collect::<Vec<_>>().join(" "));
+    let parts = verdict.served_by.iter();
+    let parts = parts.map(|(part, served)| format!("{part} {served:.2}"));
+    println!("  served by part: {}", parts.collect::<Vec<_>>().join(" "));
     let kinds = [
         ("TWICE", &verdict.twice),
         ("REFUSED", &verdict.refused),
--- a/crates/standin/src/soak/client.rs
+++ b/crates/standin/src/soak/client.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::http::{self, Connection, Message};
-use super::ledger::Ledger;
+use super::ledger::{Ledger, Origin};
 use super::process::Vm;
 use super::target;
 
@@ -174,7 +174,12 @@
         self.sent.set(number + 1);
         let id = Rc::<str>::from(format!("{}-{number}", self.vm.name));
         let remaining = deadline.saturating_duration_since(Instant::now());
-        self.ledger.send(&id, kind.repeatable);
+        let origin = Origin {
+            prefix: kind.prefix,
+            repeatable: kind.repeatable,
+            domain: self.vm.domain,
+        };
+        self.ledger.send(&id, origin);
         let limit = remaining + PATIENCE;
         let response = timeout(limit, self.exchange(kind, &id, remaining)).await;
         let response = response.ok()?.ok()?;
--- a/crates/standin/src/soak/ledger.rs
+++ b/crates/standin/src/soak/ledger.rs
@@ -13,15 +13,26 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Length of the windows by which the service over time is reported.
 const WINDOW: Duration = Duration::from_secs(2);
-/// Smallest fraction of the requests that has to be served in a run, and in a window
-/// of a recovered fleet.
+/// Smallest fraction of the requests that has to be served in a run, of each route and
+/// in each failure domain, and by a recovered fleet.
 const MIN_SERVED: f64 = 0.4;
 
+/// What kind of request an attempt is and where it is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    /// Path prefix of the route.
+    pub prefix: &'static str,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Failure domain of the client.
+    pub domain: &'static str,
+}
+
 /// One attempt of a client.
 #[derive(Clone, Debug)]
 struct Attempt {
     sent_at: Instant,
-    repeatable: bool,
+    origin: Origin,
     /// Status of the response; zero for none.
     status: u16,
     runs: Vec<Run>,
@@ -71,6 +82,8 @@
     pub served: Vec<f64>,
     /// Fraction of all attempts that were served.
     pub served_in_all: f64,
+    /// The same, by route and by failure domain of the clients.
+    pub served_by: IndexMap<&'static str, f64>,
 }
 
 impl Verdict {
@@ -93,10 +106,10 @@
     }
 
     /// Records that a client sends an attempt.
-    pub fn send(&self, id: &Rc<str>, repeatable: bool) {
+    pub fn send(&self, id: &Rc<str>, origin: Origin) {
         let attempt = Attempt {
             sent_at: Instant::now(),
-            repeatable,
+            origin,
             status: 0,
             runs: Vec::new(),
         };
@@ -157,13 +170,14 @@
         };
         let mut windows = Vec::<(usize, usize)>::new();
         let mut recovered = (0, 0);
+        let mut parts = IndexMap::<&str, (usize, usize)>::new();
         for (id, attempt) in &state.attempts {
             *verdict.statuses.entry(attempt.status).or_default() += 1;
-            if !attempt.repeatable && attempt.runs.len() > 1 {
+            if !attempt.origin.repeatable && attempt.runs.len() > 1 {
                 verdict.twice.push(self.describe(id, attempt));
             }
             let is_promise = PROMISES.contains(&attempt.status);
-            if !attempt.repeatable && is_promise && !attempt.runs.is_empty() {
+            if !attempt.origin.repeatable && is_promise && !attempt.runs.is_empty() {
                 verdict.refused.push(self.describe(id, attempt));
             }
             let is_served = usize::from((200..300).contains(&attempt.status));
@@ -174,6 +188,11 @@
             }
             windows[index].0 += 1;
             windows[index].1 += is_served;
+            for part in [attempt.origin.prefix, attempt.origin.domain] {
+                let part = parts.entry(part).or_default();
+                part.0 += 1;
+                part.1 += is_served;
+            }
             if state.recovered_at.is_some_and(|at| attempt.sent_at >= at) {
                 recovered.0 += 1;
                 recovered.1 += is_served;
@@ -183,6 +202,14 @@
         verdict.served = windows.iter().copied().map(fraction).collect();
         let sum = |(sent, served), window: &(usize, usize)| (sent + window.0, served + window.1);
         verdict.served_in_all = fraction(windows.iter().fold((0, 0), sum));
+        for (part, counts) in parts {
+            let served = fraction(counts);
+            if served < MIN_SERVED {
+                let detail = format!("{served:.3} served of {part} over the run");
+                verdict.short.push(detail);
+            }
+            verdict.served_by.insert(part, served);
+        }
         if verdict.served_in_all < MIN_SERVED {
             let detail = format!("{:.3} served over the run", verdict.served_in_all);
             verdict.short.push(detail);
