--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -228,7 +228,7 @@
         fleet.daemons.push(Supervised::start(process, &ledger)?);
         let draws = StdRng::from_rng(&mut random);
         let key = Rc::from(key(number % ACCOUNTS));
-        let vm_clients = Clients::new(vm, &KINDS, key, ledger.clone(), draws);
+        let vm_clients = Clients::new((number as u32, vm), &KINDS, key, ledger.clone(), draws);
         actix_rt::spawn(Rc::clone(&vm_clients).probe());
         clients.push(vm_clients);
     }
--- a/crates/standin/src/soak/client.rs
+++ b/crates/standin/src/soak/client.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub struct Clients {
     vm: Vm,
+    /// Number of the VM, which makes the ids of its attempts unique.
+    number: u32,
     kinds: &'static [Kind],
     key: Rc<str>,
     ledger: Ledger,
@@ -59,7 +61,7 @@
 impl Clients {
     /// Creates the clients of a VM, which present this key.
     pub fn new(
-        vm: Vm,
+        (number, vm): (u32, Vm),
         kinds: &'static [Kind],
         key: Rc<str>,
         ledger: Ledger,
@@ -67,6 +69,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             vm,
+            number,
             kinds,
             key,
             ledger,
@@ -170,9 +173,9 @@
 
     /// Sends one attempt. Returns the time after which the client may try again.
     async fn attempt(&self, kind: Kind, deadline: Instant) -> Option<Duration> {
-        let number = self.sent.get();
-        self.sent.set(number + 1);
-        let id = Rc::<str>::from(format!("{}-{number}", self.vm.name));
+        let sent = self.sent.get();
+        self.sent.set(sent + 1);
+        let id = Rc::<str>::from(format!("{:08x}{sent:08x}", self.number + 1));
         let remaining = deadline.saturating_duration_since(Instant::now());
         let origin = Origin {
             prefix: kind.prefix,
--- a/crates/standin/src/soak/ledger.rs
+++ b/crates/standin/src/soak/ledger.rs
@@ -224,7 +224,9 @@
     fn describe(&self, id: &str, attempt: &Attempt) -> String {
         let since = |at: Instant| at.duration_since(self.started).as_secs_f64();
         let mut text = format!(
-            "{id} sent {:.3} status {}",
+            "{id} {} in {} sent {:.3} status {}",
+            attempt.origin.prefix,
+            attempt.origin.domain,
             since(attempt.sent_at),
             attempt.status
         );
