--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -93,3 +93,20 @@
     fleet.tick(&mut random(), at(2) + retention);
     assert_eq!(fleet.size(), 1);
 }
+
+/// Guards against accounts that are lent a part of their rate only, long after lost VMs
+/// were replaced: the lost ones count as if they might be cut off and lend.
+#[test]
+fn replaced_members_released() {
+    /// Time after a fault within which the platform asks for service as before.
+    const RECOVER: Duration = Duration::from_secs(15);
+    let mut fleet = started();
+    let lost = (1..5).map(|number| Record {
+        state: State::Failed,
+        ..record("a", number)
+    });
+    fleet.merge_all(lost.collect(), at(1));
+    fleet.merge_all((5..9).map(|number| record("a", number)).collect(), at(2));
+    fleet.tick(&mut random(), at(2) + RECOVER);
+    assert_eq!((fleet.size(), fleet.live()), (5, 5));
+}
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -7,28 +7,27 @@
 
 pub mod client;
 pub mod fault;
+pub mod fleet;
 pub mod http;
 pub mod ledger;
 pub mod process;
 pub mod target;
 
-use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Result, ensure};
-use rand::SeedableRng as _;
-use rand::rngs::StdRng;
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::platform::{Capacity, Platform};
-use client::{Clients, Kind};
-use fault::{Fleet, Group, Supervised};
+use client::Kind;
+use fault::Group;
+use fleet::Fleet;
 use ledger::{Ledger, Verdict};
-use process::{Process, Site, Vm};
-use target::{Downstream, Place, Target, Work};
+use process::Site;
+use target::{Downstream, Work};
 
 /// Host of all routes.
 pub const HOST: &str = "coop.example";
@@ -197,51 +196,26 @@
         domains: &DOMAINS,
     });
     let ledger = Ledger::start();
-    let mut random = StdRng::seed_from_u64(options.seed);
-    let mut fleet = Fleet {
-        daemons: Vec::new(),
-        targets: Vec::new(),
+    let fleet = Rc::new(Fleet::new(
+        site,
         platform,
-        ledger: ledger.clone(),
-        configure,
+        ledger.clone(),
+        options.seed,
+        options.rate / options.vms as f64,
         account_rate,
-        version: Cell::new(1),
-    };
-    let mut clients = Vec::new();
+    ));
     for number in 0..options.vms {
-        let (service, slots) = SERVICES[number % SERVICES.len()];
-        let domain = DOMAINS[number / SERVICES.len() % DOMAINS.len()];
-        let vm = Vm::new(&format!("{service}-{number}"), domain, service);
-        let place = Place {
-            service,
-            vm: Rc::clone(&vm.name),
-            domain: domain.0,
-            address: vm.target,
-            control: vm.control,
-            outbound: vm.outbound,
-            slots,
-        };
-        let target = Target::new(place, &WORK, ledger.clone(), StdRng::from_rng(&mut random));
-        target.start();
-        fleet.targets.push(target);
-        let process = Process::new(vm.clone(), Rc::clone(&site));
-        fleet.daemons.push(Supervised::start(process, &ledger)?);
-        let draws = StdRng::from_rng(&mut random);
-        let key = Rc::from(key(number % ACCOUNTS));
-        let vm_clients = Clients::new((number as u32, vm), &KINDS, key, ledger.clone(), draws);
-        actix_rt::spawn(Rc::clone(&vm_clients).probe());
-        clients.push(vm_clients);
+        let place = number / SERVICES.len() % DOMAINS.len();
+        fleet.add_vm(number % SERVICES.len(), place)?;
     }
-    let ready = wait_for(START_LIMIT, || clients.iter().all(|one| one.is_ready()));
+    let ready = wait_for(START_LIMIT, || {
+        fleet.clients().iter().all(|one| one.is_ready())
+    });
     ensure!(ready.await, "not all daemons became ready");
     sleep(WARM_UP).await;
-    let fleet = Rc::new(fleet);
     let faults_end = Instant::now() + options.faults_for;
     let end = faults_end + RECOVERY + JUDGED;
-    let rate = options.rate / options.vms as f64;
-    for one in &clients {
-        actix_rt::spawn(Rc::clone(one).run(rate, end));
-    }
+    fleet.send_until(end);
     fault::run(
         Rc::clone(&fleet),
         options.groups.clone(),
@@ -252,15 +226,14 @@
     tokio::time::sleep_until(faults_end + RECOVERY).await;
     ledger.recover();
     tokio::time::sleep_until(end).await;
-    let open = || clients.iter().map(|one| one.open()).sum::<usize>();
+    let open = || fleet.clients().iter().map(|one| one.open()).sum::<usize>();
     wait_for(DRAIN, || open() == 0).await;
     let mut members = Vec::new();
-    for one in &clients {
+    let clients = fleet.clients().clone();
+    for one in clients.iter().filter(|one| one.is_ready()) {
         members.push(one.members().await);
     }
-    for daemon in &fleet.daemons {
-        daemon.end();
-    }
+    fleet.end();
     Ok(Report {
         verdict: ledger.verdict(),
         events: ledger.events(),
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -1,6 +1,5 @@
 //! Seeded schedule of faults that come in series and overlap.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,15 +9,10 @@
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep};
 
-use super::ledger::Ledger;
-use super::process::Process;
-use super::target::{Faults, Target};
-use crate::platform::{Faults as PlatformFaults, Platform};
+use super::fleet::{Fleet, Supervised};
+use super::target::Faults;
+use crate::platform::Faults as PlatformFaults;
 
-/// Interval at which ended daemons are looked for.
-const SUPERVISION: Duration = Duration::from_millis(50);
-/// Delay after which a daemon that ended by itself is started again.
-const RESTART: Duration = Duration::from_millis(300);
 /// Time from SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -29,6 +23,8 @@
     Pause,
     /// Daemons are killed, some or all at once.
     Kill,
+    /// VMs are lost with their daemons and targets, and others take their place.
+    Replace,
     /// Daemons get SIGTERM and start again, or SIGHUP.
     Terminate,
     /// Targets reject requests.
@@ -45,10 +41,11 @@
 
 impl Group {
     /// All groups by name.
-    pub const ALL: [(&str, Self); 8] = [
+    pub const ALL: [(&str, Self); 9] = [
         ("pause", Self::Pause),
         ("kill", Self::Kill),
         ("terminate", Self::Terminate),
+        ("replace", Self::Replace),
         ("reject", Self::Reject),
         ("copy", Self::Copy),
         ("target", Self::Target),
@@ -74,98 +71,6 @@
     }
 }
 
-/// A daemon that is started again whenever it has ended.
-#[derive(Debug)]
-pub struct Supervised {
-    process: RefCell<Process>,
-    /// Time before which it is not started again.
-    down_until: Cell<Instant>,
-    /// Whether its end is expected.
-    ending: Cell<bool>,
-}
-
-impl Supervised {
-    /// Starts the daemon and its supervision, which ends with the task.
-    ///
-    /// # Errors
-    ///
-    /// If it cannot be started.
-    pub fn start(mut process: Process, ledger: &Ledger) -> Result<Rc<Self>> {
-        process.start()?;
-        let supervised = Rc::new(Self {
-            process: RefCell::new(process),
-            down_until: Cell::new(Instant::now()),
-            ending: Cell::new(false),
-        });
-        let (daemon, ledger) = (Rc::clone(&supervised), ledger.clone());
-        actix_rt::spawn(async move {
-            loop {
-                sleep(SUPERVISION).await;
-                daemon.supervise(&ledger);
-            }
-        });
-        Ok(supervised)
-    }
-
-    /// Kills the daemon for good.
-    pub fn end(&self) {
-        self.down_until
-            .set(Instant::now() + Duration::from_hours(1));
-        self.process.borrow_mut().kill();
-    }
-
-    fn supervise(&self, ledger: &Ledger) {
-        let mut process = self.process.borrow_mut();
-        if !process.has_ended() || Instant::now() < self.down_until.get() {
-            return;
-        }
-        let name = Rc::clone(&process.vm().name);
-        if !self.ending.replace(false) {
-            ledger.event(format!("{name} ended by itself"));
-            self.down_until.set(Instant::now() + RESTART);
-            self.ending.set(true);
-            return;
-        }
-        match process.start() {
-            Ok(()) => ledger.event(format!("{name} starts")),
-            Err(error) => ledger.event(format!("{name} does not start: {error:#}")),
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        self.process.borrow_mut().signal(signal);
-    }
-
-    fn kill(&self, down: Duration) {
-        self.ending.set(true);
-        self.down_until.set(Instant::now() + down);
-        self.process.borrow_mut().kill();
-    }
-
-    fn name(&self) -> Rc<str> {
-        Rc::clone(&self.process.borrow().vm().name)
-    }
-}
-
-/// What faults act on.
-#[derive(Debug)]
-pub struct Fleet {
-    /// Daemons, each with the target of the same index beside it.
-    pub daemons: Vec<Rc<Supervised>>,
-    /// Targets.
-    pub targets: Vec<Rc<Target>>,
-    /// Store of the platform.
-    pub platform: Rc<Platform>,
-    /// Record of the run.
-    pub ledger: Ledger,
-    /// Writes a version of the configuration with this rate for each account.
-    pub configure: fn(&Platform, u64, f64),
-    /// Requests a second that each account may send.
-    pub account_rate: f64,
-    /// Newest version of the configuration.
-    pub version: Cell<u64>,
-}
-
 /// Draws and applies faults until `end`; each reverts by itself.
 pub async fn run(fleet: Rc<Fleet>, groups: Vec<Group>, seed: u64, end: Instant) {
     if groups.is_empty() {
@@ -184,6 +89,7 @@
             Group::Pause => pause(&fleet, &mut random, duration),
             Group::Kill => kill(&fleet, &mut random, duration, &mut losses_left),
             Group::Terminate => terminate(&fleet, &mut random),
+            Group::Replace => replace(&fleet, &mut random, duration),
             Group::Reject | Group::Copy | Group::Target | Group::Unmarked => {
                 misbehave(&fleet, &mut random, group, duration)
             }
@@ -208,7 +114,7 @@
 }
 
 fn pause(fleet: &Rc<Fleet>, random: &mut StdRng, duration: Duration) -> Task {
-    let chosen = pick(random, &fleet.daemons, 4);
+    let chosen = pick(random, &fleet.daemons(), 4);
     fleet.ledger.event(format!(
         "pause for {} ms: {}",
         duration.as_millis(),
@@ -229,9 +135,9 @@
     let all = *losses_left > 0 && random.random_bool(0.15);
     let chosen = if all {
         *losses_left -= 1;
-        fleet.daemons.clone()
+        fleet.daemons().clone()
     } else {
-        pick(random, &fleet.daemons, 4)
+        pick(random, &fleet.daemons(), 4)
     };
     let down = duration / 2;
     let text = if all {
@@ -249,39 +155,55 @@
 }
 
 fn terminate(fleet: &Rc<Fleet>, random: &mut StdRng) -> Task {
-    let chosen = pick(random, &fleet.daemons, 4);
+    let chosen = pick(random, &fleet.daemons(), 4);
     if random.random_bool(0.2) {
         fleet.ledger.event(format!("SIGHUP: {}", names(&chosen)));
         for daemon in &chosen {
-            // A daemon reads what it had; that the file is written is the change.
-            let _ = daemon.process.borrow().write_settings();
-            daemon.signal(Signal::HUP);
+            daemon.reload();
         }
         return Box::pin(async {});
     }
     fleet.ledger.event(format!("SIGTERM: {}", names(&chosen)));
     Box::pin(async move {
         for daemon in &chosen {
-            daemon.ending.set(true);
-            daemon.signal(Signal::TERM);
+            daemon.terminate();
         }
         sleep(GRACE).await;
         // Those that have started again in the meantime are not known here, so only
         // processes that still end are killed.
         for daemon in &chosen {
-            if daemon.ending.get() {
+            if daemon.is_ending() {
                 daemon.kill(Duration::ZERO);
             }
         }
     })
 }
 
+fn replace(fleet: &Rc<Fleet>, random: &mut StdRng, duration: Duration) -> Task {
+    let count = random.random_range(1..=2);
+    let lost = (0..count).map(|_| {
+        let index = random.random_range(0..fleet.daemons().len());
+        fleet.remove_vm(index)
+    });
+    let lost = lost.collect::<Vec<_>>();
+    let fleet = Rc::clone(fleet);
+    Box::pin(async move {
+        sleep(duration / 2).await;
+        for (service, domain) in lost {
+            if let Err(error) = fleet.add_vm(service, domain) {
+                fleet.ledger.event(format!("no VM added: {error:#}"));
+            }
+        }
+    })
+}
+
 /// Changes one kind of fault of some targets of one service for a while.
 fn misbehave(fleet: &Rc<Fleet>, random: &mut StdRng, group: Group, duration: Duration) -> Task {
-    let service = fleet.targets[random.random_range(0..fleet.targets.len())].service();
-    let of_service = fleet.targets.iter();
-    let of_service = of_service.filter(|target| target.service() == service);
+    let targets = fleet.targets();
+    let service = targets[random.random_range(0..targets.len())].service();
+    let of_service = targets.iter().filter(|target| target.service() == service);
     let of_service = of_service.cloned().collect::<Vec<_>>();
+    drop(targets);
     let chosen = if random.random_bool(0.5) {
         of_service
     } else {
@@ -406,10 +328,8 @@
             return Box::pin(async {});
         }
         _ => {
-            let version = fleet.version.get() + 1;
-            fleet.version.set(version);
+            let version = fleet.configure();
             ledger.event(format!("configuration {version}"));
-            (fleet.configure)(&platform, version, fleet.account_rate);
             return Box::pin(async {});
         }
     };
--- a/crates/standin/src/soak/target.rs
+++ b/crates/standin/src/soak/target.rs
@@ -112,6 +112,8 @@
     /// Wakes the tasks of connections when the target crashes.
     crash: Notify,
     listener: RefCell<Option<JoinHandle<()>>>,
+    /// Whether its VM is gone, so that it never starts again.
+    retired: Cell<bool>,
 }
 
 impl Target {
@@ -131,6 +133,7 @@
             waiting: Cell::new(0),
             crash: Notify::new(),
             listener: RefCell::default(),
+            retired: Cell::new(false),
         })
     }
 
@@ -154,12 +157,27 @@
         self.faults.get()
     }
 
-    /// Starts a new incarnation: it listens and sends heartbeats.
+    /// Failure domain of the target's VM.
+    pub const fn domain(&self) -> &'static str {
+        self.place.domain
+    }
+
+    /// Ends the target for good.
+    pub fn retire(&self) {
+        self.retired.set(true);
+        self.crash();
+    }
+
+    /// Starts a new incarnation: it listens and sends heartbeats. Does nothing if its
+    /// VM is gone.
     ///
     /// # Panics
     ///
     /// Panics if the address is taken.
     pub fn start(self: &Rc<Self>) {
+        if self.retired.get() {
+            return;
+        }
         let incarnation = self.incarnation.get() + 1;
         self.incarnation.set(incarnation);
         let instance = Rc::from(format!("i-{}-{incarnation}", self.place.vm));
