--- a/crates/standin/src/soak/target.rs
+++ b/crates/standin/src/soak/target.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cardamomshed_platform::header;
+use cardamomshed_platform::registration::{Heartbeat, State};
+use cardamomshed_platform::{header, registration};
 use rand::Rng as _;
 use rand::rngs::StdRng;
-use serde_json::json;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
@@ -105,7 +105,7 @@
     faults: Cell<Faults>,
     instance: RefCell<Rc<str>>,
     incarnation: Cell<u32>,
-    born_ms: Cell<u64>,
+    started_ms: Cell<u64>,
     sequence: Cell<u64>,
     slots: Semaphore,
     waiting: Cell<usize>,
@@ -128,7 +128,7 @@
             faults: Cell::default(),
             instance: RefCell::new(Rc::from("")),
             incarnation: Cell::new(0),
-            born_ms: Cell::new(0),
+            started_ms: Cell::new(0),
             sequence: Cell::new(0),
             waiting: Cell::new(0),
             crash: Notify::new(),
@@ -184,7 +184,7 @@
         *self.instance.borrow_mut() = instance;
         let since = std::time::SystemTime::UNIX_EPOCH.elapsed();
         let since = since.unwrap_or_default().as_millis();
-        self.born_ms.set(u64::try_from(since).unwrap_or(0));
+        self.started_ms.set(u64::try_from(since).unwrap_or(0));
         self.sequence.set(0);
         let listener = TcpListener::bind(self.place.address).expect("a free port");
         listener
@@ -401,15 +401,20 @@
     async fn beat(&self) -> bool {
         self.sequence.set(self.sequence.get() + 1);
         let place = &self.place;
-        let body = json!({
-            "service": place.service, "address": place.address.to_string(),
-            "zone": place.domain, "version": "v1", "slots": place.slots, "state": "ready",
-            "warmup-left": "0ms", "sequence": self.sequence.get(), "born": self.born_ms.get()
-        });
-        let path = format!("/instances/{}/heartbeat", self.instance.borrow());
+        let heartbeat = Heartbeat {
+            service: place.service.into(),
+            address: place.address,
+            slots: place.slots,
+            state: State::Ready,
+            warmup_left: Duration::ZERO,
+            sequence: self.sequence.get(),
+            started_ms: self.started_ms.get(),
+        };
+        let body = registration::encode(&heartbeat);
+        let path = registration::HEARTBEAT_PATH.replace("{instance}", &self.instance.borrow());
         let host = place.control.to_string();
         let fields = [("host", &*host), ("content-type", "application/json")];
-        let request = http::request("POST", &path, &fields, body.to_string().as_bytes());
+        let request = http::request("POST", &path, &fields, &body);
         let exchange = async {
             let mut connection = Connection::open(place.control).await?;
             connection.write(&request).await?;
