--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -26,7 +26,6 @@
 mod request_heads;
 mod retry_outcomes;
 mod signed_target;
-mod soak_run;
 mod target_recovery;
 mod unconfirmed_start;
 
--- a/crates/daemon/tests/all/soak_run.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -1,4 +1,5 @@
-//! A short seeded run of the soak; `examples/soak` of the stand-ins runs it for longer
+//! Short seeded runs of the soak, apart from the other tests since they take the whole
+//! machine; `examples/soak` of the stand-ins runs it for longer
 //! and with other seeds.
 
 use std::path::{Path, PathBuf};
