--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -99,6 +99,7 @@
     }
 }
 
+/// What a fault does over time, from its start to the end of its effect.
 type Task = std::pin::Pin<Box<dyn Future<Output = ()>>>;
 
 /// Up to `most` different elements.
@@ -247,64 +248,65 @@
 /// Change of one field of a target's faults.
 #[derive(Clone, Copy, Debug)]
 struct FaultChange {
-    field: fn(&mut Faults) -> &mut f64,
+    set: fn(&mut Faults, f64),
+    /// Value while the change is in force; zero stands for no fault.
     value: f64,
-    forget: Duration,
 }
 
 impl FaultChange {
     fn apply(self, faults: &mut Faults) {
-        *(self.field)(faults) = self.value;
-        if !self.forget.is_zero() {
-            faults.forget = self.forget;
-        }
+        (self.set)(faults, self.value);
     }
 
     fn revert(self, faults: &mut Faults) {
-        *(self.field)(faults) = 0.0;
-        if !self.forget.is_zero() {
-            faults.forget = Duration::ZERO;
-        }
+        (self.set)(faults, 0.0);
     }
 }
 
+/// Idle time, in seconds, after which targets that forget connections close them.
+const FORGET_AFTER_S: f64 = 0.32;
+
 fn draw_fault(random: &mut StdRng, group: Group) -> (&'static str, FaultChange) {
     let strength: f64 = random.random_range(0.1..1.0);
-    let change = |field: fn(&mut Faults) -> &mut f64, value: f64| FaultChange {
-        field,
-        value,
-        forget: Duration::ZERO,
-    };
-    match group {
+    let (name, set, value): (_, fn(&mut Faults, f64), _) = match group {
         Group::Reject => (
             "reject",
-            change(|faults| &mut faults.reject, strength * 0.6),
+            |faults, value| faults.reject = value,
+            strength * 0.6,
+        ),
+        Group::Copy => ("copy", |faults, value| faults.copy = value, strength * 0.3),
+        Group::Unmarked => (
+            "unmarked",
+            |faults, value| faults.unmarked = value,
+            strength * 0.3,
         ),
-        Group::Copy => ("copy", change(|faults| &mut faults.copy, strength * 0.3)),
-        Group::Unmarked => {
-            let change = change(|faults| &mut faults.unmarked, strength * 0.3);
-            ("unmarked", change)
-        }
         _ => match random.random_range(0..7) {
-            0 => ("lose", change(|faults| &mut faults.lose, strength * 0.4)),
-            1 => ("reset", change(|faults| &mut faults.reset, strength * 0.4)),
-            2 => {
-                let change = change(|faults| &mut faults.truncate, strength * 0.1);
-                ("truncate", change)
-            }
-            3 => ("fail", change(|faults| &mut faults.fail, strength * 0.4)),
-            4 => ("hang", change(|faults| &mut faults.hang, strength * 0.1)),
+            0 => ("lose", |faults, value| faults.lose = value, strength * 0.4),
+            1 => (
+                "reset",
+                |faults, value| faults.reset = value,
+                strength * 0.4,
+            ),
+            2 => (
+                "truncate",
+                |faults, value| faults.truncate = value,
+                strength * 0.1,
+            ),
+            3 => ("fail", |faults, value| faults.fail = value, strength * 0.4),
+            4 => ("hang", |faults, value| faults.hang = value, strength * 0.1),
             5 => (
                 "slow",
-                change(|faults| &mut faults.slow, 1.0 + strength * 7.0),
+                |faults, value| faults.slow = value,
+                1.0 + strength * 7.0,
+            ),
+            _ => (
+                "forget",
+                |faults, value| faults.forget = Duration::from_secs_f64(value),
+                FORGET_AFTER_S,
             ),
-            _ => {
-                let mut change = change(|faults| &mut faults.slow, 1.0);
-                change.forget = Duration::from_millis(320);
-                ("forget", change)
-            }
         },
-    }
+    };
+    (name, FaultChange { set, value })
 }
 
 fn disturb_platform(fleet: &Rc<Fleet>, random: &mut StdRng, duration: Duration) -> Task {
