Write the daemon's own rows again when the store returns from a copy

The store may return from a copy that is some seconds old, which its responses tell by a rising era. The daemon ignored the era: seed rows, the size of its failure domain and the departure of its target stayed lost until something else changed, and a lease on a lender slot whose row was lost could be taken over at once while its holder still lent by it.

The store's client reports the era of each response. On a rise the departure is stored again, pollers read and write the seed rows at once, and no slot is taken over for the length of a lease. The stand-in store can be replaced by a copy of itself.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -75,6 +75,7 @@
     ConfigConfirmed = 404, "configuration confirmed as the newest for the first time since the start";
     PlatformUnreachable = 410, "platform unreachable";
     PlatformReachable = 411, "platform reachable again";
+    StoreReturned = 412, "the platform's store returned from a copy; own rows are written again";
     ShareLeased = 420, "quota share leased";
     ShareExpired = 421, "quota share lease expired";
     ShareReturned = 422, "quota share returned";
--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod operator;
 pub mod quota;
+mod rewrite;
 pub mod root;
 mod seeds;
 mod worker;
--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -1,6 +1,5 @@
 //! Quota: lender slots held by this daemon and prepaid tokens for its ingress.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -280,7 +279,7 @@
 pub(super) async fn run(node: Arc<Node>) {
     let client = node.store_client();
     let length = node.current_settings().timing.lease.get();
-    let mut observed = HashMap::new();
+    let mut observed = leased::Observations::default();
     let mut renewed = node.clock.now();
     let mut entitlement = ranked::Entitlement::default();
     loop {
--- a/crates/daemon/src/actor/quota/leased.rs
+++ b/crates/daemon/src/actor/quota/leased.rs
@@ -42,11 +42,40 @@
 /// Version of a row and the time at which this daemon first observed it, on its
 /// own clock.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Observation {
+struct Observation {
     version: u64,
     since: Moment,
 }
 
+/// What this daemon observed of the rows, on its own clock.
+#[derive(Debug, Default)]
+pub(super) struct Observations {
+    rows: HashMap<String, Observation>,
+    /// Era of the store in which `rows` were observed.
+    era: Option<u64>,
+    /// When a rise of the era was observed last.
+    returned_at: Option<Moment>,
+}
+
+impl Observations {
+    /// Forgets all versions if the store has returned from a copy, since it gives
+    /// them out again.
+    fn enter_era(&mut self, era: Option<u64>, now: Moment) {
+        if self.era != era {
+            self.returned_at = self.era.and(Some(now));
+            self.rows.clear();
+            self.era = era;
+        }
+    }
+
+    /// Whether the store returned from a copy less than `length` ago. It may then
+    /// lack the row of a lease that is still valid.
+    fn returned_within(&self, length: Duration, now: Moment) -> bool {
+        self.returned_at
+            .is_some_and(|returned| now.since(returned) < length)
+    }
+}
+
 /// Acquires free slots and, if `renew` is set, renews those held.
 ///
 /// # Errors
@@ -56,11 +85,12 @@
 pub(super) async fn poll(
     node: &Arc<Node>,
     client: &Client,
-    observed: &mut HashMap<String, Observation>,
+    observed: &mut Observations,
     renew: bool,
 ) -> Result<(), Failure> {
     let rows = client.list(TABLE, "", MAX_ROWS).await?;
     let length = node.current_settings().timing.lease.get();
+    observed.enter_era(node.store_era.current(), node.clock.now());
     for number in 0..node.lookup().config.limits.lender_slots {
         let key = format!("{}-{number}", node.settings.domain);
         let row = rows.iter().find(|row| row.key == key);
@@ -87,17 +117,20 @@
     node: &Node,
     row: Option<&Row>,
     holder: Option<&Holder>,
-    observed: &mut HashMap<String, Observation>,
+    observed: &mut Observations,
     length: Duration,
 ) -> bool {
+    let now = node.clock.now();
+    if observed.returned_within(Lease::takeover_after(length), now) {
+        return false;
+    }
     let (Some(row), Some(holder)) = (row, holder) else {
         return row.is_none();
     };
     if holder.node.is_empty() {
         return true;
     }
-    let now = node.clock.now();
-    let entry = observed.entry(row.key.clone()).or_insert(Observation {
+    let entry = observed.rows.entry(row.key.clone()).or_insert(Observation {
         version: row.version,
         since: now,
     });
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Mutex, mpsc};
 
 use super::worker::{LocalFuture, Stop, Worker};
-use super::{follower, gossip, leaving, quota};
+use super::{follower, gossip, leaving, quota, rewrite};
 use crate::claim::command::Command;
 use crate::claim::store;
 use crate::departure::Departure;
@@ -121,6 +121,8 @@
             Box::pin(follower::run(Arc::clone(&node)))
         });
         let node = Arc::clone(&self.node);
+        self.supervise("rewrite", move || Box::pin(rewrite::run(Arc::clone(&node))));
+        let node = Arc::clone(&self.node);
         self.supervise("quota", move || Box::pin(quota::run(Arc::clone(&node))));
         let node = Arc::clone(&self.node);
         self.supervise("sweeper", move || Box::pin(sweep(Arc::clone(&node))));
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -68,6 +68,7 @@
     let mut unchanged = 0;
     let mut last_live = 0;
     let mut round = 0_u32;
+    let mut returns = node.store_era.returns();
     loop {
         let is_settled = unchanged >= UNCHANGED_LIMIT;
         // Before the members are known, every daemon takes itself for the poller.
@@ -96,6 +97,11 @@
         tokio::select! {
             () = pause(&node, delay.mul_f64(jitter), table.size) => {}
             () = node.members.rejoin.notified() => unchanged = unchanged.min(UNCHANGED_LIMIT - 1),
+            _ = returns.next() => {
+                // The copy may lack this failure domain's rows.
+                delay = INITIAL_DELAY;
+                continue;
+            }
         }
         let max_delay = if unchanged < UNCHANGED_LIMIT || needs_sizes {
             REQUEST_INTERVAL
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,7 +6,7 @@
 
 use cardamomshed_code::Event;
 use cardamomshed_note::{Interner, Lookup, Settings};
-use cardamomshed_platform::{Budget, Client, Rates};
+use cardamomshed_platform::{Budget, Client, Era, Rates};
 use cardamomshed_policy::admission::{self, Admission};
 use cardamomshed_policy::confirmation::Date;
 use cardamomshed_policy::member::{self, Fleet, Profile};
@@ -102,6 +102,8 @@
     pub metrics: Metrics,
     /// Budget of this daemon's calls to the platform's store.
     pub store_budget: Arc<Budget>,
+    /// Era of the platform's store.
+    pub store_era: Arc<Era>,
     /// Logger.
     pub log: Logger,
     /// Calls queued for the local target.
@@ -179,6 +181,7 @@
             trace: Trace::default(),
             metrics: Metrics::new()?,
             store_budget: Arc::new(Budget::new(store_rates(&settings))),
+            store_era: Arc::default(),
             log,
             jobs: channels.jobs,
             claims: channels.claims,
@@ -211,6 +214,7 @@
         let settings = &self.settings;
         Client::new(&settings.platform, settings.timing.platform.get())
             .with_budget(Arc::clone(&self.store_budget))
+            .with_era(Arc::clone(&self.store_era))
     }
 
     /// The current configuration with its indexes.
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod request_heads;
 mod retry_outcomes;
 mod signed_target;
+mod store_return;
 mod target_recovery;
 mod unconfirmed_start;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,9 +7,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use actix_web::dev::Service as _;
+use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{App, HttpResponse, HttpServer, web};
 use cardamomshed_platform::store::{self, FeedQuery, RangeQuery, RowsResponse, Transaction};
-use cardamomshed_platform::{Condition, Operation};
+use cardamomshed_platform::{Condition, Operation, header};
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -64,6 +66,8 @@
     faults: Faults,
     counts: Counts,
     capacity: Capacity,
+    /// Number of returns from a copy.
+    era: u64,
     /// Earliest time at which the next read and the next write are served.
     next: [Instant; 2],
 }
@@ -76,6 +80,10 @@
     _thread: Thread,
 }
 
+/// Contents of the platform at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Copy(Tables);
+
 /// State shared between the server and its [`Platform`] handle.
 #[derive(Clone, Debug)]
 struct Shared(Arc<Mutex<State>>);
@@ -136,6 +144,7 @@
             faults: Faults::default(),
             counts: Counts::default(),
             capacity,
+            era: 0,
             next: [now, now],
         })));
         let shared = state.clone();
@@ -204,6 +213,19 @@
         self.state.lock().tables.clear_history();
     }
 
+    /// Copies the contents as they are now.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.lock().tables.clone())
+    }
+
+    /// Replaces the contents by a copy, as after a loss of the newest ones. Versions
+    /// continue from those of the copy, and the era rises.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock();
+        state.tables = copy.0;
+        state.era += 1;
+    }
+
     /// Number of rows of a table; zero if the table does not exist.
     pub fn rows(&self, table: &str) -> usize {
         self.state.lock().tables.rows(table)
@@ -212,7 +234,19 @@
 
 fn serve(state: Shared, listener: TcpListener) -> actix_web::dev::Server {
     HttpServer::new(move || {
+        let reported = state.clone();
         App::new()
+            .wrap_fn(move |request, service| {
+                let state = reported.clone();
+                let response = service.call(request);
+                async move {
+                    let mut response = response.await?;
+                    let era = HeaderValue::from(state.lock().era);
+                    let name = HeaderName::from_static(header::STORE_ERA);
+                    response.headers_mut().insert(name, era);
+                    Ok(response)
+                }
+            })
             .app_data(web::Data::new(state.clone()))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -16,7 +16,7 @@
 }
 
 /// Tables by name, and objects.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Tables {
     by_name: HashMap<String, BTreeMap<String, Stored>>,
     objects: HashMap<String, Bytes>,
@@ -24,8 +24,8 @@
     history: Vec<WireRow>,
     /// Changes up to this version are no longer in the history.
     cleared_version: u64,
-    /// Version of the last transaction, counted over all tables; a version is
-    /// never reused.
+    /// Version of the last transaction, counted over all tables; reused only after
+    /// the tables were replaced by an older copy.
     version: u64,
 }
 
@@ -74,9 +74,9 @@
     }
 
     /// Changes of a table after a version; `None` if the history no longer goes
-    /// back that far.
+    /// back that far, or the version has not been reached.
     pub(super) fn since(&self, table: &str, after: u64) -> Option<RowsResponse> {
-        if after < self.cleared_version {
+        if after < self.cleared_version || after > self.version {
             return None;
         }
         let newer = |row: &&WireRow| row.table == table && row.version > after;
