Keep requests in the regions that route and client account allow

Deployments restrict where requests of some routes and client accounts may be served. The configuration had no such list, and the choice of a target knew no regions.

A request's two lists are intersected once, before its body is read; without a target in a listed region it is refused (CS1313, not run). `Balancer::choose` takes a `Query` with the regions, and each target carries its region. A call that may not run in the local region uses the slow link whatever its byte budget. A target whose daemon moves to another failure domain under the same name is inserted anew.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cardamomshed_code::{Code, Event, Ran};
-use cardamomshed_note::Route;
+use cardamomshed_code::{Code, Event, Failure, Ran};
+use cardamomshed_note::{Name, Route};
 use cardamomshed_policy::route::{Outcome, Tier, Transition};
 use cardamomshed_policy::{TargetKey, gate};
-use cardamomshed_wire::Call;
+use cardamomshed_wire::{Call, Request};
 use tokio::sync::oneshot;
 
 use crate::context::Context;
@@ -16,7 +16,7 @@
 use crate::node::Node;
 use crate::reply::{Refused, Reply};
 use crate::request::Parts;
-use crate::service::Selection;
+use crate::service::{Query, Selection};
 use crate::sync::lock;
 
 /// Time after the deadline for which a reply is still awaited, since another
@@ -102,15 +102,45 @@
     }
 }
 
-/// Sends a call made in `context` to the service of a route. Returns the reply to
-/// the last attempt.
-pub async fn dispatch(node: &Arc<Node>, context: &Context, route: &Route, parts: &Parts) -> Reply {
+/// Checks whether the service of a route has a target in an allowed region. A
+/// request for which it has none is refused before its body is read.
+///
+/// # Errors
+///
+/// [`Code::RegionUnavailable`].
+pub fn check_regions(
+    node: &Node,
+    request: Request,
+    route: &Route,
+    regions: Option<&[Name]>,
+) -> Result<(), Failure> {
+    let Some(regions) = regions else {
+        return Ok(());
+    };
+    if node.routing.services.has_target_in(&route.service, regions) {
+        return Ok(());
+    }
+    let names = regions.iter().map(|region| &**region).collect::<Vec<_>>();
+    let detail = format!("service {} regions {names:?}", route.service);
+    node.log_decision(Event::TargetUnavailable, request, format_args!("{detail}"));
+    Err(Failure::new(Code::RegionUnavailable, detail))
+}
+
+/// Sends a call made in `context` to the service of a route, to targets in `regions`
+/// only if these are given. Returns the reply to the last attempt.
+pub async fn dispatch(
+    node: &Arc<Node>,
+    context: &Context,
+    route: &Route,
+    regions: Option<&[Name]>,
+    parts: &Parts,
+) -> Reply {
     let mut progress = Progress::default();
     node.routing
         .services
         .record_request(&route.service, node.clock.now());
     loop {
-        let Some(selection) = select(node, route, &progress) else {
+        let Some(selection) = select(node, route, regions, &progress) else {
             return match progress.last.take() {
                 Some(reply) => progress.conclude(reply),
                 None => no_target(node, context, route),
@@ -138,19 +168,33 @@
 }
 
 /// Selects a target for the next attempt.
-fn select(node: &Node, route: &Route, progress: &Progress) -> Option<Selection> {
+fn select(
+    node: &Node,
+    route: &Route,
+    regions: Option<&[Name]>,
+    progress: &Progress,
+) -> Option<Selection> {
     let now = node.clock.now();
-    let allow_remote = lock(&node.routing.slow_link).has_room(now);
     let services = &node.routing.services;
+    let query = Query {
+        service: &route.service,
+        exclude: &progress.excluded,
+        regions,
+        remote: lock(&node.routing.slow_link).has_room(now),
+    };
     if let Some(rejecting) = progress.rejected_by {
         let mut excluded = progress.excluded.clone();
         excluded.push(rejecting);
-        let selection = services.select(&route.service, &excluded, allow_remote, now);
+        let others = Query {
+            exclude: &excluded,
+            ..query
+        };
+        let selection = services.select(&others, now);
         if selection.is_some() {
             return selection;
         }
     }
-    services.select(&route.service, &progress.excluded, allow_remote, now)
+    services.select(&query, now)
 }
 
 /// Whether another attempt is made after this reply of `target`. Spends what it
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -9,7 +9,7 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event, Failure};
-use cardamomshed_note::{Digest, Lookup, Match, Unconfirmed};
+use cardamomshed_note::{Digest, Lookup, Match, Name, Unconfirmed};
 use cardamomshed_policy::admission::{self, Rank};
 use cardamomshed_policy::{AccountKey, Moment, Priority};
 use cardamomshed_wire::Request;
@@ -19,7 +19,7 @@
 use crate::actor::quota;
 use crate::claim;
 use crate::context::{self, Context};
-use crate::dispatch::dispatch;
+use crate::dispatch::{check_regions, dispatch};
 use crate::lifecycle::Reservation;
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
@@ -28,12 +28,13 @@
 use crate::sync::lock;
 
 /// Codes whose responses carry `Retry-After`.
-const RETRY_AFTER_CODES: [Code; 10] = [
+const RETRY_AFTER_CODES: [Code; 11] = [
     Code::QuotaExceeded,
     Code::AdmissionShed,
     Code::QueueFull,
     Code::DeadlineUnmet,
     Code::NoTarget,
+    Code::RegionUnavailable,
     Code::Leaving,
     Code::MemoryShed,
     Code::TargetStalled,
@@ -114,9 +115,10 @@
     payload: web::Payload,
 ) -> Reply {
     match prepare_child(node, parent, request, payload).await {
-        Ok((access, parts, context, _reservation)) => {
+        Ok((access, regions, parts, context, _reservation)) => {
             let lent = context.tokens();
-            let reply = dispatch(node, &context, &access.route, &parts).await;
+            let regions = regions.as_deref();
+            let reply = dispatch(node, &context, &access.route, regions, &parts).await;
             parent.restore(lent, context.tokens());
             parent.record_level(context.level());
             reply
@@ -130,7 +132,7 @@
     parent: &Context,
     request: &HttpRequest,
     payload: web::Payload,
-) -> Result<(Match, Parts, Context, Reservation), Failure> {
+) -> Result<(Match, Option<Vec<Name>>, Parts, Context, Reservation), Failure> {
     let lookup = node.lookup();
     let path = path_and_query(request);
     let access = lookup
@@ -143,12 +145,16 @@
             format!("{}", parent.depth),
         ));
     }
+    let regions = lookup
+        .config
+        .allowed_regions(&access.route, &parent.account);
+    check_regions(node, parent.request, &access.route, regions.as_deref())?;
     let headers = head::end_to_end(request.headers());
     let (parts, reservation) = read_request(node, &lookup, request, headers, payload).await?;
     let deadline = deadline(node, request, access.route.timeout.get()).min(parent.deadline);
     let tokens = parent.lend();
     let context = Context::new(parent.root(), deadline, parent.depth, tokens);
-    Ok((access, parts, context, reservation))
+    Ok((access, regions, parts, context, reservation))
 }
 
 /// Identifies the caller and serves the request.
@@ -185,6 +191,8 @@
     if node.lifecycle.is_leaving() {
         return Err(Failure::new(Code::Leaving, ""));
     }
+    let regions = lookup.config.allowed_regions(route, &origin.account);
+    check_regions(node, id, route, regions.as_deref())?;
     let rank = admit(node, origin).await?;
     let received = read_request(node, lookup, request, origin.headers.clone(), payload).await;
     let (parts, _reservation) = received?;
@@ -206,7 +214,8 @@
         rank,
     };
     let context = Context::new(root, origin.deadline, 0, route.retries);
-    let reply = dispatch_claimed(node, request, origin, &context, &parts).await;
+    let regions = regions.as_deref();
+    let reply = dispatch_claimed(node, request, origin, regions, &context, &parts).await;
     let shed = matches!(&reply, Reply::Refused(refused) if refused.is_shed());
     let now = node.clock.now();
     lock(&node.routing.admission).observe(origin.access.key, context.level(), shed, now);
@@ -219,19 +228,20 @@
     node: &Arc<Node>,
     request: &HttpRequest,
     origin: &Origin,
+    regions: Option<&[Name]>,
     context: &Context,
     parts: &Parts,
 ) -> Reply {
     let route = &origin.access.route;
     let key = head::text(request.headers(), claim::HEADER).filter(|_| !route.repeatable);
     let Some(key) = key else {
-        return dispatch(node, context, route, parts).await;
+        return dispatch(node, context, route, regions, parts).await;
     };
     let claim = match claim::acquire(node, context, key, parts).await {
         Ok(claim) => claim,
         Err(reply) => return reply,
     };
-    let reply = dispatch(node, context, route, parts).await;
+    let reply = dispatch(node, context, route, regions, parts).await;
     claim.settle(&reply);
     reply
 }
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -17,7 +17,7 @@
 use crate::actor::quota;
 use crate::backpressure::Adjustment;
 use crate::context::{self, Context};
-use crate::dispatch::dispatch;
+use crate::dispatch::{check_regions, dispatch};
 use crate::node::Node;
 use crate::reply::{Refused, Reply};
 use crate::sync::lock;
@@ -147,8 +147,11 @@
     if node.lifecycle.is_closing() && !origin.account.is_empty() {
         return Err(Failure::new(Code::Leaving, ""));
     }
-    admit(node, origin).await?;
     let lookup = node.lookup();
+    let route = select_route(node, &origin.access);
+    let regions = lookup.config.allowed_regions(&route, &origin.account);
+    check_regions(node, id, &route, regions.as_deref())?;
+    admit(node, origin).await?;
     let mut headers = head::platform_headers(request.headers());
     if let Some(sidecar) = &node.settings.sidecar {
         let service = sidecar.service.to_string();
@@ -162,7 +165,6 @@
         priority: origin.priority,
         rank: Rank::MOST_IMPORTANT,
     };
-    let route = select_route(node, &origin.access);
     let context = Context::new(root, origin.deadline, 0, route.retries);
     let sent_at = node.clock.now();
     if origin.account.is_empty() {
@@ -170,7 +172,7 @@
         let services = &node.routing.services;
         services.charge_retries(&route.service, repeats, sent_at);
     }
-    let reply = dispatch(node, &context, &route, &parts).await;
+    let reply = dispatch(node, &context, &route, regions.as_deref(), &parts).await;
     record_price(node, origin, &reply);
     if origin.account.is_empty() {
         let latency = node.clock.now().since(sent_at);
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use cardamomshed_note::Name;
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::retry::Budget;
-use cardamomshed_policy::route::{Balancer, Choice, Outcome, Tier, Transition};
-use cardamomshed_policy::{Moment, TargetKey, gate};
-use indexmap::IndexMap;
+use cardamomshed_policy::route::{self, Balancer, Choice, Outcome, Tier, Transition};
+use cardamomshed_policy::{Moment, RegionKey, TargetKey, gate};
+use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
 use crate::sync::lock;
@@ -35,6 +36,10 @@
     service: Arc<str>,
     target: TargetKey,
     peer: Peer,
+    /// Failure domain of the daemon.
+    domain: Arc<str>,
+    /// Region of the failure domain.
+    region: Arc<str>,
     /// Whether the daemon advertises that its target accepts calls.
     open: bool,
     /// Whether the daemon is reachable over its link. True until a dial fails,
@@ -47,6 +52,21 @@
     services: IndexMap<Arc<str>, Service>,
     /// Targets by the name of their daemon.
     endpoints: HashMap<Arc<str>, Endpoint>,
+    /// Regions of all targets since the start, by [`RegionKey`].
+    regions: IndexSet<Arc<str>>,
+}
+
+/// Restrictions on the selection of a target for one attempt of a call, by name.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Query<'a> {
+    /// Service that is called.
+    pub service: &'a str,
+    /// Targets that are not selected.
+    pub exclude: &'a [TargetKey],
+    /// Regions whose targets may be selected; `None` for every region.
+    pub regions: Option<&'a [Name]>,
+    /// Whether the budget of the slow link allows another call.
+    pub remote: bool,
 }
 
 /// A target that was selected for a call.
@@ -99,7 +119,10 @@
         let service = profile.service.clone().filter(|_| record.state.is_active());
         let current = table.endpoints.get(&record.name).cloned();
         let unchanged = current.as_ref().is_some_and(|endpoint| {
-            Some(&endpoint.service) == service.as_ref() && endpoint.peer.address == profile.peer
+            Some(&endpoint.service) == service.as_ref()
+                && endpoint.peer.address == profile.peer
+                && endpoint.domain == profile.domain
+                && endpoint.region == profile.region
         });
         if !unchanged {
             table.remove(&record.name);
@@ -123,21 +146,33 @@
         }
     }
 
-    /// Selects a target that is not in `exclude` and counts a call to it as in
-    /// flight. Targets in other regions are considered only if `allow_remote` is
-    /// set. Returns `None` if the service is unknown or no target is available.
-    pub fn select(
-        &self,
-        service: &str,
-        exclude: &[TargetKey],
-        allow_remote: bool,
-        now: Moment,
-    ) -> Option<Selection> {
+    /// Whether a service has a target, available or not, in one of these regions.
+    pub fn has_target_in(&self, service: &str, regions: &[Name]) -> bool {
+        let table = lock(&self.table);
+        let entry = table.services.get(service);
+        entry.is_some_and(|entry| entry.balancer.has_target_in(&table.region_keys(regions)))
+    }
+
+    /// Selects a target that the query permits and counts a call to it as in
+    /// flight. A call that may not run in the local region uses the slow link
+    /// whatever its budget. Returns `None` if the service is unknown or no target is
+    /// available.
+    pub fn select(&self, query: &Query<'_>, now: Moment) -> Option<Selection> {
         let mut table = lock(&self.table);
-        let entry = table.services.get_mut(service)?;
+        let regions = query.regions.map(|regions| table.region_keys(regions));
+        let is_local = |region: &Name| **region == *self.region;
+        let may_stay = query
+            .regions
+            .is_none_or(|regions| regions.iter().any(is_local));
+        let entry = table.services.get_mut(query.service)?;
+        let restrictions = route::Query {
+            exclude: query.exclude,
+            regions: regions.as_deref(),
+            remote: query.remote || !may_stay,
+        };
         let choice = entry
             .balancer
-            .choose(exclude, allow_remote, &mut rand::rng(), now)?;
+            .choose(&restrictions, &mut rand::rng(), now)?;
         let peer = entry.peers.get(&choice.target)?.clone();
         let node_of = |key: TargetKey| Some(Arc::clone(&entry.peers.get(&key)?.node));
         let rejected = choice.rejected.and_then(|(key, _)| node_of(key));
@@ -218,18 +253,30 @@
 }
 
 impl Table {
+    /// Keys of the regions that have or had a target. The others have no key.
+    fn region_keys(&self, regions: &[Name]) -> Vec<RegionKey> {
+        let index = |region: &Name| self.regions.get_index_of(&**region);
+        let indexes = regions.iter().filter_map(index);
+        indexes.map(|index| RegionKey(index as u32)).collect()
+    }
+
     fn insert(&mut self, record: &Record, service: Arc<str>, tier: Tier, now: Moment) {
+        let profile = &record.profile;
+        let region = self.regions.insert_full(Arc::clone(&profile.region)).0;
+        let region = RegionKey(region as u32);
         let entry = self.services.entry(Arc::clone(&service)).or_default();
-        let target = entry.balancer.insert(tier, record.profile.slots, now);
+        let target = entry.balancer.insert(tier, region, profile.slots, now);
         let peer = Peer {
             node: Arc::clone(&record.name),
-            address: record.profile.peer,
+            address: profile.peer,
         };
         entry.peers.insert(target, peer.clone());
         let endpoint = Endpoint {
             service,
             target,
             peer,
+            domain: Arc::clone(&profile.domain),
+            region: Arc::clone(&profile.region),
             open: true,
             linked: true,
         };
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -10,7 +10,7 @@
 use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_daemon::reply::Reply;
-use cardamomshed_daemon::service::Peer;
+use cardamomshed_daemon::service::{Peer, Query};
 use cardamomshed_note::Timespan;
 use cardamomshed_policy::Priority;
 use cardamomshed_policy::admission::{ADMIT_ALL, Rank};
@@ -451,7 +451,12 @@
     join(&node, 2, listener.local_addr().expect("a bound port"));
     for _ in 0..70 {
         let now = node.clock.now();
-        let selected = node.routing.services.select("moved", &[], true, now);
+        let query = Query {
+            service: "moved",
+            remote: true,
+            ..Query::default()
+        };
+        let selected = node.routing.services.select(&query, now);
         assert!(selected.is_some(), "the link to the old address blocks it");
         std::thread::sleep(Duration::from_millis(10));
     }
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -133,6 +133,22 @@
         Ok(next)
     }
 
+    /// Regions in which requests of a client account on a route may be served;
+    /// `None` if neither restricts them. The result is empty if the two have no
+    /// region in common. An unknown account, such as that of calls without a key,
+    /// has no restriction.
+    pub fn allowed_regions(&self, route: &Route, account: &str) -> Option<Vec<Name>> {
+        let account = self.accounts.get(account);
+        let account = account.and_then(|account| account.regions.as_deref());
+        match (route.regions.as_deref(), account) {
+            (Some(of_route), Some(of_account)) => {
+                let common = of_route.iter().filter(|region| of_account.contains(region));
+                Some(common.cloned().collect())
+            }
+            (of_route, of_account) => of_route.or(of_account).map(<[Name]>::to_vec),
+        }
+    }
+
     /// Reads a note from a file and merges it, which validates the note before
     /// it is sent.
     ///
@@ -159,6 +175,7 @@
             if route.timeout.get().is_zero() {
                 return Err(invalid(Code::ValueRange, "timeout: must be above zero"));
             }
+            check_regions("routes", list, index, route.regions.as_deref())?;
             let same_path = |other: &Route| other.path == route.path && other.name != route.name;
             if self.routes.values().any(same_path) {
                 return Err(invalid(Code::NameTaken, &route.path));
@@ -191,6 +208,7 @@
                 let detail = "burst: must be at least 2 and a tenth of a second of the rate";
                 return Err(violation("accounts", list, index, Code::ValueRange, detail));
             }
+            check_regions("accounts", list, index, account.regions.as_deref())?;
         }
         for (index, name) in note.accounts.withdraw.iter().enumerate() {
             let listed = |route: &Route| route.accounts.iter().flatten().any(|other| other == name);
@@ -312,6 +330,21 @@
     Ok(())
 }
 
+/// Rejects an empty list of regions, which would admit no request at all. An entry
+/// without a restriction has no list.
+fn check_regions(
+    section: &'static str,
+    list: &'static str,
+    index: usize,
+    regions: Option<&[Name]>,
+) -> Result<(), Violation> {
+    if regions.is_some_and(<[Name]>::is_empty) {
+        let detail = "regions: must not be empty; omit it to allow every region";
+        return Err(violation(section, list, index, Code::ValueRange, detail));
+    }
+    Ok(())
+}
+
 fn check_limits(limits: &Limits) -> Result<(), Violation> {
     let invalid = |detail| Err(violation("limits", "", 0, Code::ValueRange, detail));
     if limits.depth == 0 || limits.depth > MAX_DEPTH {
--- a/crates/note/src/release.rs
+++ b/crates/note/src/release.rs
@@ -104,6 +104,10 @@
     /// Client accounts that may use the route; all if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub accounts: Option<Vec<Name>>,
+    /// Regions in which the requests may be served; all if absent. Not empty in
+    /// a release note.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Name>>,
     /// Whether only targets may call the route.
     #[serde(default)]
     pub internal: bool,
@@ -141,6 +145,10 @@
     /// Priority of the account's requests, which overrides that of the route.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<Priority>,
+    /// Regions in which the account's requests may be served, in addition to
+    /// those of the route; all if absent. Not empty in a release note.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Name>>,
 }
 
 /// A key granted to a client account, identified by its digest.
--- a/crates/note/tests/all/note_errors.rs
+++ b/crates/note/tests/all/note_errors.rs
@@ -110,3 +110,18 @@
         .expect_err("invalid UTF-8");
     assert!(is_at(&failure, Code::FileEncoding, 2), "{failure}");
 }
+
+/// Guards against a list that was meant to restrict nothing and admits no request.
+#[test]
+fn empty_regions_refused() {
+    let account =
+        format!("{HEAD}accounts:\n  add:\n    - {{name: a, rate: 5/s, burst: 10, regions: []}}\n");
+    let failure = note_failure("account-regions.yaml", &account);
+    assert!(is_at(&failure, Code::ValueRange, 5), "{failure}");
+    let route = format!(
+        "{HEAD}routes:\n  add:\n    - name: r\n      path: /r\n      service: s\n      \
+         priority: low\n      timeout: 1s\n      regions: []\n"
+    );
+    let failure = note_failure("route-regions.yaml", &route);
+    assert!(is_at(&failure, Code::ValueRange, 5), "{failure}");
+}
--- a/crates/note/tests/all/note_merge.rs
+++ b/crates/note/tests/all/note_merge.rs
@@ -18,6 +18,7 @@
     let entry = Account {
         unlimited: false,
         priority: None,
+        regions: None,
         name: name(account % 6),
         rate: Rate::try_from("1/s".to_owned()).expect("a valid rate"),
         burst: u32::from(burst) + 2,
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -21,6 +21,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetKey(pub u32);
 
+/// Index of a region in the region arena.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RegionKey(pub u32);
+
 /// Importance of a request. The smallest value is shed last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,5 +19,5 @@
 pub mod route;
 pub mod window;
 
-pub use key::{AccountKey, Priority, RouteKey, ServiceKey, TargetKey};
+pub use key::{AccountKey, Priority, RegionKey, RouteKey, ServiceKey, TargetKey};
 pub use moment::Moment;
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -10,6 +10,7 @@
 
 mod health;
 mod link;
+mod query;
 
 use std::time::Duration;
 
@@ -17,9 +18,10 @@
 
 use health::Health;
 pub use link::ByteBudget;
+pub use query::Query;
 
 use crate::gate::Load;
-use crate::key::TargetKey;
+use crate::key::{RegionKey, TargetKey};
 use crate::moment::Moment;
 
 /// Distance from this daemon to a target.
@@ -66,6 +68,7 @@
 #[derive(Debug)]
 struct Target {
     tier: Tier,
+    region: RegionKey,
     /// Index in the list of its tier; `by_tier[tier][index]` is this target.
     index: usize,
     load: Load,
@@ -130,10 +133,11 @@
 
 impl Balancer {
     /// Adds an open target with a limit of `slots` concurrent calls.
-    pub fn insert(&mut self, tier: Tier, slots: u32, now: Moment) -> TargetKey {
+    pub fn insert(&mut self, tier: Tier, region: RegionKey, slots: u32, now: Moment) -> TargetKey {
         let keys = &mut self.by_tier[tier as usize];
         let target = Target {
             tier,
+            region,
             index: keys.len(),
             load: Load {
                 limit: slots,
@@ -193,20 +197,19 @@
         self.ejected
     }
 
-    /// Chooses a target that is not in `exclude`. Targets behind the slow link
-    /// are considered only if `remote` is set. Returns `None` if no target is
-    /// available.
-    pub fn choose(
-        &self,
-        exclude: &[TargetKey],
-        remote: bool,
-        random: &mut impl Rng,
-        now: Moment,
-    ) -> Option<Choice> {
+    /// Whether any target, available or not, is in one of these regions.
+    pub fn has_target_in(&self, regions: &[RegionKey]) -> bool {
+        let mut targets = self.targets.iter().flatten();
+        targets.any(|target| regions.contains(&target.region))
+    }
+
+    /// Chooses a target that the query permits. Returns `None` if no such target
+    /// is available.
+    pub fn choose(&self, query: &Query<'_>, random: &mut impl Rng, now: Moment) -> Option<Choice> {
         let mut best: Option<Choice> = None;
         let tiers = [Tier::Domain, Tier::Region, Tier::Remote];
-        for tier in tiers.into_iter().take(if remote { 3 } else { 2 }) {
-            let Some(found) = self.choose_in_tier(tier, exclude, random, now) else {
+        for tier in tiers.into_iter().take(if query.remote { 3 } else { 2 }) {
+            let Some(found) = self.choose_in_tier(tier, query, random, now) else {
                 continue;
             };
             let spills = |near: Choice| match tier {
@@ -302,22 +305,22 @@
     fn choose_in_tier(
         &self,
         tier: Tier,
-        exclude: &[TargetKey],
+        query: &Query<'_>,
         random: &mut impl Rng,
         now: Moment,
     ) -> Option<Choice> {
-        let first = self.sample(tier, exclude, random, now, |_| true)?;
+        let first = self.sample(tier, query, random, now, |_| true)?;
         let mut choice = Choice {
             target: first,
             tier,
             load: self.load(first, now),
             rejected: None,
         };
-        let second = self.sample(tier, exclude, random, now, |key| key != first);
+        let second = self.sample(tier, query, random, now, |key| key != first);
         // Where many targets reject calls, two samples rarely find one that does not.
         let is_sought = self.mean_rejection >= SOUND_REJECTION;
         let sound = is_sought
-            .then(|| self.sample(tier, exclude, random, now, |key| self.is_sound(key, now)))
+            .then(|| self.sample(tier, query, random, now, |key| self.is_sound(key, now)))
             .flatten();
         for other in [second, sound].into_iter().flatten() {
             if other != choice.target {
@@ -364,11 +367,12 @@
         (one.1 * of(first, second), other.1 * of(second, first))
     }
 
-    /// Samples an available target of a tier that meets a condition.
+    /// Samples an available target of a tier that the query permits and that meets a
+    /// condition.
     fn sample(
         &self,
         tier: Tier,
-        exclude: &[TargetKey],
+        query: &Query<'_>,
         random: &mut impl Rng,
         now: Moment,
         condition: impl Fn(TargetKey) -> bool,
@@ -377,9 +381,7 @@
         if keys.is_empty() {
             return None;
         }
-        let eligible = |key: TargetKey| {
-            condition(key) && !exclude.contains(&key) && self.is_available(key, now)
-        };
+        let eligible = |key: TargetKey| condition(key) && self.is_available(key, query, now);
         for _ in 0..MAX_SAMPLES {
             let key = keys[random.random_range(0..keys.len())];
             if eligible(key) {
@@ -391,10 +393,10 @@
         order.copied().find(|key| eligible(*key))
     }
 
-    fn is_available(&self, key: TargetKey, now: Moment) -> bool {
-        self.targets[key.0 as usize]
-            .as_ref()
-            .is_some_and(|target| target.open && target.health.accepts_calls(now))
+    fn is_available(&self, key: TargetKey, query: &Query<'_>, now: Moment) -> bool {
+        self.targets[key.0 as usize].as_ref().is_some_and(|target| {
+            target.open && query.permits(key, target.region) && target.health.accepts_calls(now)
+        })
     }
 
     /// Load of a target as a multiple of its limit, scaled up by its failure
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod member_gossip;
 mod price_fanout;
 mod quota_bound;
+mod region_choice;
 mod registration_order;
 mod retry_budget;
 mod retry_tokens;
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -3,11 +3,20 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::Load;
-use cardamomshed_policy::route::{Balancer, ByteBudget, Outcome, Tier, Transition};
-use cardamomshed_policy::{Moment, TargetKey};
+use cardamomshed_policy::route::{Balancer, ByteBudget, Outcome, Query, Tier, Transition};
+use cardamomshed_policy::{Moment, RegionKey, TargetKey};
 
 use crate::random;
 
+/// Region of all targets, which these choices do not restrict.
+const HOME: RegionKey = RegionKey(0);
+/// Query without restrictions.
+const ANY: Query<'_> = Query {
+    exclude: &[],
+    regions: None,
+    remote: true,
+};
+
 fn load(running: u32, waiting: u32) -> Load {
     Load {
         running,
@@ -20,7 +29,7 @@
 
 fn domain_balancer(count: usize) -> (Balancer, Vec<TargetKey>) {
     let mut balancer = Balancer::default();
-    let insert = |_| balancer.insert(Tier::Domain, 10, Moment::ZERO);
+    let insert = |_| balancer.insert(Tier::Domain, HOME, 10, Moment::ZERO);
     let keys = (0..count).map(insert).collect();
     (balancer, keys)
 }
@@ -28,7 +37,7 @@
 /// Number of choices, out of `count`, that select `key`.
 fn count_choices(balancer: &mut Balancer, key: TargetKey, count: usize, now: Moment) -> usize {
     let mut random = random();
-    let chosen = (0..count).filter_map(|_| balancer.choose(&[], true, &mut random, now));
+    let chosen = (0..count).filter_map(|_| balancer.choose(&ANY, &mut random, now));
     chosen.filter(|choice| choice.target == key).count()
 }
 
@@ -36,22 +45,26 @@
 fn nearest_tier_first() {
     let now = Moment::from_millis(1);
     let mut balancer = Balancer::default();
-    let far = balancer.insert(Tier::Remote, 10, now);
-    let region = balancer.insert(Tier::Region, 10, now);
-    let near = balancer.insert(Tier::Domain, 10, now);
+    let far = balancer.insert(Tier::Remote, HOME, 10, now);
+    let region = balancer.insert(Tier::Region, HOME, 10, now);
+    let near = balancer.insert(Tier::Domain, HOME, 10, now);
     assert_eq!(count_choices(&mut balancer, near, 100, now), 100);
     balancer.set_open(near, false);
     assert_eq!(count_choices(&mut balancer, region, 100, now), 100);
     balancer.set_open(region, false);
     assert_eq!(count_choices(&mut balancer, far, 100, now), 100);
-    assert!(balancer.choose(&[], false, &mut random(), now).is_none());
+    assert!(
+        balancer
+            .choose(&Query::default(), &mut random(), now)
+            .is_none()
+    );
 }
 
 #[test]
 fn overload_spills() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(2);
-    let region = balancer.insert(Tier::Region, 10, now);
+    let region = balancer.insert(Tier::Region, HOME, 10, now);
     for key in keys {
         balancer.record_start(key, now);
         balancer.record_end(key, Outcome::Answered, Some(load(10, 20)), now);
@@ -71,7 +84,7 @@
 fn slow_target_spills() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(1);
-    let region = balancer.insert(Tier::Region, 10, now);
+    let region = balancer.insert(Tier::Region, HOME, 10, now);
     let report = |balancer: &mut Balancer, key, load| {
         balancer.record_start(key, now);
         balancer.record_end(key, Outcome::Answered, Some(load), now);
@@ -125,7 +138,7 @@
 fn burst_avoids_remote() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(2);
-    let far = balancer.insert(Tier::Remote, 10, now);
+    let far = balancer.insert(Tier::Remote, HOME, 10, now);
     for (running, waiting, expected) in [(10, 20, 0), (10, 50, 100)] {
         for key in &keys {
             balancer.record_start(*key, now);
@@ -217,7 +230,7 @@
     let mut random = random();
     for _ in 0..200 {
         let choice = balancer
-            .choose(&[], true, &mut random, now)
+            .choose(&ANY, &mut random, now)
             .expect("an available target");
         assert!([keys[0], keys[2], keys[3]].contains(&choice.target));
     }
--- a/crates/policy/tests/all/route_rejection.rs
+++ b/crates/policy/tests/all/route_rejection.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::Load;
-use cardamomshed_policy::route::{Balancer, Outcome, Tier};
-use cardamomshed_policy::{Moment, TargetKey};
+use cardamomshed_policy::route::{Balancer, Outcome, Query, Tier};
+use cardamomshed_policy::{Moment, RegionKey, TargetKey};
 use rand::Rng;
 
 use crate::random;
@@ -51,7 +51,7 @@
         let mut keys = Vec::new();
         for _ in 0..CALLERS {
             let mut balancer = Balancer::default();
-            let insert = |_| balancer.insert(Tier::Domain, SLOTS, Moment::ZERO);
+            let insert = |_| balancer.insert(Tier::Domain, RegionKey(0), SLOTS, Moment::ZERO);
             keys = (0..TARGETS).map(insert).collect();
             balancers.push(balancer);
         }
@@ -85,7 +85,7 @@
 
     fn call(&mut self, random: &mut impl Rng, now: Moment) {
         let caller = random.random_range(0..CALLERS);
-        let choice = self.balancers[caller].choose(&[], false, random, now);
+        let choice = self.balancers[caller].choose(&Query::default(), random, now);
         let key = choice.expect("a target").target;
         self.balancers[caller].record_start(key, now);
         let target = self.keys.iter().position(|known| *known == key);
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -147,6 +147,7 @@
     let accounts = entries.clone().map(|index| Account {
         unlimited: false,
         priority: None,
+        regions: None,
         name: name(&format!("account-{index}")),
         rate: Rate::try_from("50/s".to_owned()).expect("a valid rate"),
         burst: 100,
--- a/crates/standin/benches/slopes/decision.rs
+++ b/crates/standin/benches/slopes/decision.rs
@@ -4,8 +4,8 @@
 
 use cardamomshed_policy::admission::{Admission, Controller, Level, Method, Rank, Request};
 use cardamomshed_policy::gate::{self, Gate, Offer, Ticket};
-use cardamomshed_policy::route::{Balancer, Outcome, Tier};
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::route::{Balancer, Outcome, Query, Tier};
+use cardamomshed_policy::{AccountKey, Moment, Priority, RegionKey, RouteKey};
 use cardamomshed_standin::experiment::{Bound, Experiment};
 use cardamomshed_wire::{Call, Frame, decode, encode};
 use rand::SeedableRng;
@@ -19,11 +19,15 @@
         let mut balancer = Balancer::default();
         let mut random = StdRng::seed_from_u64(experiment.seed);
         for _ in 0..size {
-            balancer.insert(Tier::Domain, 50, Moment::ZERO);
+            balancer.insert(Tier::Domain, RegionKey(0), 50, Moment::ZERO);
         }
         let now = Moment::from_millis(5);
+        let query = Query {
+            remote: true,
+            ..Query::default()
+        };
         let micros = time_of(200_000, |_| {
-            if let Some(choice) = balancer.choose(&[], true, &mut random, now) {
+            if let Some(choice) = balancer.choose(&query, &mut random, now) {
                 balancer.record_start(choice.target, now);
                 balancer.record_end(choice.target, Outcome::Answered, None, now);
             }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -255,6 +255,7 @@
             timeout: Timespan::from_millis(self.shape.timeout.as_millis() as u64),
             retries: self.shape.retries,
             accounts: None,
+            regions: None,
             internal,
         };
         let mut routes = Vec::new();
@@ -274,6 +275,7 @@
         let accounts = self.shape.accounts.iter().map(|account| Account {
             unlimited: false,
             priority: None,
+            regions: None,
             name: name(&account.name),
             rate: Rate::try_from(format!("{}/s", account.rate)).expect("a valid rate"),
             burst: account.burst,
@@ -326,6 +328,7 @@
         note.accounts.add.push(Account {
             unlimited: false,
             priority: None,
+            regions: None,
             name: name(account),
             rate: Rate::try_from("5/s".to_owned()).expect("a valid rate"),
             burst: 10,
