--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -1,14 +1,15 @@
 //! Services, their targets and the choice of a target for each call.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use cardamomshed_note::Name;
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::retry::Budget;
-use cardamomshed_policy::route::{Balancer, Choice, Outcome, Tier, Transition};
-use cardamomshed_policy::{Moment, TargetKey, gate};
-use indexmap::IndexMap;
+use cardamomshed_policy::route::{self, Balancer, Choice, Outcome, Tier, Transition};
+use cardamomshed_policy::{Moment, RegionKey, TargetKey, gate};
+use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
 use crate::sync::lock;
@@ -27,6 +28,8 @@
     balancer: Balancer,
     budget: Budget,
     peers: HashMap<TargetKey, Peer>,
+    /// Targets in this region whose failure domain is not evacuated.
+    near: usize,
 }
 
 /// Target of one daemon.
@@ -35,6 +38,11 @@
     service: Arc<str>,
     target: TargetKey,
     peer: Peer,
+    /// Failure domain of the daemon.
+    domain: Arc<str>,
+    /// Region of the failure domain.
+    region: Arc<str>,
+    tier: Tier,
     /// Whether the daemon advertises that its target accepts calls.
     open: bool,
     /// Whether the daemon is reachable over its link. True until a dial fails,
@@ -47,6 +55,23 @@
     services: IndexMap<Arc<str>, Service>,
     /// Targets by the name of their daemon.
     endpoints: HashMap<Arc<str>, Endpoint>,
+    /// Regions of all targets since the start, by [`RegionKey`].
+    regions: IndexSet<Arc<str>>,
+    /// Evacuated failure domains, whose targets are closed.
+    evacuated: BTreeSet<Arc<str>>,
+}
+
+/// Restrictions on the selection of a target for one attempt of a call, by name.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Query<'a> {
+    /// Service that is called.
+    pub service: &'a str,
+    /// Targets that are not selected.
+    pub exclude: &'a [TargetKey],
+    /// Regions whose targets may be selected; `None` for every region.
+    pub regions: Option<&'a [Name]>,
+    /// Whether the budget of the slow link allows another call.
+    pub remote: bool,
 }
 
 /// A target that was selected for a call.
@@ -99,7 +124,10 @@
         let service = profile.service.clone().filter(|_| record.state.is_active());
         let current = table.endpoints.get(&record.name).cloned();
         let unchanged = current.as_ref().is_some_and(|endpoint| {
-            Some(&endpoint.service) == service.as_ref() && endpoint.peer.address == profile.peer
+            Some(&endpoint.service) == service.as_ref()
+                && endpoint.peer.address == profile.peer
+                && endpoint.domain == profile.domain
+                && endpoint.region == profile.region
         });
         if !unchanged {
             table.remove(&record.name);
@@ -123,21 +151,65 @@
         }
     }
 
-    /// Selects a target that is not in `exclude` and counts a call to it as in
-    /// flight. Targets in other regions are considered only if `allow_remote` is
-    /// set. Returns `None` if the service is unknown or no target is available.
-    pub fn select(
-        &self,
-        service: &str,
-        exclude: &[TargetKey],
-        allow_remote: bool,
-        now: Moment,
-    ) -> Option<Selection> {
+    /// Closes the targets of evacuated failure domains, those included that are added
+    /// later, and reopens the others.
+    pub fn set_evacuated(&self, domains: &BTreeSet<Arc<str>>) {
         let mut table = lock(&self.table);
-        let entry = table.services.get_mut(service)?;
+        table.evacuated.clone_from(domains);
+        for service in table.services.values_mut() {
+            service.near = 0;
+        }
+        let nodes = table.endpoints.keys().cloned().collect::<Vec<_>>();
+        for node in nodes {
+            table.set_availability(&node, None, None);
+            table.count_near(&node, 1);
+        }
+    }
+
+    /// Targets of a service in the failure domain of one of them, itself included.
+    pub fn domain_targets(&self, service: &str, target: TargetKey) -> Vec<TargetKey> {
+        let table = lock(&self.table);
+        let domain_of = |peer: &Peer| Some(&table.endpoints.get(&peer.node)?.domain);
+        let entry = table.services.get(service);
+        let peers = entry.map(|entry| &entry.peers);
+        let domain = peers
+            .and_then(|peers| peers.get(&target))
+            .and_then(domain_of);
+        let peers = peers.into_iter().flatten();
+        let beside = peers.filter(|(key, peer)| **key == target || domain_of(peer) == domain);
+        beside.map(|(key, _)| *key).collect()
+    }
+
+    /// Whether a service has a target, available or not, in one of these regions.
+    pub fn has_target_in(&self, service: &str, regions: &[Name]) -> bool {
+        let table = lock(&self.table);
+        let entry = table.services.get(service);
+        entry.is_some_and(|entry| entry.balancer.has_target_in(&table.region_keys(regions)))
+    }
+
+    /// Selects a target that the query permits and counts a call to it as in
+    /// flight. A call that cannot run in the local region, because that is not
+    /// allowed or because all targets there are evacuated, uses the slow link
+    /// whatever its budget. Returns `None` if the service is unknown or no target is
+    /// available.
+    pub fn select(&self, query: &Query<'_>, now: Moment) -> Option<Selection> {
+        let mut table = lock(&self.table);
+        let regions = query.regions.map(|regions| table.region_keys(regions));
+        let is_local = |region: &Name| **region == *self.region;
+        let is_allowed = query
+            .regions
+            .is_none_or(|regions| regions.iter().any(is_local));
+        let is_calm = table.evacuated.is_empty();
+        let entry = table.services.get_mut(query.service)?;
+        let may_stay = is_allowed && (is_calm || entry.near > 0);
+        let restrictions = route::Query {
+            exclude: query.exclude,
+            regions: regions.as_deref(),
+            remote: query.remote || !may_stay,
+        };
         let choice = entry
             .balancer
-            .choose(exclude, allow_remote, &mut rand::rng(), now)?;
+            .choose(&restrictions, &mut rand::rng(), now)?;
         let peer = entry.peers.get(&choice.target)?.clone();
         let node_of = |key: TargetKey| Some(Arc::clone(&entry.peers.get(&key)?.node));
         let rejected = choice.rejected.and_then(|(key, _)| node_of(key));
@@ -218,25 +290,54 @@
 }
 
 impl Table {
+    /// Keys of the regions that have or had a target. The others have no key.
+    fn region_keys(&self, regions: &[Name]) -> Vec<RegionKey> {
+        let index = |region: &Name| self.regions.get_index_of(&**region);
+        let indexes = regions.iter().filter_map(index);
+        indexes.map(|index| RegionKey(index as u32)).collect()
+    }
+
     fn insert(&mut self, record: &Record, service: Arc<str>, tier: Tier, now: Moment) {
+        let profile = &record.profile;
+        let region = self.regions.insert_full(Arc::clone(&profile.region)).0;
+        let region = RegionKey(region as u32);
         let entry = self.services.entry(Arc::clone(&service)).or_default();
-        let target = entry.balancer.insert(tier, record.profile.slots, now);
+        let target = entry.balancer.insert(tier, region, profile.slots, now);
         let peer = Peer {
             node: Arc::clone(&record.name),
-            address: record.profile.peer,
+            address: profile.peer,
         };
         entry.peers.insert(target, peer.clone());
         let endpoint = Endpoint {
             service,
             target,
             peer,
+            domain: Arc::clone(&profile.domain),
+            region: Arc::clone(&profile.region),
+            tier,
             open: true,
             linked: true,
         };
         self.endpoints.insert(Arc::clone(&record.name), endpoint);
+        self.count_near(&record.name, 1);
+    }
+
+    /// Adds `change` to the count of near targets of its service if the target of
+    /// this daemon is one.
+    fn count_near(&mut self, node: &str, change: isize) {
+        let Some(endpoint) = self.endpoints.get(node) else {
+            return;
+        };
+        if endpoint.tier == Tier::Remote || self.evacuated.contains(&endpoint.domain) {
+            return;
+        }
+        if let Some(entry) = self.services.get_mut(&endpoint.service) {
+            entry.near = entry.near.saturating_add_signed(change);
+        }
     }
 
     fn remove(&mut self, node: &str) {
+        self.count_near(node, -1);
         let Some(endpoint) = self.endpoints.remove(node) else {
             return;
         };
@@ -253,7 +354,8 @@
         endpoint.open = open.unwrap_or(endpoint.open);
         endpoint.linked = linked.unwrap_or(endpoint.linked);
         if let Some(entry) = self.services.get_mut(&endpoint.service) {
-            let available = endpoint.open && endpoint.linked;
+            let evacuated = self.evacuated.contains(&endpoint.domain);
+            let available = endpoint.open && endpoint.linked && !evacuated;
             entry.balancer.set_open(endpoint.target, available);
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod confirmation;
+pub mod evacuation;
 pub mod gate;
 pub mod key;
 pub mod member;
@@ -19,5 +20,5 @@
 pub mod route;
 pub mod window;
 
-pub use key::{AccountKey, Priority, RouteKey, ServiceKey, TargetKey};
+pub use key::{AccountKey, Priority, RegionKey, RouteKey, ServiceKey, TargetKey};
 pub use moment::Moment;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_level;
 mod confirmation_reads;
+mod evacuation_state;
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
@@ -11,6 +12,7 @@
 mod member_gossip;
 mod price_fanout;
 mod quota_bound;
+mod region_choice;
 mod registration_order;
 mod retry_budget;
 mod retry_tokens;
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -137,6 +137,7 @@
         process: 1,
         confirmed_us: 500_000,
         digest: u64::MAX,
+        evacuations: None,
         payload: member::Payload::Ping { sequence: 100_000 },
         records: (0..records).map(record).collect(),
     }
@@ -147,6 +148,7 @@
     let accounts = entries.clone().map(|index| Account {
         unlimited: false,
         priority: None,
+        regions: None,
         name: name(&format!("account-{index}")),
         rate: Rate::try_from("50/s".to_owned()).expect("a valid rate"),
         burst: 100,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -11,7 +11,7 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{App, HttpResponse, HttpServer, web};
 use cardamomshed_platform::store::{self, FeedQuery, RangeQuery, RowsResponse, Transaction};
-use cardamomshed_platform::{Condition, Operation, header};
+use cardamomshed_platform::{Condition, Operation};
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -206,6 +206,26 @@
         debug_assert!(written.is_ok(), "an unconditional write succeeds");
     }
 
+    /// Removes a row unconditionally, without counting a request. Simulates a
+    /// removal by another system.
+    pub fn remove(&self, table: &str, key: &str) {
+        let operation = Operation {
+            value: None,
+            ..Operation::write(table, key, Condition::Any, Value::Null)
+        };
+        let removed = self
+            .state
+            .lock()
+            .tables
+            .transact(&Transaction::new(&[operation]));
+        debug_assert!(removed.is_ok(), "an unconditional removal succeeds");
+    }
+
+    /// Sets the era that responses to reads report.
+    pub fn set_era(&self, era: u64) {
+        self.state.lock().era = era;
+    }
+
     /// Clears the change history. A feed from an older version than the current
     /// one is then answered with status 410, and its reader has to read the
     /// table again.
@@ -242,7 +262,7 @@
                 async move {
                     let mut response = response.await?;
                     let era = HeaderValue::from(state.lock().era);
-                    let name = HeaderName::from_static(header::STORE_ERA);
+                    let name = HeaderName::from_static(store::ERA_HEADER);
                     response.headers_mut().insert(name, era);
                     Ok(response)
                 }
@@ -276,13 +296,13 @@
     if let Err(unavailable) = state.admit(false).await {
         return unavailable;
     }
-    let tables = &state.lock().tables;
-    HttpResponse::Ok().json(tables.range(
+    let rows = state.lock().tables.range(
         &range.table,
         &range.from,
         range.end.as_deref(),
         range.limit.min(store::MAX_PAGE_ROWS),
-    ))
+    );
+    HttpResponse::Ok().json(rows)
 }
 
 async fn feed(state: Handle, wait: web::Query<FeedQuery>) -> HttpResponse {
