Run the pipelined requests of a connection concurrently

Cause: the HTTP library's dispatcher runs the requests of a connection one after the other, so a pipelined request waits for the response to the one before it.

Change: the callers' listener without TLS is served by `http::connection`, a dispatcher on the library's codec. Requests are decoded as they arrive, up to 16 run at once, and their responses are written in order. `policy::pipeline` decides what may start, when reading stops and which response closes. Each request has a codec of its own, because the encoder's state belongs to the request that was decoded last. The end of the input is noticed while reading is stopped, through the readiness of the socket. Metric: cardamomshed_open_connections.

Measured: with the earlier dispatcher both tests of pipelined_requests fail (the later requests do not run while the first hangs; of four requests one runs).

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod announce;
+pub mod connection;
 pub mod control;
 pub mod head;
 pub mod ingress;
--- /dev/null
+++ b/crates/daemon/src/http/connection.rs
@@ -0,0 +1,451 @@
+//! HTTP/1.1 connections whose clients may send requests before earlier ones are
+//! answered.
+//!
+//! [`Pipeline`] decides which requests may start and which response is next. This
+//! module does the I/O: it decodes requests with the codec of the HTTP library, runs
+//! their handlers concurrently, and writes the responses in the order of the requests.
+
+mod exchange;
+mod host;
+mod monitor;
+mod upload;
+
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_codec::Decoder;
+use actix_http::body::BoxBody;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{ConnectionType, Method, Payload, Request, Response};
+use actix_web::http::StatusCode;
+use bytes::{Buf, BytesMut};
+use cardamomshed_policy::pipeline::{Limits, Need, Pipeline, Position};
+use futures_util::StreamExt;
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use futures_util::stream::FuturesUnordered;
+use socket2::SockRef;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+use self::exchange::{Decoded, Encoded, Exchange};
+use self::host::Count;
+pub use self::host::{Application, Host, Timeouts};
+pub use self::monitor::Monitor;
+use self::upload::Upload;
+
+/// Limits on the requests of one connection: 16 open requests, and 256 KiB of responses
+/// that wait to be written.
+const LIMITS: Limits = Limits {
+    requests: 16,
+    waiting_bytes: 256 * 1024,
+};
+/// Size of the buffer into which heads are read, in bytes. The values of a head refer
+/// to the buffer until the request has ended.
+const HEAD_BYTES: usize = 8 * 1024;
+/// Size of the buffer into which bodies are read, in bytes.
+const BODY_BYTES: usize = 32 * 1024;
+/// Free bytes of a buffer below which it is not read into.
+const MIN_FREE_BYTES: usize = 1024;
+/// Bytes of encoded responses above which no more are encoded until some are written.
+const OUTPUT_BYTES: usize = 32 * 1024;
+/// Capacity of the write buffer of an idle connection, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+/// Time for which input is read and discarded after the last response. Closing a socket
+/// with unread input resets the connection, and the client may lose the response.
+const DRAIN_TIME: Duration = Duration::from_millis(500);
+
+/// How a connection ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The last response has been written.
+    Answered,
+    /// The client has closed its side, or failed to read or write.
+    Gone,
+}
+
+/// Serves a connection until it ends or is closed through the monitor. Dropping the
+/// future cancels its open requests.
+pub async fn serve(host: Rc<Host>, stream: TcpStream, peer: SocketAddr, monitor: Arc<Monitor>) {
+    let _count = Count::new(&host);
+    // Responses are small; Nagle's algorithm would only delay them.
+    let _ = stream.set_nodelay(true);
+    let stream = Rc::new(stream);
+    let mut connection = Connection::new(host, Rc::clone(&stream), peer, Arc::clone(&monitor));
+    let end = tokio::select! {
+        () = monitor.closed() => End::Gone,
+        end = poll_fn(|cx| connection.poll(cx)) => end,
+    };
+    drop(connection);
+    if end == End::Answered {
+        let _ = SockRef::from(&*stream).shutdown(Shutdown::Write);
+        // The client is expected to close its side; the connection ends anyway.
+        let _ = tokio::time::timeout(DRAIN_TIME, discard_input(&stream)).await;
+    }
+}
+
+/// Reads until the client closes its side.
+async fn discard_input(stream: &TcpStream) {
+    let mut discarded = vec![0; BODY_BYTES];
+    while stream.readable().await.is_ok() {
+        match stream.try_read(&mut discarded) {
+            Ok(0) => break,
+            Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => break,
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
+struct Connection {
+    host: Rc<Host>,
+    stream: Rc<TcpStream>,
+    peer: SocketAddr,
+    monitor: Arc<Monitor>,
+    pipeline: Pipeline<Exchange>,
+    /// Handlers of the requests that have not been answered.
+    running: FuturesUnordered<LocalBoxFuture<'static, (Position, Response<BoxBody>)>>,
+    /// Body of the newest request, as long as it is incomplete.
+    upload: Option<Upload>,
+    /// Codec of the next request. Each request has one of its own, because the state
+    /// of a codec belongs to the request that it has decoded last.
+    codec: Codec,
+    received: BytesMut,
+    output: BytesMut,
+    /// Number of bytes that have been encoded.
+    encoded: u64,
+    /// Requests whose responses have been encoded whole and not been written whole, each
+    /// with the value of `encoded` at the end of its response.
+    unwritten: VecDeque<(u64, Exchange)>,
+    /// Resolves once the client has closed its side, also while unread input precedes
+    /// the end.
+    hangup: LocalBoxFuture<'static, ()>,
+    timer: Timer,
+    /// Whether the client has closed its side. Nothing more is read or started.
+    is_gone: bool,
+    /// Whether a response could not be completed. No further one is written.
+    is_broken: bool,
+}
+
+/// Deadline of what the client has to send.
+struct Timer {
+    need: Need,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl Connection {
+    fn new(host: Rc<Host>, stream: Rc<TcpStream>, peer: SocketAddr, monitor: Arc<Monitor>) -> Self {
+        let watched = Rc::clone(&stream);
+        // On Linux, this interest includes the end of the input and no other input.
+        let hangup = async move { drop(watched.ready(Interest::PRIORITY).await) };
+        Self {
+            codec: Codec::new(host.config.clone()),
+            timer: Timer {
+                need: Need::Nothing,
+                sleep: Box::pin(tokio::time::sleep(host.timeouts.head)),
+            },
+            host,
+            stream,
+            peer,
+            monitor,
+            pipeline: Pipeline::new(LIMITS),
+            running: FuturesUnordered::new(),
+            upload: None,
+            received: BytesMut::new(),
+            output: BytesMut::new(),
+            encoded: 0,
+            unwritten: VecDeque::new(),
+            hangup: hangup.boxed_local(),
+            is_gone: false,
+            is_broken: false,
+        }
+    }
+
+    /// Bytes of responses that wait to be written: the encoded ones, and bodies of
+    /// known length that have not been encoded.
+    fn waiting_bytes(&self) -> usize {
+        let held = self.pipeline.items().map(Exchange::held_bytes);
+        held.fold(self.output.len(), usize::saturating_add)
+    }
+
+    /// Makes all progress that is possible without waiting.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<End> {
+        loop {
+            let mut progress = self.poll_read(cx);
+            progress |= self.poll_decode(cx);
+            if self.is_gone || self.is_broken {
+                self.running.clear();
+            }
+            progress |= self.poll_running(cx);
+            progress |= self.poll_encode(cx);
+            progress |= self.poll_write(cx);
+            self.monitor.set_waiting_bytes(self.waiting_bytes());
+            if self.is_gone {
+                return Poll::Ready(End::Gone);
+            }
+            if self.output.is_empty() && (self.pipeline.is_ended() || self.is_broken) {
+                return Poll::Ready(End::Answered);
+            }
+            if progress {
+                continue;
+            }
+            if self.received.is_empty() && self.pipeline.items().next().is_none() {
+                // An idle connection holds no buffer.
+                self.received = BytesMut::new();
+            }
+            match self.poll_timer(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Need::Head) => self.refuse(StatusCode::REQUEST_TIMEOUT),
+                Poll::Ready(_) => return Poll::Ready(End::Answered),
+            }
+        }
+    }
+
+    /// Reads once if another part of a request may be processed. Notices the end of the
+    /// input in any case.
+    fn poll_read(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.is_gone {
+            return false;
+        }
+        let wanted = match &mut self.upload {
+            Some(upload) => upload.poll_room(cx).is_ready(),
+            None => self.pipeline.may_start(self.waiting_bytes()),
+        };
+        if !wanted {
+            self.is_gone = self.hangup.poll_unpin(cx).is_ready();
+            return self.is_gone;
+        }
+        loop {
+            match self.stream.poll_read_ready(cx) {
+                Poll::Pending => return false,
+                Poll::Ready(Err(_)) => break,
+                Poll::Ready(Ok(())) => {}
+            }
+            if self.received.capacity() - self.received.len() < MIN_FREE_BYTES {
+                let has_body = self.upload.is_some();
+                self.received
+                    .reserve(if has_body { BODY_BYTES } else { HEAD_BYTES });
+            }
+            match self.stream.try_read_buf(&mut self.received) {
+                Ok(0) => break,
+                Ok(_) => return true,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => break,
+            }
+        }
+        self.is_gone = true;
+        true
+    }
+
+    /// Decodes what has been received, and starts the requests.
+    fn poll_decode(&mut self, cx: &mut Context<'_>) -> bool {
+        let mut progress = false;
+        loop {
+            let decoded = if self.upload.is_some() {
+                self.decode_body(cx)
+            } else {
+                self.decode_head()
+            };
+            if !decoded {
+                return progress;
+            }
+            progress = true;
+        }
+    }
+
+    fn decode_head(&mut self) -> bool {
+        if !self.pipeline.may_start(self.waiting_bytes()) {
+            return false;
+        }
+        // Empty lines before a request are ignored.
+        while self.received.starts_with(b"\r\n") {
+            self.received.advance(2);
+        }
+        if self.received.is_empty() {
+            return false;
+        }
+        match self.codec.decode(&mut self.received) {
+            Ok(None) => return false,
+            Ok(Some(Message::Item(request))) => self.start(request),
+            Ok(Some(Message::Chunk(_))) => self.refuse(StatusCode::INTERNAL_SERVER_ERROR),
+            Err(ParseError::TooLarge) => self.refuse(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
+            Err(_) => self.refuse(StatusCode::BAD_REQUEST),
+        }
+        true
+    }
+
+    fn start(&mut self, mut request: Request) {
+        let next = Codec::new(self.host.config.clone());
+        let codec = std::mem::replace(&mut self.codec, next);
+        request.head_mut().peer_addr = Some(self.peer);
+        let has_body = codec.message_type() != MessageType::None;
+        if has_body {
+            let (upload, payload) = Upload::new();
+            *request.payload() = Payload::Stream { payload };
+            self.upload = Some(upload);
+        }
+        let closes = !codec.keep_alive();
+        let is_head = request.method() == Method::HEAD;
+        let exchange = Exchange::new(codec, is_head, has_body && request.head().expect());
+        let position = self.pipeline.start(exchange, closes, has_body);
+        let response = (self.host.application)(request);
+        self.running.push(
+            response
+                .map(move |response| (position, response))
+                .boxed_local(),
+        );
+    }
+
+    /// Answers in place of a request that cannot be read. The connection ends after it.
+    fn refuse(&mut self, status: StatusCode) {
+        let codec = Codec::new(self.host.config.clone());
+        let mut refusal = Exchange::new(codec, false, false);
+        refusal.answer(Response::with_body(status, BoxBody::new(())));
+        self.pipeline.reject(refusal);
+    }
+
+    fn decode_body(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(mut upload) = self.upload.take() else {
+            return false;
+        };
+        if upload.poll_room(cx).is_pending() {
+            self.upload = Some(upload);
+            return false;
+        }
+        let Some(exchange) = self.pipeline.newest_mut() else {
+            return false;
+        };
+        match exchange.decode(&mut self.received) {
+            Decoded::Pending => {
+                self.upload = Some(upload);
+                return false;
+            }
+            Decoded::Chunk(chunk) => {
+                upload.send(chunk);
+                self.upload = Some(upload);
+            }
+            Decoded::End => {
+                upload.end();
+                self.pipeline.end_body();
+            }
+            Decoded::Malformed => {
+                upload.fail();
+                self.pipeline.fail_body();
+            }
+        }
+        true
+    }
+
+    /// Polls the handlers that have been woken.
+    fn poll_running(&mut self, cx: &mut Context<'_>) -> bool {
+        let mut progress = false;
+        while let Poll::Ready(Some((position, response))) = self.running.poll_next_unpin(cx) {
+            let closes = response.head().connection_type() != ConnectionType::KeepAlive;
+            if let Some(exchange) = self.pipeline.get_mut(position) {
+                exchange.answer(response);
+            }
+            self.pipeline.answer(position, closes);
+            progress = true;
+        }
+        progress
+    }
+
+    /// Encodes responses in order until the output is full.
+    fn poll_encode(&mut self, cx: &mut Context<'_>) -> bool {
+        let mut progress = false;
+        while self.output.len() < OUTPUT_BYTES && !self.is_broken {
+            let is_last = self.pipeline.is_first_last();
+            let is_body_open = self.pipeline.is_body_open();
+            let before = self.output.len();
+            let Some(exchange) = self.pipeline.first_mut() else {
+                break;
+            };
+            let encoded = exchange.poll_encode(is_last, &mut self.output, cx);
+            let is_pending = matches!(encoded, Encoded::Pending);
+            if is_pending && !(is_body_open && exchange.encode_continue(&mut self.output)) {
+                break;
+            }
+            self.encoded += (self.output.len() - before) as u64;
+            match encoded {
+                Encoded::Part | Encoded::Pending => {}
+                Encoded::Whole => {
+                    let exchange = self.pipeline.pop_first();
+                    self.unwritten
+                        .extend(exchange.map(|exchange| (self.encoded, exchange)));
+                }
+                Encoded::Failed => {
+                    self.is_broken = true;
+                    self.pipeline.stop();
+                }
+            }
+            progress = true;
+        }
+        progress
+    }
+
+    fn poll_write(&mut self, cx: &mut Context<'_>) -> bool {
+        let mut progress = false;
+        while !self.output.is_empty() {
+            match self.stream.poll_write_ready(cx) {
+                Poll::Pending => return progress,
+                Poll::Ready(Err(_)) => self.is_gone = true,
+                Poll::Ready(Ok(())) => match self.stream.try_write(&self.output) {
+                    Ok(length) => {
+                        self.output.advance(length);
+                        self.drop_written();
+                        self.monitor.record_write(self.host.clock.now());
+                        progress = true;
+                    }
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(_) => self.is_gone = true,
+                },
+            }
+            if self.is_gone {
+                return true;
+            }
+        }
+        if self.output.capacity() > KEPT_BYTES {
+            self.output = BytesMut::new();
+        }
+        progress
+    }
+
+    /// Drops the requests whose responses have been written whole.
+    fn drop_written(&mut self) {
+        let written = self.encoded - self.output.len() as u64;
+        while self
+            .unwritten
+            .front()
+            .is_some_and(|(end, _)| *end <= written)
+        {
+            self.unwritten.pop_front();
+        }
+    }
+
+    /// Waits until the client has exceeded the time for what it has to send.
+    fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Need> {
+        let need = self
+            .pipeline
+            .need(self.waiting_bytes(), !self.received.is_empty());
+        if need != self.timer.need {
+            self.timer.need = need;
+            let timeouts = self.host.timeouts;
+            let timeout = match need {
+                Need::Nothing => return Poll::Pending,
+                Need::Head => timeouts.head,
+                Need::Request => timeouts.idle,
+            };
+            self.timer.sleep.as_mut().reset(Instant::now() + timeout);
+        }
+        if need == Need::Nothing {
+            return Poll::Pending;
+        }
+        self.timer.sleep.poll_unpin(cx).map(|()| need)
+    }
+}
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::HttpService;
+use actix_http::{HttpService, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
 use actix_web::body::BoxBody;
 use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use super::connection::{self, Application, Host, Monitor, Timeouts};
 use super::{admin, announce, control, ingress, outbound};
 use crate::node::Node;
 use crate::tls;
@@ -124,11 +125,11 @@
         (Some(files), _) => serve_tls(node, files, listeners.callers)?,
         (None, Some(_)) => {
             let app = callers.default_service(web::to(outbound::serve));
-            serve_local(node, listeners.callers, handler(app))?
+            serve_local(node, listeners.callers, pipelined(node, app))?
         }
         (None, None) => {
             let app = callers.default_service(web::to(ingress::from_caller));
-            serve_local(node, listeners.callers, handler(app))?
+            serve_local(node, listeners.callers, pipelined(node, app))?
         }
     });
     let target = App::new().app_data(data.clone());
@@ -234,6 +235,42 @@
     })
 }
 
+/// Builds the connection handler of an application whose clients may send requests
+/// before earlier ones are answered.
+fn pipelined<T>(node: &Arc<Node>, app: App<T>) -> Building
+where
+    T: ServiceFactory<
+            ServiceRequest,
+            Config = (),
+            Response = ServiceResponse<BoxBody>,
+            Error = actix_web::Error,
+            InitError = (),
+        > + 'static,
+{
+    let node = Arc::clone(node);
+    Box::pin(async move {
+        let service = map_config(app.into_factory(), |()| AppConfig::default());
+        let service = service
+            .new_service(())
+            .await
+            .map_err(|()| anyhow::anyhow!("the HTTP application failed to start"))?;
+        let application: Application = Box::new(move |request| {
+            let response = service.call(request);
+            Box::pin(async move { response.await.map_or_else(Response::from, Response::from) })
+        });
+        let timeouts = Timeouts {
+            head: HEAD_TIMEOUT,
+            idle: KEEP_ALIVE,
+        };
+        let host = Host::new(application, timeouts, node.clock, &node.metrics.connections);
+        let handler: Handler = Rc::new(move |stream, peer| {
+            let monitor = Monitor::new(node.clock.now());
+            Box::pin(connection::serve(Rc::clone(&host), stream, peer, monitor))
+        });
+        Ok(handler)
+    })
+}
+
 /// Serves a listener on the daemon's thread.
 fn serve_local(node: &Arc<Node>, listener: TcpListener, building: Building) -> Result<Server> {
     let listener = tokio::net::TcpListener::from_std(listener)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -36,6 +36,8 @@
     pub bytes: IntCounterVec,
     /// Open root requests.
     pub open: IntGauge,
+    /// Open connections of callers, without TLS.
+    pub connections: IntGauge,
     /// Revision of the release note in force.
     pub revision: IntGauge,
 }
@@ -91,6 +93,10 @@
                 &["purpose"],
             )?,
             open: IntGauge::new("cardamomshed_open_requests", "Requests that are open")?,
+            connections: IntGauge::new(
+                "cardamomshed_open_connections",
+                "Connections of callers that are open, without TLS",
+            )?,
             revision: IntGauge::new(
                 "cardamomshed_revision",
                 "Revision of the release note in force",
@@ -112,6 +118,7 @@
             .register(Box::new(self.late_responses.clone()))?;
         self.registry.register(Box::new(self.bytes.clone()))?;
         self.registry.register(Box::new(self.open.clone()))?;
+        self.registry.register(Box::new(self.connections.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))
     }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod log_writes;
 mod member_discovery;
 mod note_propagation;
+mod pipelined_requests;
 mod platform_sidecar;
 mod process_signals;
 mod quota_fleet;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod key;
 pub mod member;
 pub mod moment;
+pub mod pipeline;
 pub mod price;
 pub mod quota;
 pub mod registration;
