Test framing, closing and limits of a caller's connection

Cause: the dispatcher of the callers' listener has rules that a fleet shows only in part: divided input, 100 Continue in order, early and short responses, malformed heads behind good ones, time limits, back-pressure, closing with unread input.

Change: connection_rules serves single connections with handlers of its own.

--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod call_redirect;
 mod caller_tls;
 mod config_requests;
+mod connection_rules;
 mod endless_response;
 mod exchange_framing;
 mod frozen_daemon;
