--- a/crates/daemon/src/http/open.rs
+++ b/crates/daemon/src/http/open.rs
@@ -1,8 +1,8 @@
 //! Count of the open requests of callers, for which a stopping daemon waits.
 //!
-//! A request is open until its response has been handed to the connection. Long
-//! bodies are handed over in parts, because the connection takes one of any size at
-//! once and writes it as fast as the caller reads.
+//! A request is open until its response has been handed to the connection, or, without
+//! TLS, has been written. Long bodies are handed over in parts, because the connection
+//! takes one of any size at once and writes it as fast as the caller reads.
 
 use std::convert::Infallible;
 use std::pin::Pin;
