--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod key;
 pub mod member;
 pub mod moment;
+pub mod pipeline;
 pub mod price;
 pub mod quota;
 pub mod registration;
