Decode the warm-up limits of services and targets

The configuration and the health checks of targets say how many requests a cold target sustains and how long it stays cold, and neither was read.

The slack of the bound comes from the setting `sidecar.cold_slack`, 8 where it is empty.

--- a/crates/daemon/tests/all/platform_sidecar.rs
+++ b/crates/daemon/tests/all/platform_sidecar.rs
@@ -49,6 +49,7 @@
         grace: Timespan::from_millis(6_000),
         retry_ratio: 0.2,
         retry_slack: 48.0,
+        cold_slack: None,
         first_start: false,
     });
     settings
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -11,7 +11,7 @@
 use serde_saphyr::Spanned;
 
 use crate::release::{Account, Grant, Limits, Note, Route, Section};
-use crate::{Name, yaml};
+use crate::{Name, Rate, Timespan, yaml};
 
 /// Maximum length of a route's path.
 const MAX_PATH_BYTES: usize = 512;
@@ -42,10 +42,24 @@
     /// Health check path of the targets, by service.
     #[serde(default)]
     pub health_paths: IndexMap<Arc<str>, Arc<str>>,
+    /// Limits on the targets of a service while they are cold. A service without an
+    /// entry has none.
+    #[serde(default)]
+    pub warmups: IndexMap<Arc<str>, Warmup>,
     /// Fleet-wide limits.
     pub limits: Limits,
 }
 
+/// What a target of a service sustains while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Warmup {
+    /// Time for which a target is cold after a start.
+    pub length: Timespan,
+    /// Requests that a cold target sustains; above zero and finite.
+    pub rate: Rate,
+}
+
 const fn yes() -> bool {
     true
 }
@@ -60,6 +74,7 @@
             keyed: true,
             connections: IndexMap::new(),
             health_paths: IndexMap::new(),
+            warmups: IndexMap::new(),
             limits: Limits::default(),
         }
     }
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -15,11 +15,11 @@
 mod settings;
 mod yaml;
 
-pub use config::Config;
+pub use config::{Config, Warmup};
 pub use digest::{Digest, Key};
 pub use lookup::{Interner, Lookup, Match};
 pub use name::Name;
 pub use quantity::{Rate, Size, Timespan};
 pub use release::{Account, Grant, Limits, Note, Route, Section, Share, Unconfirmed};
-pub use settings::{LogFormat, Settings, Sidecar, Timing, Tls};
+pub use settings::{DEFAULT_COLD_SLACK, LogFormat, Settings, Sidecar, Timing, Tls};
 pub use yaml::{MAX_FILE_BYTES, parse, read};
--- a/crates/note/src/settings.rs
+++ b/crates/note/src/settings.rs
@@ -89,12 +89,27 @@
     pub retry_ratio: f64,
     /// Retries of a service that the whole fleet may make beyond that ratio.
     pub retry_slack: f64,
+    /// Requests that a cold target may receive in a second beyond the multiple of its
+    /// sustained rate; [`DEFAULT_COLD_SLACK`] if absent or empty.
+    #[serde(default)]
+    pub cold_slack: Option<f64>,
     /// Whether the whole system starts for the first time, which means that no
     /// target can be older than its daemon.
     #[serde(default)]
     pub first_start: bool,
 }
 
+/// Slack of cold targets in deployments that set none, in requests.
+pub const DEFAULT_COLD_SLACK: f64 = 8.0;
+
+impl Sidecar {
+    /// Requests that a cold target may receive in a second beyond the multiple of its
+    /// sustained rate.
+    pub fn cold_slack(&self) -> f64 {
+        self.cold_slack.unwrap_or(DEFAULT_COLD_SLACK)
+    }
+}
+
 /// Files for TLS with callers. They are read again when they change.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -220,6 +235,7 @@
             next.grace = changed.grace;
             next.retry_ratio = changed.retry_ratio;
             next.retry_slack = changed.retry_slack;
+            next.cold_slack = changed.cold_slack;
         }
         let needs_restart = next.differing(changed);
         (next, needs_restart)
@@ -298,6 +314,11 @@
         if timing.silence.get() < timing.heartbeat.get() * 2 {
             return out_of_range("timing.silence: must be at least twice timing.heartbeat");
         }
+        let sidecar = self.sidecar.as_ref();
+        let cold_slack = sidecar.map_or(DEFAULT_COLD_SLACK, Sidecar::cold_slack);
+        if !cold_slack.is_finite() || cold_slack < 0.0 {
+            return out_of_range("sidecar.cold_slack: must be zero or more");
+        }
         check_secret(&self.fleet_secret)
     }
 }
--- a/crates/note/tests/all/settings_errors.rs
+++ b/crates/note/tests/all/settings_errors.rs
@@ -79,3 +79,23 @@
     let (_, needs_restart) = next.reloaded(&before);
     assert!(needs_restart.is_empty(), "{needs_restart:?}");
 }
+
+const SIDECAR: &str = "sidecar: {service: s, address: 127.0.0.1:6, ready: 127.0.0.1:7, \
+    strict_keys: true, withdraw_within: 3s, grace: 6s, retry_ratio: 0.2, retry_slack: 48, \
+    cold_slack: SLACK}\n";
+
+/// Guards against a deployment without the bound being refused or left unlimited.
+#[test]
+fn cold_slack_defaulted() {
+    let slack = |value: &str| {
+        let text = format!("{VALID}{}", SIDECAR.replace("SLACK", value));
+        let settings = read(&format!("slack{value}.yaml"), &text)?;
+        Ok::<_, Failure>(settings.sidecar.expect("a sidecar").cold_slack())
+    };
+    assert_eq!(slack("").ok(), Some(8.0));
+    assert_eq!(slack("20").ok(), Some(20.0));
+    assert_eq!(
+        slack("-1").map_err(|failure| failure.code),
+        Err(Code::ValueRange)
+    );
+}
--- a/crates/standin/src/soak/process.rs
+++ b/crates/standin/src/soak/process.rs
@@ -186,6 +186,7 @@
             ("{{bounds.grace}}", "6s".to_owned()),
             ("{{bounds.retry-budget-ratio}}", "0.2".to_owned()),
             ("{{bounds.budget-slack}}", "120".to_owned()),
+            ("{{bounds.cold-slack}}", String::new()),
             ("{{first-start}}", self.is_first.to_string()),
         ];
         let mut text = site.template.clone();
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -112,6 +112,7 @@
             ("{{bounds.grace}}", "6s".to_owned()),
             ("{{bounds.retry-budget-ratio}}", "0.2".to_owned()),
             ("{{bounds.budget-slack}}", "48".to_owned()),
+            ("{{bounds.cold-slack}}", String::new()),
             ("{{first-start}}", self.first_start.to_string()),
         ];
         let mut text = template;
