Limit the calls that start at a cold target

After a power loss, targets come back cold, get more calls than they sustain, crash and stay cold.

Add a token bucket to the gate. It is in force until the end of the reported cold time, and while it is unknown whether the target is cold. Waiting calls keep their order, and expected waits include the wait for tokens. The reported limit is the concurrency that the rate of a cold target sustains. Reports that may be older than what is known do not lift the limit. Without a rate, nothing is limited.

The property fails as it should if a change of the rate or a suspicion refills the bucket, if the burst is four times as large, or if the bucket has no upper bound.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -5,6 +5,7 @@
 //! wait in a queue, ordered by priority and then by fair shares between client
 //! accounts. A call is shed as soon as it can no longer meet its deadline.
 
+mod config;
 mod limit;
 mod queue;
 mod reserve;
@@ -13,12 +14,14 @@
 
 use indexmap::IndexMap;
 
+pub use config::Config;
 pub use limit::Limit;
 use queue::{Call, Queue};
 use reserve::Reserve;
 
 use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
+use crate::warmup::Warmup;
 
 /// Waits up to this length never count as long.
 const MIN_LONG_WAIT: Duration = Duration::from_millis(20);
@@ -34,70 +37,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
-/// Configuration of a [`Gate`].
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    /// Calls that the target runs concurrently.
-    pub slots: u32,
-    /// Ramp-up time during which a new target gets its slots step by step; zero
-    /// disables the ramp.
-    pub cold_start: Duration,
-    /// Longest time in the queue, regardless of the deadline.
-    pub max_wait: Duration,
-    /// Service time that is assumed before the first call completes.
-    pub initial_estimate: Duration,
-    /// Whether the concurrency limit falls below the slots when the target
-    /// slows down.
-    pub adaptive: bool,
-    /// Whether queued calls are shed when no call completes for a long time.
-    pub detects_stall: bool,
-}
-
-impl Config {
-    /// Adaptive limit, no ramp-up, waits of at most 500 ms and an initial
-    /// service time of 10 ms.
-    pub const fn new(slots: u32) -> Self {
-        Self {
-            slots,
-            cold_start: Duration::ZERO,
-            max_wait: Duration::from_millis(500),
-            initial_estimate: Duration::from_millis(10),
-            adaptive: true,
-            detects_stall: true,
-        }
-    }
-
-    /// Fixes the limit at the number of slots, for targets whose own time
-    /// cannot be separated from the time of their outbound calls.
-    #[must_use]
-    pub const fn fixed(mut self) -> Self {
-        self.adaptive = false;
-        self
-    }
-
-    /// Keeps queued calls however long none completes, for limits that another
-    /// gate enforces behind this one.
-    #[must_use]
-    pub const fn without_stall(mut self) -> Self {
-        self.detects_stall = false;
-        self
-    }
-
-    /// Sets the ramp-up time of a new target.
-    #[must_use]
-    pub const fn cold_start(mut self, length: Duration) -> Self {
-        self.cold_start = length;
-        self
-    }
-
-    /// Sets the longest time in the queue.
-    #[must_use]
-    pub const fn max_wait(mut self, length: Duration) -> Self {
-        self.max_wait = length;
-        self
-    }
-}
-
 /// A call that requests a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct Offer {
@@ -208,6 +147,8 @@
     stalled: bool,
     /// Smoothed share of rejected calls, see [`Load::rejection`].
     rejection: f64,
+    /// Limit on the calls that start while the target is cold.
+    warmup: Warmup,
 }
 
 impl Gate {
@@ -225,9 +166,20 @@
             last_progress: now,
             stalled: false,
             rejection: 0.0,
+            warmup: Warmup::default(),
         }
     }
 
+    /// Limit on the calls that start while the target is cold.
+    pub const fn warmup(&self) -> &Warmup {
+        &self.warmup
+    }
+
+    /// Limit on the calls that start while the target is cold, to be changed.
+    pub const fn warmup_mut(&mut self) -> &mut Warmup {
+        &mut self.warmup
+    }
+
     /// Changes the concurrency limit. Calls that run beyond it are not affected.
     pub fn set_slots(&mut self, slots: u32) {
         self.limit.set_slots(slots);
@@ -250,13 +202,17 @@
             return Decision::Shed(Shed::Closed);
         }
         self.detect_stall(now, changes);
+        if self.warmup.is_in_force(now) {
+            // Queued calls precede this one at the tokens refilled meanwhile.
+            self.start_queued(now, changes);
+        }
         let service_time = self.limit.service_time_of(offer.route);
         if now + service_time > offer.deadline {
             return Decision::Shed(Shed::Deadline);
         }
         self.reserve
             .record_arrival(offer.priority, service_time, now);
-        if self.queue.len() == 0 && self.has_capacity(offer.priority, now) {
+        if self.queue.len() == 0 && self.can_start(offer.priority, now) {
             let call = Call {
                 ticket: offer.ticket,
                 route: offer.route,
@@ -327,7 +283,7 @@
         Load {
             running: self.running.len() as u32,
             waiting: self.queue.len() as u32,
-            limit: self.effective_limit(now),
+            limit: self.reported_limit(now),
             service_time: self.limit.service_time(),
             rejection: self.rejection,
         }
@@ -364,6 +320,15 @@
         ((f64::from(limit) * warm_share).floor() as u32).clamp(1, limit)
     }
 
+    /// The same limit, at most the concurrency that a cold target sustains.
+    pub fn reported_limit(&self, now: Moment) -> u32 {
+        let limit = self.effective_limit(now);
+        if !self.warmup.is_in_force(now) {
+            return limit;
+        }
+        limit.min(self.warmup.concurrency(self.limit.service_time()))
+    }
+
     fn remove_running(&mut self, ticket: Ticket) -> Option<Running> {
         let call = self.running.swap_remove(&ticket)?;
         self.by_priority[call.priority.index()] -= 1;
@@ -374,6 +339,7 @@
         if self.running.is_empty() {
             self.last_progress = now;
         }
+        self.warmup.take(now);
         self.by_priority[call.priority.index()] += 1;
         let running = Running {
             started: now,
@@ -400,6 +366,10 @@
         }
     }
 
+    fn can_start(&self, priority: Priority, now: Moment) -> bool {
+        self.has_capacity(priority, now) && self.warmup.permits(now)
+    }
+
     fn has_capacity(&self, priority: Priority, now: Moment) -> bool {
         let limit = self.effective_limit(now);
         let running = self.running.len() as u32;
@@ -419,7 +389,8 @@
     /// Expected wait of a call behind `ahead` other calls.
     fn expected_wait(&self, ahead: usize, now: Moment) -> Duration {
         let rounds = (ahead + 1) as f64 / f64::from(self.effective_limit(now).max(1));
-        self.limit.service_time().mul_f64(rounds)
+        let slots_free = self.limit.service_time().mul_f64(rounds);
+        slots_free.max(self.warmup.wait_for(ahead + 1, now))
     }
 
     /// Evicts a queued call in favour of `offer`, if the queue holds one that
@@ -466,7 +437,7 @@
     fn start_queued(&mut self, now: Moment, changes: &mut Vec<Change>) {
         self.queue.expire(now, changes);
         while let Some(priority) = self.queue.next_priority() {
-            if !self.has_capacity(priority, now) {
+            if !self.can_start(priority, now) {
                 return;
             }
             let Some(call) = self.queue.pop() else {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod retry;
 pub mod rotation;
 pub mod route;
+pub mod warmup;
 pub mod window;
 
 pub use key::{AccountKey, Priority, RouteKey, ServiceKey, TargetKey};
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod route_choice;
 mod route_rejection;
 mod wallet_prefetch;
+mod warmup_limit;
 mod window_backpressure;
 
 use std::net::SocketAddr;
