Limit the calls to a target that its daemon sees cold

The gate could limit calls to a cold target, but nothing told it when.

The daemon passes the cold time of every heartbeat and of health checks to the gate. After a connection that could not be opened, or three in a row that the target broke, the state is unknown, and one health check is made at once and at most every 500 ms until one answers. Target::suspect_cold does the same for the end of an evacuation. A late heartbeat neither ends the cold time found by a health check nor an unknown state. Load reports carry the concurrency that a cold target sustains, and so does the member record, once when the target becomes cold and once when it is warm; a daemon that chooses takes over changed slots. Before the first configuration, a target that reports a cold time gets 2 calls a second. The health check and the types of target.rs move to files of their own.

The stand-in target answers 421 to a request for another identity, reports its cold time in health checks and records when requests arrive.

In same_identity_limited eight callers exceed 29 requests in a second at the warm target, and stay within 29 while it is cold.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -68,6 +68,8 @@
     MemberFailed = 322, "member failed";
     MemberLeft = 323, "member left";
     FleetCounted = 324, "size of the fleet received for the first time since the start";
+    TargetCold = 340, "target cold, or possibly so; its calls are limited";
+    TargetWarm = 341, "target warm; its calls are no longer limited";
     NoteInForce = 400, "release note in force";
     NoteRejected = 401, "release note from the platform could not be applied";
     ConfigInForce = 402, "configuration in force";
--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -8,6 +8,7 @@
 pub mod quota;
 pub mod root;
 mod seeds;
+mod warmth;
 mod worker;
 
 pub use worker::Stop;
--- a/crates/daemon/src/actor/leaving.rs
+++ b/crates/daemon/src/actor/leaving.rs
@@ -7,22 +7,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cardamomshed_code::{Event, Failure};
-use cardamomshed_platform::health::{self, Report};
+use cardamomshed_platform::health::Report;
 use cardamomshed_platform::{Client, Condition, Operation};
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::registration::Incarnation;
+use cardamomshed_policy::warmup;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
 use crate::clock::wall_clock_ms;
 use crate::departure::Departure;
-use crate::exchange::{Pool, Request};
+use crate::health_check;
 use crate::http::announce;
 use crate::node::Node;
 use crate::sync::lock;
 use crate::target::Announcement;
+use crate::warmth;
 
 /// Table of the leaving targets, with one row per daemon.
 const TABLE: &str = "leaving";
@@ -44,11 +45,6 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Upper bound of that delay.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Time limit for the target's answer to the health check.
-const HEALTH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest answer to a health check, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 * 1024;
-
 /// Row of a leaving target.
 #[derive(Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -139,8 +135,9 @@
     let mut delay = FIRST_RETRY_DELAY;
     let mut last_failure = String::new();
     while node.local_target.announcement().is_none() && node.clock.now() < deadline {
-        match check_health(node).await {
-            Ok(report) => return adopt(node, &report),
+        let requested_at = node.clock.now();
+        match health_check::request(node).await {
+            Ok(report) => return adopt(node, &report, requested_at),
             Err(detail) if detail == last_failure => {}
             Err(detail) => {
                 node.log_event(Event::TargetUnidentified, format_args!("{detail}"));
@@ -206,40 +203,17 @@
     client.transact(&removals).await.map(|_| ())
 }
 
-/// Requests the target's health check, which reports its instance and slots.
-async fn check_health(node: &Node) -> Result<Report, String> {
-    let lookup = node.lookup();
-    let sidecar = node.settings.sidecar.as_ref();
-    let sidecar = sidecar.ok_or("the settings name no target")?;
-    let path = lookup.config.health_paths.get(&sidecar.service);
-    let path = path.ok_or("the service has no health check")?;
-    let head = health::request_head(path, sidecar.address);
-    let request = Request {
-        head: &head,
-        body: &Bytes::new(),
-        head_only: false,
-        repeatable: true,
-        correlation: None,
-    };
-    let connect = node.current_settings().timing.connect.get();
-    let pool = Pool::default();
-    let answer = pool.exchange(sidecar.address, connect, &request, MAX_ANSWER_BYTES);
-    let answer = tokio::time::timeout(HEALTH_TIMEOUT, answer)
-        .await
-        .map_err(|_| "health check timed out".to_owned())?
-        .map_err(|error| format!("health check: {error:?}"))?;
-    health::decode(answer.status, &answer.headers)
-        .ok_or_else(|| format!("health check: status {}", answer.status))
-}
-
 /// Registers and announces the target unless its heartbeat has done so.
-fn adopt(node: &Arc<Node>, report: &Report) {
+fn adopt(node: &Arc<Node>, report: &Report, requested_at: Moment) {
     let Some(sidecar) = &node.settings.sidecar else {
         return;
     };
     if !lock(&node.registration).adopt(&report.instance) {
         return;
     }
+    let warmup_left = report.warmup_left;
+    let warmth = warmup_left.map(|left| warmup::Report::Check { left, requested_at });
+    warmth::configure(node, false);
     announce::apply(
         node,
         Announcement {
@@ -251,5 +225,6 @@
             leaving: false,
             instance: Some(Arc::clone(&report.instance)),
         },
+        warmth,
     );
 }
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Mutex, mpsc};
 
 use super::worker::{LocalFuture, Stop, Worker};
-use super::{follower, gossip, leaving, quota};
+use super::{follower, gossip, leaving, quota, warmth};
 use crate::claim::command::Command;
 use crate::claim::store;
 use crate::departure::Departure;
@@ -121,6 +121,8 @@
             Box::pin(follower::run(Arc::clone(&node)))
         });
         let node = Arc::clone(&self.node);
+        self.supervise("warmth", move || Box::pin(warmth::run(Arc::clone(&node))));
+        let node = Arc::clone(&self.node);
         self.supervise("quota", move || Box::pin(quota::run(Arc::clone(&node))));
         let node = Arc::clone(&self.node);
         self.supervise("sweeper", move || Box::pin(sweep(Arc::clone(&node))));
@@ -168,7 +170,9 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = node.clock.now();
         node.links.sessions.remove_expired(now);
+        crate::warmth::configure(&node, false);
         node.local_target.tick();
+        crate::warmth::update(&node);
         node.routing.windows.tick();
         lock(&node.routing.prices).fanout.tick(now);
         divide_retries(&node);
--- a/crates/daemon/src/http/announce.rs
+++ b/crates/daemon/src/http/announce.rs
@@ -4,6 +4,7 @@
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use cardamomshed_code::{Code, Event, Failure};
+use cardamomshed_policy::warmup::Report;
 use cardamomshed_wire::Request;
 
 use super::problem;
@@ -11,6 +12,7 @@
 use crate::node::Node;
 use crate::reply::Refused;
 use crate::target::{Announcement, Effect};
+use crate::warmth;
 
 /// Path of the announcement endpoint.
 pub const PATH: &str = "/-/target";
@@ -21,7 +23,7 @@
     let node = node.into_inner();
     match parse(&request, &body) {
         Ok(announcement) => {
-            apply(&node, announcement);
+            apply(&node, announcement, None);
             HttpResponse::NoContent().finish()
         }
         Err(failure) => {
@@ -46,21 +48,23 @@
     Ok(announcement)
 }
 
-/// Applies an announcement, and publishes a target that is new or leaving.
-pub fn apply(node: &Arc<Node>, announcement: Announcement) {
+/// Applies an announcement, and publishes a target that is new, leaving, or has become
+/// cold or warm. `report` is what is known of its cold time.
+pub fn apply(node: &Arc<Node>, announcement: Announcement, report: Option<Report>) {
     let detail = format!(
         "service={} address={} slots={} connections={}",
         announcement.service, announcement.address, announcement.slots, announcement.connections
     );
-    match node.local_target.announce(announcement) {
-        Effect::New => {
-            node.log_event(Event::TargetAnnounced, format_args!("{detail}"));
-            publish(node);
-        }
+    let effect = node.local_target.announce_with(announcement, report);
+    match effect {
+        Effect::New => node.log_event(Event::TargetAnnounced, format_args!("{detail}")),
         Effect::Leaving => {
             node.log_event(Event::TargetLeaving, format_args!("{detail}"));
-            publish(node);
         }
         Effect::Unchanged => {}
     }
+    let is_published = warmth::update(node);
+    if effect != Effect::Unchanged && !is_published {
+        publish(node);
+    }
 }
--- a/crates/daemon/src/http/control.rs
+++ b/crates/daemon/src/http/control.rs
@@ -10,6 +10,7 @@
 use cardamomshed_note::Sidecar;
 use cardamomshed_platform::registration::{self, ACKNOWLEDGEMENT, Heartbeat, State};
 use cardamomshed_policy::registration::{Incarnation, Verdict};
+use cardamomshed_policy::warmup::Report;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -19,6 +20,7 @@
 use crate::node::Node;
 use crate::sync::lock;
 use crate::target::Announcement;
+use crate::warmth;
 
 /// Longest time for which the acknowledgement to a leaving target is delayed
 /// until the departure is stored. A target waits one second for it.
@@ -57,11 +59,16 @@
         born_ms: heartbeat.started_ms,
     };
     let draining = heartbeat.state == State::Draining;
-    match register(&node, &incarnation, heartbeat.sequence, draining).await {
+    let verdict = register(&node, &incarnation, heartbeat.sequence, draining).await;
+    match verdict {
         Verdict::New { leaving } | Verdict::Current { leaving } => {
             let announcement = announcement(&node, &heartbeat, &incarnation, leaving);
             let was_leaving = node.local_target.is_leaving();
-            announce::apply(&node, announcement);
+            let left = heartbeat.warmup_left;
+            let restarted = matches!(verdict, Verdict::New { .. });
+            warmth::configure(&node, !left.is_zero());
+            let report = Report::Heartbeat { left, restarted };
+            announce::apply(&node, announcement, Some(report));
             if leaving && !was_leaving {
                 store_departure(&node, incarnation).await;
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod exchange;
+mod health_check;
 pub mod history;
 pub mod http;
 pub mod job;
@@ -40,6 +41,7 @@
 pub mod target;
 pub mod tls;
 pub mod trace;
+pub mod warmth;
 
 pub use daemon::Daemon;
 pub use node::Options;
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -89,7 +89,7 @@
         profile.open = announcement
             .as_ref()
             .is_some_and(|target| !target.leaving && !node.local_target.is_withdrawn());
-        profile.slots = announcement.as_ref().map_or(0, |target| target.slots);
+        profile.slots = node.local_target.slots();
         profile.service = announcement.map(|target| target.service);
         profile.lender_slots = lock(&node.quota.lenders).keys().copied().collect();
         let output = fleet.set_profile(profile, &mut rand::rng());
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,6 +22,8 @@
     pub latency: Histogram,
     /// Calls started on the local target.
     pub executions: IntCounter,
+    /// Calls started on the local target while it was cold, or may have been.
+    pub cold_calls: IntCounter,
     /// Calls shed in the queue of the local target, by result code.
     pub shed: IntCounterVec,
     /// Time that calls waited in the queue of the local target, in seconds.
@@ -70,6 +72,10 @@
                 "cardamomshed_executions_total",
                 "Calls that started on the target",
             )?,
+            cold_calls: IntCounter::new(
+                "cardamomshed_cold_calls_total",
+                "Calls that started on the target while it was cold or may have been",
+            )?,
             shed: counters(
                 "cardamomshed_shed_total",
                 "Calls shed beside the target, by result code",
@@ -104,6 +110,7 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.executions.clone()))?;
+        self.registry.register(Box::new(self.cold_calls.clone()))?;
         self.registry.register(Box::new(self.shed.clone()))?;
         self.registry.register(Box::new(self.wait.clone()))?;
         self.registry.register(Box::new(self.retries.clone()))?;
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -24,6 +24,7 @@
 use crate::reply::{Answer, Refused, Reply};
 use crate::sync::lock;
 use crate::target::{Attributes, Completion, Permit};
+use crate::warmth;
 
 /// Header that carries the call context to the target. If the target returns it
 /// with the response, late responses to earlier calls are recognised.
@@ -99,6 +100,9 @@
         Err(code) => return shed_reply(node, call, &downstream, code),
     };
     node.metrics.executions.inc();
+    if node.local_target.is_cold() {
+        node.metrics.cold_calls.inc();
+    }
     {
         let mut prices = lock(&node.routing.prices);
         prices.fanout.record_inbound(attributes.route);
@@ -351,11 +355,12 @@
         };
         let connect = node.current_settings().timing.connect.get();
         let limit = node.lookup().config.limits.body.get();
-        let response = self
+        let result = self
             .pool
             .exchange(self.permit.address, connect, &request, limit)
-            .await
-            .map_err(exchange_error)?;
+            .await;
+        warmth::record_exchange(node, &result);
+        let response = result.map_err(exchange_error)?;
         node.metrics.late_responses.inc_by(response.late);
         if platform {
             check_response(&response)?;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -35,6 +35,8 @@
     service: Arc<str>,
     target: TargetKey,
     peer: Peer,
+    /// Slots that the daemon advertises.
+    slots: u32,
     /// Whether the daemon advertises that its target accepts calls.
     open: bool,
     /// Whether the daemon is reachable over its link. True until a dial fails,
@@ -108,6 +110,7 @@
             };
             table.insert(record, service, self.tier(record), now);
         }
+        table.set_slots(&record.name, profile.slots);
         let open = profile.open && record.state.is_active();
         table.set_availability(&record.name, Some(open), None);
     }
@@ -230,6 +233,7 @@
             service,
             target,
             peer,
+            slots: record.profile.slots,
             open: true,
             linked: true,
         };
@@ -246,6 +250,17 @@
         }
     }
 
+    fn set_slots(&mut self, node: &str, slots: u32) {
+        let endpoint = self.endpoints.get_mut(node);
+        let Some(endpoint) = endpoint.filter(|endpoint| endpoint.slots != slots) else {
+            return;
+        };
+        endpoint.slots = slots;
+        if let Some(entry) = self.services.get_mut(&endpoint.service) {
+            entry.balancer.set_slots(endpoint.target, slots);
+        }
+    }
+
     fn set_availability(&mut self, node: &str, open: Option<bool>, linked: Option<bool>) {
         let Some(endpoint) = self.endpoints.get_mut(node) else {
             return;
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -8,68 +8,25 @@
 
 use cardamomshed_code::Code;
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::admission::{ADMIT_ALL, Controller, Level, Rank};
-use cardamomshed_policy::gate::{self, Change, Decision, Gate, Offer, Shed, Ticket};
+use cardamomshed_policy::admission::{ADMIT_ALL, Controller, Level};
+use cardamomshed_policy::gate::{self, Decision, Gate, Offer, Shed, Ticket};
 use cardamomshed_policy::price::Pricer;
+use cardamomshed_policy::warmup::{Report, Warmup};
 use cardamomshed_wire::Load;
-use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::shed;
 use crate::sync::lock;
 
-/// Registration of a target with the daemon on its VM, sent by the target itself
-/// or, on the platform, derived from its heartbeats and health checks.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Announcement {
-    /// Service that the target serves.
-    pub service: Arc<str>,
-    /// Address on this VM at which the target accepts HTTP requests.
-    pub address: SocketAddr,
-    /// Calls that the target runs concurrently, 1 or more.
-    pub slots: u32,
-    /// Connections that the target accepts concurrently, 1 or more.
-    pub connections: u32,
-    /// Ramp-up time after a start, in milliseconds.
-    #[serde(default)]
-    pub cold_start_ms: u64,
-    /// Whether the target is about to stop and accepts no new calls.
-    #[serde(default)]
-    pub leaving: bool,
-    /// Identity of the incarnation. Only instances of the platform have one.
-    #[serde(default)]
-    pub instance: Option<Arc<str>>,
-}
-
-/// Effect of an announcement on the registered target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// The announced target was registered. It replaces an earlier one, if any.
-    New,
-    /// The registered target started to leave.
-    Leaving,
-    /// Only the time of the last announcement was updated.
-    Unchanged,
-}
+mod announcement;
+mod call;
+mod state;
 
-/// The registered target and the policies that protect it.
-#[derive(Debug)]
-struct State {
-    announcement: Announcement,
-    /// Time of the last announcement.
-    announced_at: Moment,
-    gate: Gate,
-    /// Admission level that replies report.
-    controller: Controller,
-    /// Price of the target's time.
-    pricer: Pricer,
-    /// Receives the gate's decision, by queued call.
-    waiting: HashMap<Ticket, oneshot::Sender<Result<(), Shed>>>,
-}
+pub use announcement::{Announcement, Effect};
+pub use call::{Attributes, ColdLimit, Completion, Connection};
+use state::State;
 
 /// The target that this daemon protects, if one is registered.
 #[derive(Debug)]
@@ -80,20 +37,10 @@
     /// The daemon is stopping, so no target is in service, whatever its
     /// announcements report.
     withdrawn: AtomicBool,
-}
-
-/// End of a call to which the target responded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Completion {
-    /// The target answered.
-    Answered {
-        /// Time on the target without the outbound calls that it made meanwhile.
-        own_time: Duration,
-    },
-    /// The target rejected the call without running it.
-    Rejected,
-    /// The target failed.
-    Failed,
+    /// Requests a health check, which reports whether the target is cold.
+    check: Notify,
+    /// Limit on the calls to a cold target.
+    cold_limit: Mutex<ColdLimit>,
 }
 
 /// A call's permit to run on the target. Dropping it releases the slot, or
@@ -114,26 +61,6 @@
     completion: Option<Completion>,
 }
 
-/// Attributes of a call by which it is queued, shed and priced.
-#[derive(Clone, Copy, Debug)]
-pub struct Attributes<'a> {
-    /// Service that the call is addressed to. The call is refused if the local
-    /// target serves another one.
-    pub service: &'a str,
-    /// Route of the call. Service times and prices are kept by route.
-    pub route: cardamomshed_policy::RouteKey,
-    /// Client account of the root request.
-    pub account: cardamomshed_policy::AccountKey,
-    /// Priority of the root request.
-    pub priority: cardamomshed_policy::Priority,
-    /// Number of hops from the external caller.
-    pub depth: u8,
-    /// Rank of the root request in the shedding order.
-    pub rank: Rank,
-    /// Deadline of the call, which also bounds its wait.
-    pub deadline: Moment,
-}
-
 impl Target {
     /// Creates the state of a daemon without a registered target.
     pub fn new(clock: Clock) -> Self {
@@ -142,6 +69,8 @@
             state: Mutex::new(None),
             next_ticket: AtomicU64::new(1),
             withdrawn: AtomicBool::new(false),
+            check: Notify::new(),
+            cold_limit: Mutex::default(),
         }
     }
 
@@ -149,6 +78,11 @@
     /// instance, or one that returns after it was leaving, is registered anew
     /// with an empty queue.
     pub fn announce(&self, announcement: Announcement) -> Effect {
+        self.announce_with(announcement, None)
+    }
+
+    /// Processes an announcement with what the target reports of its cold time.
+    pub fn announce_with(&self, announcement: Announcement, report: Option<Report>) -> Effect {
         let now = self.clock.now();
         let mut target = lock(&self.state);
         let current = target.as_mut().filter(|current| {
@@ -167,9 +101,13 @@
                 return Effect::Leaving;
             }
             if !returned {
+                if let Some(report) = report {
+                    current.gate.warmup_mut().record(report, now);
+                }
                 return Effect::Unchanged;
             }
         }
+        let previous = target.as_ref().map(|previous| *previous.gate.warmup());
         let config = gate::Config::new(announcement.slots.min(announcement.connections));
         let config = match announcement.instance {
             // Outbound calls of an instance of the platform do not identify the
@@ -180,6 +118,7 @@
             None => config.cold_start(Duration::from_millis(announcement.cold_start_ms)),
         };
         let mut gate = Gate::new(config, now);
+        *gate.warmup_mut() = self.new_warmup(previous, report, now);
         if announcement.leaving || self.is_withdrawn() {
             gate.close();
         }
@@ -190,10 +129,121 @@
             announced_at: now,
             waiting: HashMap::new(),
             announcement,
+            broken: 0,
+            advertised_cold: false,
         });
+        drop(target);
+        self.request_check();
         Effect::New
     }
 
+    /// Limit of a target that is registered. The bucket of its predecessor is kept.
+    fn new_warmup(&self, previous: Option<Warmup>, report: Option<Report>, now: Moment) -> Warmup {
+        let mut warmup = previous.unwrap_or_default();
+        warmup.reset_reports();
+        let limit = *lock(&self.cold_limit);
+        warmup.set_limit(limit.rate, limit.slack, now);
+        if let Some(report) = report {
+            warmup.record(report, now);
+        }
+        warmup
+    }
+
+    /// Sets the limit on the calls to a cold target.
+    pub fn set_cold_limit(&self, limit: ColdLimit) {
+        let previous = std::mem::replace(&mut *lock(&self.cold_limit), limit);
+        if previous == limit {
+            return;
+        }
+        let now = self.clock.now();
+        if let Some(target) = lock(&self.state).as_mut() {
+            let warmup = target.gate.warmup_mut();
+            warmup.set_limit(limit.rate, limit.slack, now);
+        }
+        self.request_check();
+    }
+
+    /// Records that the target may have become cold, so that its calls are limited
+    /// until a health check or a heartbeat shows otherwise, and requests a health check.
+    /// Without a limit in the configuration, neither happens.
+    pub fn suspect_cold(&self) {
+        let now = self.clock.now();
+        if let Some(target) = lock(&self.state).as_mut() {
+            target.gate.warmup_mut().suspect(now);
+        }
+        self.request_check();
+    }
+
+    /// Records the end of an exchange. A target to which no connection can be opened,
+    /// or that breaks several in a row, may have restarted.
+    pub fn record_connection(&self, connection: Connection) {
+        let mut target = lock(&self.state);
+        let is_suspect = target
+            .as_mut()
+            .is_some_and(|target| target.record_connection(connection));
+        drop(target);
+        if is_suspect {
+            self.suspect_cold();
+        }
+    }
+
+    /// Records what the instance reported in a health check. Of another instance than
+    /// the registered one, nothing is recorded.
+    pub fn record_check(&self, instance: &str, left: Duration, requested_at: Moment) {
+        let now = self.clock.now();
+        let mut target = lock(&self.state);
+        let current = target
+            .as_mut()
+            .filter(|target| target.announcement.instance.as_deref() == Some(instance));
+        if let Some(current) = current {
+            let report = Report::Check { left, requested_at };
+            current.gate.warmup_mut().record(report, now);
+        }
+    }
+
+    /// Whether the calls of the target are limited because it is cold or may be.
+    pub fn is_cold(&self) -> bool {
+        let now = self.clock.now();
+        let target = lock(&self.state);
+        target
+            .as_ref()
+            .is_some_and(|target| target.gate.warmup().is_in_force(now))
+    }
+
+    /// Whether a health check is needed to learn whether the target is cold.
+    pub fn needs_check(&self) -> bool {
+        lock(&self.state).as_ref().is_some_and(|target| {
+            !target.announcement.leaving && target.gate.warmup().needs_check()
+        })
+    }
+
+    /// Waits until a health check is requested.
+    pub async fn check_requested(&self) {
+        self.check.notified().await;
+    }
+
+    fn request_check(&self) {
+        if self.needs_check() {
+            self.check.notify_one();
+        }
+    }
+
+    /// Whether the target became cold or warm since the last call, and its remaining
+    /// cold time.
+    pub fn take_cold_change(&self) -> Option<(bool, Duration)> {
+        let now = self.clock.now();
+        lock(&self.state).as_mut()?.take_cold_change(now)
+    }
+
+    /// Slots to advertise: those that the target announced, or those that it sustains
+    /// while it is cold; zero without a target.
+    pub fn slots(&self) -> u32 {
+        let now = self.clock.now();
+        lock(&self.state)
+            .as_ref()
+            .map_or(0, |target| target.slots(now))
+    }
+
     /// Removes the target if its last announcement is older than `max_age`.
     /// Returns the service of a removed target.
     pub fn expire(&self, max_age: Duration) -> Option<Arc<str>> {
@@ -406,43 +456,6 @@
     }
 }
 
-impl State {
-    fn record_shed(&mut self, shed: Shed) {
-        // A target that leaves or has stalled is not overloaded, and other
-        // targets take its calls.
-        if !matches!(shed, Shed::Closed | Shed::Stalled) {
-            self.controller.record_shed();
-            if self.gate.is_full() {
-                self.pricer.record_shed();
-            }
-        }
-    }
-
-    fn update_price(&mut self, now: Moment) {
-        let load = self.gate.load(now);
-        let calls = f64::from(load.running + load.waiting);
-        let load_per_slot = calls / f64::from(load.limit.max(1));
-        self.pricer.tick(load_per_slot, load.service_time, now);
-    }
-
-    /// Passes the gate's decisions on to the queued calls.
-    fn apply(&mut self, changes: &[Change]) {
-        for change in changes {
-            let (ticket, decision) = match *change {
-                Change::Run(ticket) => (ticket, Ok(())),
-                Change::Shed(ticket, shed) => (ticket, Err(shed)),
-            };
-            if let Err(shed) = decision {
-                self.record_shed(shed);
-            }
-            if let Some(sender) = self.waiting.remove(&ticket) {
-                // If the receiver is gone, the drop of its permit releases the slot.
-                let _ = sender.send(decision);
-            }
-        }
-    }
-}
-
 impl Permit<'_> {
     /// Records how the call ended. Without it, the drop of the permit cancels the
     /// call.
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -28,6 +28,7 @@
 mod signed_target;
 mod target_recovery;
 mod unconfirmed_start;
+mod warmup_target;
 
 use std::time::Duration;
 
--- a/crates/daemon/tests/all/platform_sidecar.rs
+++ b/crates/daemon/tests/all/platform_sidecar.rs
@@ -75,12 +75,12 @@
 /// Two daemons, the second with a target.
 pub(crate) struct Deployment {
     pub(crate) platform: Platform,
-    first: Member,
+    pub(crate) first: Member,
     pub(crate) second: Member,
     pub(crate) observed: Arc<Observation>,
-    target: SocketAddr,
-    sequence: u64,
-    _target: cardamomshed_standin::thread::Thread,
+    pub(crate) target: SocketAddr,
+    pub(crate) sequence: u64,
+    pub(crate) thread: Option<cardamomshed_standin::thread::Thread>,
 }
 
 impl Deployment {
@@ -98,7 +98,7 @@
             observed,
             target,
             sequence: 0,
-            _target: thread,
+            thread: Some(thread),
         }
     }
 
@@ -110,16 +110,27 @@
     }
 
     pub(crate) fn heartbeat(&mut self, state: &str) -> Reply {
+        self.heartbeat_of("i-1", 10, state, 0)
+    }
+
+    /// Sends the heartbeat of an incarnation with this remaining cold time.
+    pub(crate) fn heartbeat_of(
+        &mut self,
+        instance: &str,
+        born: u64,
+        state: &str,
+        left_ms: u64,
+    ) -> Reply {
         self.sequence += 1;
         let body = json!({
             "service": "s-two", "address": self.target, "zone": "a", "version": "v1",
-            "slots": 8, "state": state, "warmup-left": "0ms",
-            "sequence": self.sequence, "born": 10
+            "slots": 8, "state": state,
+            "warmup-left": format!("{left_ms}ms"), "sequence": self.sequence, "born": born
         });
         let control = self.second.node.settings.target;
         Request::post(
             control,
-            "/instances/i-1/heartbeat",
+            &format!("/instances/{instance}/heartbeat"),
             body.to_string().as_bytes(),
         )
         .send()
--- a/crates/daemon/tests/all/signed_target.rs
+++ b/crates/daemon/tests/all/signed_target.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use cardamomshed_platform::header;
@@ -24,6 +25,12 @@
     /// Status of further responses to requests that ran, which carry neither the
     /// signature nor the mark of a rejection; zero for proper responses.
     pub(crate) unmarked: AtomicU16,
+    /// Number of health checks received.
+    pub(crate) checks: AtomicUsize,
+    /// Arrival times of the requests that were not rejected.
+    pub(crate) arrivals: Mutex<Vec<Instant>>,
+    /// Identity of the target, and when it ceases to be cold; `i-1` and warm by default.
+    pub(crate) identity: Mutex<Option<(String, Instant)>>,
     headers: Mutex<Vec<(String, String)>>,
 }
 
@@ -39,11 +46,19 @@
 /// Starts a target on a free port of the loopback interface.
 pub(crate) fn target() -> (Thread, SocketAddr, Arc<Observation>) {
     let observed = Arc::new(Observation::default());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (thread, address) = serve(any, &observed);
+    (thread, address, observed)
+}
+
+/// Starts a target at an address.
+pub(crate) fn serve(at: SocketAddr, observed: &Arc<Observation>) -> (Thread, SocketAddr) {
+    let observed = Arc::clone(observed);
     let data = web::Data::from(Arc::clone(&observed));
-    let (thread, address) = Thread::start(
+    Thread::start(
         "target",
         async move || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let listener = TcpListener::bind(at).expect("a free port");
             let address = listener.local_addr().expect("a bound port");
             let server = HttpServer::new(move || {
                 App::new()
@@ -61,8 +76,7 @@
             (address, handle)
         },
         async |handle: actix_web::dev::ServerHandle| handle.stop(false).await,
-    );
-    (thread, address, observed)
+    )
 }
 
 async fn respond(
@@ -70,12 +84,17 @@
     request: HttpRequest,
     body: web::Bytes,
 ) -> HttpResponse {
+    let identity = observed.identity.lock().expect("not poisoned").clone();
+    let (instance, cold_until) = identity.unwrap_or_else(|| ("i-1".to_owned(), Instant::now()));
     if request.path() == "/health" {
+        observed.checks.fetch_add(1, Ordering::Relaxed);
         if !observed.health.load(Ordering::Relaxed) {
             return HttpResponse::ServiceUnavailable().finish();
         }
+        let left = cold_until.saturating_duration_since(Instant::now());
         return HttpResponse::Ok()
-            .insert_header((header::INSTANCE, "i-1"))
+            .insert_header((header::INSTANCE, instance))
+            .insert_header((header::WARMUP, left.as_millis().to_string()))
             .insert_header((header::LOAD, "0,0,8"))
             .finish();
     }
@@ -83,6 +102,12 @@
     if let Some(id) = request.headers().get(header::ATTEMPT).cloned() {
         response.insert_header((header::ATTEMPT, id));
     }
+    let expected = request.headers().get(header::EXPECTED_INSTANCE);
+    if expected.is_some_and(|expected| *expected != *instance) {
+        response.status(actix_web::http::StatusCode::MISDIRECTED_REQUEST);
+        response.insert_header((header::NOT_EXECUTED, "1"));
+        return response.finish();
+    }
     let rejections = &observed.rejections;
     let reject = |left: usize| left.checked_sub(1);
     if rejections
@@ -94,6 +119,12 @@
         return response.finish();
     }
     observed.runs.fetch_add(1, Ordering::Relaxed);
+    let arrived_at = Instant::now();
+    observed
+        .arrivals
+        .lock()
+        .expect("not poisoned")
+        .push(arrived_at);
     let unmarked = observed.unmarked.load(Ordering::Relaxed);
     if unmarked > 0 {
         let status = actix_web::http::StatusCode::from_u16(unmarked).expect("a status");
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -154,6 +154,14 @@
         key
     }
 
+    /// Sets the limit of a target to the number of slots that its daemon advertises
+    /// anew, until the next load report.
+    pub fn set_slots(&mut self, target: TargetKey, slots: u32) {
+        if let Some(target) = self.get_mut(target) {
+            target.load.limit = slots;
+        }
+    }
+
     /// Removes a target. Does nothing if the key is unknown.
     pub fn remove(&mut self, key: TargetKey) {
         let Some(target) = self.targets.get_mut(key.0 as usize).and_then(Option::take) else {
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -17,6 +17,27 @@
 /// within the same second, after a restart of the daemon.
 const BURST_SHARE: f64 = 0.5;
 
+/// What a target reports of its cold time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// In a heartbeat, which may have been sent some time ago.
+    Heartbeat {
+        /// Remaining cold time when it was sent.
+        left: Duration,
+        /// Whether it is the first of its incarnation of the target, so that no
+        /// earlier one can have sent it.
+        restarted: bool,
+    },
+    /// In the response to a health check. It replaces the heartbeats received before
+    /// the request.
+    Check {
+        /// Remaining cold time.
+        left: Duration,
+        /// When the check was requested.
+        requested_at: Moment,
+    },
+}
+
 /// Token bucket that is in force while the target is cold, or while it is not known
 /// whether it is.
 #[derive(Clone, Copy, Debug)]
@@ -87,30 +108,30 @@
         self.heartbeat_end.max(self.check_end).since(now)
     }
 
-    /// Records a heartbeat. `restarted` tells that it is the first of its incarnation
-    /// of the target, so that no earlier one can have sent it.
-    pub fn record_heartbeat(&mut self, left: Duration, restarted: bool, now: Moment) {
-        self.heartbeat_end = now + left;
-        self.heartbeat_at = now;
-        let may_precede_suspicion = self
-            .suspected_at
-            .is_some_and(|suspected_at| now.since(suspected_at) < MAX_HEARTBEAT_LATENESS);
-        if restarted || !may_precede_suspicion {
-            self.unknown = false;
-        }
-    }
-
-    /// Records the response to a health check that was requested at `requested_at`.
-    /// It replaces the heartbeats received before the request.
-    pub fn record_check(&mut self, left: Duration, requested_at: Moment, now: Moment) {
-        if self.suspected_at.is_some_and(|at| requested_at < at) {
-            return;
-        }
-        self.check_end = now + left;
-        if self.heartbeat_at <= requested_at {
-            self.heartbeat_end = Moment::ZERO;
+    /// Records a report of the target.
+    pub fn record(&mut self, report: Report, now: Moment) {
+        match report {
+            Report::Heartbeat { left, restarted } => {
+                self.heartbeat_end = now + left;
+                self.heartbeat_at = now;
+                let may_precede_suspicion = self
+                    .suspected_at
+                    .is_some_and(|at| now.since(at) < MAX_HEARTBEAT_LATENESS);
+                if restarted || !may_precede_suspicion {
+                    self.unknown = false;
+                }
+            }
+            Report::Check { left, requested_at } => {
+                if self.suspected_at.is_some_and(|at| requested_at < at) {
+                    return;
+                }
+                self.check_end = now + left;
+                if self.heartbeat_at <= requested_at {
+                    self.heartbeat_end = Moment::ZERO;
+                }
+                self.unknown = false;
+            }
         }
-        self.unknown = false;
     }
 
     /// Records that the target may have become cold.
--- a/crates/policy/tests/all/warmup_limit.rs
+++ b/crates/policy/tests/all/warmup_limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Offer, Shed, Ticket};
+use cardamomshed_policy::warmup::Report;
 use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
 use indexmap::IndexMap;
 use rand::Rng;
@@ -31,6 +32,14 @@
     }
 }
 
+fn heartbeat(left: Duration, restarted: bool) -> Report {
+    Report::Heartbeat { left, restarted }
+}
+
+fn checked(left: Duration, requested_at: Moment) -> Report {
+    Report::Check { left, requested_at }
+}
+
 /// Largest number of starts in a second that ends with a start.
 fn peak(starts: &[Moment]) -> usize {
     let in_second = |end: &Moment| {
@@ -60,11 +69,11 @@
                 gate.warmup_mut().set_limit(rate, SLACK, now);
             }
             1 => now = now + left / (1 + 15 * u32::from(value % 2)),
-            2 => gate.warmup_mut().record_heartbeat(left, true, now),
+            2 => gate.warmup_mut().record(heartbeat(left, true), now),
             3 => gate
                 .warmup_mut()
-                .record_heartbeat(Duration::ZERO, value % 2 == 0, now),
-            4 => gate.warmup_mut().record_check(left, requested_at, now),
+                .record(heartbeat(Duration::ZERO, value % 2 == 0), now),
+            4 => gate.warmup_mut().record(checked(left, requested_at), now),
             5 => gate.warmup_mut().suspect(now),
             6 => gate.tick(now, &mut changes),
             7 => {
@@ -125,7 +134,8 @@
         let mut gate = Gate::new(Config::new(8).fixed(), Moment::ZERO);
         gate.warmup_mut().set_limit(rate, SLACK, Moment::ZERO);
         let left = Duration::from_secs(3);
-        gate.warmup_mut().record_heartbeat(left, true, Moment::ZERO);
+        gate.warmup_mut()
+            .record(heartbeat(left, true), Moment::ZERO);
         Self {
             gate,
             now: Moment::ZERO,
@@ -260,20 +270,21 @@
     gate.warmup_mut().set_limit(RATE, SLACK, now);
     let limited = RATE as usize - 1..=(RATE + SLACK / 2.0) as usize;
     assert!(limited.contains(&starts_in_second(&mut gate, &mut now, &mut ticket)));
-    gate.warmup_mut().record_check(Duration::ZERO, now, now);
+    gate.warmup_mut().record(checked(Duration::ZERO, now), now);
     assert!(starts_in_second(&mut gate, &mut now, &mut ticket) >= 100);
 
     let before = now;
     now = now + Duration::from_millis(50);
     gate.warmup_mut().suspect(now);
-    gate.warmup_mut().record_check(Duration::ZERO, before, now);
     gate.warmup_mut()
-        .record_heartbeat(Duration::ZERO, false, now);
+        .record(checked(Duration::ZERO, before), now);
+    gate.warmup_mut()
+        .record(heartbeat(Duration::ZERO, false), now);
     assert!(gate.warmup().needs_check());
     assert!(limited.contains(&starts_in_second(&mut gate, &mut now, &mut ticket)));
     // The first heartbeat of a new process cannot have been sent by the earlier one.
     gate.warmup_mut()
-        .record_heartbeat(Duration::ZERO, true, now);
+        .record(heartbeat(Duration::ZERO, true), now);
     assert!(starts_in_second(&mut gate, &mut now, &mut ticket) >= 100);
 }
 
@@ -283,12 +294,12 @@
     let mut gate = Gate::new(Config::new(8), Moment::ZERO);
     let warmup = gate.warmup_mut();
     warmup.set_limit(RATE, SLACK, Moment::ZERO);
-    warmup.record_check(Duration::from_secs(3), Moment::ZERO, Moment::ZERO);
+    warmup.record(checked(Duration::from_secs(3), Moment::ZERO), Moment::ZERO);
     let at = Moment::from_millis;
-    warmup.record_heartbeat(Duration::ZERO, false, at(100));
+    warmup.record(heartbeat(Duration::ZERO, false), at(100));
     assert!(warmup.is_in_force(at(2_999)) && !warmup.is_in_force(at(3_000)));
     // A health check after the heartbeat is newer than both.
-    warmup.record_check(Duration::from_millis(200), at(200), at(210));
+    warmup.record(checked(Duration::from_millis(200), at(200)), at(210));
     assert!(warmup.is_in_force(at(409)) && !warmup.is_in_force(at(410)));
 }
 
@@ -298,7 +309,7 @@
     let (mut now, mut ticket) = (Moment::ZERO, 0);
     let mut gate = Gate::new(Config::new(8).fixed(), now);
     gate.warmup_mut()
-        .record_heartbeat(Duration::from_secs(9), true, now);
+        .record(heartbeat(Duration::from_secs(9), true), now);
     gate.warmup_mut().suspect(now);
     assert!(!gate.warmup().needs_check());
     assert_eq!(starts_in_second(&mut gate, &mut now, &mut ticket), 100);
