Keep the departure of a target with the peers of its daemon

A departure that was acknowledged while the store was away was in memory only. A restart of the daemon forgot it, and a late heartbeat readmitted the target.

The member record carries the last departure of the member's target. Members keep the latest one of each other member, and return their copy of a record to its owner, with the acknowledgement of a ping and to a new process that lacks it. The copy confirms that the peer holds it: a peer of an earlier version drops the field and still acknowledges pings, so a plain acknowledgement would not do. After a restart, heartbeats are deferred until the store has been read and a peer has answered, for at most 1 s.

A departure of an earlier run of the same instance no longer keeps a later run out for good after a health check has found it.

No existing test asserted an acknowledgement without the store or a peer; none is changed apart from the new field in literals.

A departure takes 27 bytes in a record.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -63,6 +63,7 @@
     HeartbeatRejected = 315, "registration call rejected; it identifies no target of this daemon";
     DepartureNotStored = 316, "target deregistration could not be stored or read back";
     TargetUnidentified = 317, "target did not report its identity; the daemon waits for its heartbeat";
+    DepartureReturned = 318, "departure of the target received back from a peer";
     MemberJoined = 320, "member joined";
     MemberSuspected = 321, "member suspected";
     MemberFailed = 322, "member failed";
--- a/crates/daemon/src/actor/leaving.rs
+++ b/crates/daemon/src/actor/leaving.rs
@@ -5,6 +5,7 @@
 //! daemon is killed and restarted.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cardamomshed_code::{Event, Failure};
@@ -17,7 +18,6 @@
 use tokio::sync::mpsc;
 
 use crate::clock::wall_clock_ms;
-use crate::departure::Departure;
 use crate::health_check;
 use crate::http::announce;
 use crate::node::Node;
@@ -40,6 +40,9 @@
 /// departures in the store cannot be read. It is the time for which a target
 /// that announced its departure goes on serving.
 const MAX_DEFERRAL: Duration = Duration::from_millis(2_500);
+/// Longest time after the start for which the departures that peers hold are awaited,
+/// since the store may have been away when the target left.
+const MAX_PEER_WAIT: Duration = Duration::from_secs(1);
 /// Delay before the second attempt to read the departure or to check the target's
 /// health; doubled after each attempt.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -57,7 +60,7 @@
 
 /// Persists departures until the task is dropped. After a restart of a sidecar, a
 /// separate task identifies the local target.
-pub(super) async fn run(node: Arc<Node>, departures: &mut mpsc::UnboundedReceiver<Departure>) {
+pub(super) async fn run(node: Arc<Node>, departures: &mut mpsc::UnboundedReceiver<Incarnation>) {
     let client = node.store_client();
     let first_start = node
         .settings
@@ -70,13 +73,17 @@
         let (node, client) = (Arc::clone(&node), client.clone());
         actix_rt::spawn(async move { recover_target(&node, &client).await });
     }
-    while let Some(departure) = departures.recv().await {
-        if let Err(failure) = store(&node, &client, &departure.incarnation).await {
-            node.log_event(Event::DepartureNotStored, format_args!("{failure}"));
+    while let Some(mut departure) = departures.recv().await {
+        // A target repeats its notice while the store is away.
+        while let Ok(later) = departures.try_recv() {
+            departure = later;
+        }
+        match store(&node, &client, &departure).await {
+            Ok(()) => node.departures.confirm(&departure),
+            Err(failure) => {
+                node.log_event(Event::DepartureNotStored, format_args!("{failure}"));
+            }
         }
-        // The receiver is dropped if the target no longer waits for the
-        // acknowledgement.
-        let _ = departure.stored.send(());
     }
 }
 
@@ -96,9 +103,13 @@
 /// its health check and removes stale rows.
 async fn recover_target(node: &Arc<Node>, client: &Client) {
     let deadline = node.clock.now() + ADOPTION_TIMEOUT;
+    let peers_deadline = node.clock.now() + MAX_PEER_WAIT;
     if !read_departure(node, client, deadline).await {
         return;
     }
+    while !node.members.exchanged.load(Ordering::Relaxed) && node.clock.now() < peers_deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
     lock(&node.registration).end_deferral();
     while node.lookup().config.revision == 0 {
         if node.clock.now() >= deadline {
@@ -173,6 +184,11 @@
     };
     let is_current = lock(&node.registration).deregister(&entry.instance, Some(entry.born_ms));
     if is_current {
+        let incarnation = Incarnation {
+            instance: Arc::clone(&entry.instance),
+            born_ms: entry.born_ms,
+        };
+        node.departures.confirm(&incarnation);
         node.local_target.set_leaving();
         crate::members::publish(node);
         node.log_event(
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -7,6 +7,7 @@
 use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler};
 use cardamomshed_code::Event;
 use cardamomshed_platform::Consumers;
+use cardamomshed_policy::registration::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Mutex, mpsc};
 
@@ -14,7 +15,6 @@
 use super::{follower, gossip, leaving, quota, warmth};
 use crate::claim::command::Command;
 use crate::claim::store;
-use crate::departure::Departure;
 use crate::job::Job;
 use crate::link;
 use crate::link::table::Task;
@@ -33,8 +33,8 @@
     pub jobs: mpsc::UnboundedReceiver<Job>,
     /// Commands to claim or settle idempotency keys.
     pub claims: mpsc::UnboundedReceiver<Command>,
-    /// Departures of the target to be persisted.
-    pub departures: mpsc::UnboundedReceiver<Departure>,
+    /// Departures of the target to be stored.
+    pub departures: mpsc::UnboundedReceiver<Incarnation>,
     /// Links whose tasks are to be spawned.
     pub link_tasks: mpsc::UnboundedReceiver<Task>,
     /// Gossip packets to be sent.
--- a/crates/daemon/src/http/control.rs
+++ b/crates/daemon/src/http/control.rs
@@ -11,20 +11,18 @@
 use cardamomshed_platform::registration::{self, ACKNOWLEDGEMENT, Heartbeat, State};
 use cardamomshed_policy::registration::{Incarnation, Verdict};
 use cardamomshed_policy::warmup::Report;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::announce;
-use crate::departure::Departure;
-use crate::members::publish;
+use crate::members::{announce_departure, publish};
 use crate::node::Node;
 use crate::sync::lock;
 use crate::target::Announcement;
 use crate::warmth;
 
 /// Longest time for which the acknowledgement to a leaving target is delayed
-/// until the departure is stored. A target waits one second for it.
-const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// until its departure is confirmed. A target waits one second for it.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for which a heartbeat waits while it is deferred. A target waits
 /// one second for the acknowledgement.
 const MAX_DEFERRAL_WAIT: Duration = Duration::from_millis(700);
@@ -63,18 +61,18 @@
     match verdict {
         Verdict::New { leaving } | Verdict::Current { leaving } => {
             let announcement = announcement(&node, &heartbeat, &incarnation, leaving);
-            let was_leaving = node.local_target.is_leaving();
             let left = heartbeat.warmup_left;
             let restarted = matches!(verdict, Verdict::New { .. });
             warmth::configure(&node, !left.is_zero());
             let report = Report::Heartbeat { left, restarted };
             announce::apply(&node, announcement, Some(report));
-            if leaving && !was_leaving {
-                store_departure(&node, incarnation).await;
-            }
         }
         Verdict::Stale | Verdict::Deferred => {}
     }
+    let is_leaving = lock(&node.registration).leaving() == Some(&incarnation);
+    if draining && is_leaving && !confirm_departure(&node, &incarnation).await {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     acknowledge()
 }
 
@@ -96,18 +94,20 @@
     }
 }
 
-/// Persists the departure of a target, so that it survives a restart of the daemon.
-/// Waits until it is stored, at most [`STORE_TIMEOUT`].
-async fn store_departure(node: &Node, incarnation: Incarnation) {
-    let (sender, stored) = oneshot::channel();
-    let departure = Departure {
-        incarnation,
-        stored: sender,
-    };
-    if node.departures.send(departure).is_ok() {
-        // An unavailable store must not block the acknowledgement.
-        let _ = timeout(STORE_TIMEOUT, stored).await;
+/// Makes the departure of a target survive a restart of the daemon. Returns whether the
+/// store or a peer has confirmed it, for which it waits at most [`CONFIRMATION_TIMEOUT`].
+/// A target that gets no acknowledgement repeats its notice.
+async fn confirm_departure(node: &Node, incarnation: &Incarnation) -> bool {
+    let mut confirmed = node.departures.confirmed.subscribe();
+    if confirmed.borrow().as_ref() == Some(incarnation) {
+        return true;
     }
+    // The receiver exists for as long as the process.
+    let _ = node.departures.unstored.send(incarnation.clone());
+    announce_departure(node, incarnation);
+    let is_confirmed = confirmed.wait_for(|confirmed| confirmed.as_ref() == Some(incarnation));
+    let result = timeout(CONFIRMATION_TIMEOUT, is_confirmed).await;
+    result.is_ok_and(|confirmed| confirmed.is_ok())
 }
 
 /// Handles the deregistration of a target, which receives no new calls from then
@@ -128,8 +128,10 @@
         );
         publish(&node);
         let leaving = lock(&node.registration).leaving().cloned();
-        if let Some(incarnation) = leaving {
-            store_departure(&node, incarnation).await;
+        if let Some(incarnation) = leaving
+            && !confirm_departure(&node, &incarnation).await
+        {
+            return HttpResponse::ServiceUnavailable().finish();
         }
     }
     acknowledge()
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -103,7 +103,7 @@
             record,
             uncounted,
         } => {
-            let (records, sizes) = {
+            let (mut records, sizes) = {
                 let fleet = lock(&node.members.fleet);
                 let sizes = (uncounted && fleet.is_counted()).then(|| fleet.sizes());
                 (fleet.differing(&digests), sizes)
@@ -112,7 +112,11 @@
                 send(out, Frame::Sizes(sizes));
             }
             if let Some(record) = record {
+                let name = Arc::clone(&record.name);
                 merge_members(node, vec![*record]);
+                // A process that has restarted may not know the departure of its target.
+                let departed = lock(&node.members.fleet).departed(&name).cloned();
+                records.extend(departed);
             }
             // The sender waits for a response even if nothing differs.
             if records.is_empty() {
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
-use cardamomshed_policy::member::{Change, Fleet, Output, Record, Size, State, rank_key};
+use cardamomshed_policy::member::{
+    Change, Departure, Fleet, Output, Record, Size, State, rank_key,
+};
+use cardamomshed_policy::registration::Incarnation;
 use cardamomshed_wire::Frame;
 
 use crate::node::Node;
@@ -43,11 +46,51 @@
         *lock(&node.configuration.newer_member) = Some(name);
         node.configuration.wake.notify_one();
     }
+    if let Some(departure) = output.held_departure {
+        restore_departure(node, departure);
+    }
     if let Some(confirmed) = output.confirmed {
         node.confirm_configuration(confirmed, "peer");
     }
 }
 
+/// Marks the target as leaving if a peer holds its departure, which a process of this
+/// daemon before a restart may have told it.
+fn restore_departure(node: &Node, departure: Departure) {
+    let incarnation = Incarnation {
+        instance: departure.instance,
+        born_ms: departure.born_ms,
+    };
+    let is_known = lock(&node.registration).leaving() == Some(&incarnation);
+    let is_restored = !is_known
+        && lock(&node.registration).deregister(&incarnation.instance, Some(incarnation.born_ms));
+    if !is_known && !is_restored {
+        return;
+    }
+    node.departures.confirm(&incarnation);
+    if is_restored {
+        node.local_target.set_leaving();
+        node.log_event(
+            Event::DepartureReturned,
+            format_args!("instance={}", incarnation.instance),
+        );
+        publish(node);
+        // The receiver exists for as long as the process.
+        let _ = node.departures.unstored.send(incarnation);
+    }
+}
+
+/// Advertises the departure of the local target to the members, which confirm that they
+/// hold it.
+pub fn announce_departure(node: &Node, incarnation: &Incarnation) {
+    let departure = Departure {
+        instance: Arc::clone(&incarnation.instance),
+        born_ms: incarnation.born_ms,
+    };
+    let output = lock(&node.members.fleet).announce_departure(&departure, &mut rand::rng());
+    apply_output(node, output);
+}
+
 /// Broadcasts the time of the last confirmation of the configuration within the
 /// local failure domain.
 pub fn broadcast_confirmation(node: &Node) {
@@ -81,7 +124,7 @@
 
 /// Publishes the current state of the target and the lender slots to the fleet, and
 /// updates this daemon's own routing and lender directory.
-pub fn publish(node: &Arc<Node>) {
+pub fn publish(node: &Node) {
     let output = {
         let mut fleet = lock(&node.members.fleet);
         let mut profile = fleet.own().profile.clone();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,7 +10,7 @@
 use cardamomshed_policy::admission::{self, Admission};
 use cardamomshed_policy::confirmation::Date;
 use cardamomshed_policy::member::{self, Fleet, Profile};
-use cardamomshed_policy::registration::Registration;
+use cardamomshed_policy::registration::{Incarnation, Registration};
 use cardamomshed_policy::route::ByteBudget;
 use cardamomshed_wire::{Request, Secret};
 use slog::{Logger, info};
@@ -21,7 +21,7 @@
 use crate::clock::{Clock, wall_clock_us};
 use crate::configuration::Configuration;
 use crate::context::Contexts;
-use crate::departure::Departure;
+use crate::departure::Departures;
 use crate::job::Job;
 use crate::lifecycle::Lifecycle;
 use crate::link::table::Links;
@@ -39,8 +39,8 @@
     pub jobs: mpsc::UnboundedSender<Job>,
     /// Commands to claim or settle idempotency keys.
     pub claims: mpsc::UnboundedSender<Command>,
-    /// Departures of the target to be persisted.
-    pub departures: mpsc::UnboundedSender<Departure>,
+    /// Departures of the target to be stored.
+    pub departures: mpsc::UnboundedSender<Incarnation>,
     /// Gossip packets to be sent.
     pub gossip: mpsc::UnboundedSender<member::Send>,
 }
@@ -108,8 +108,8 @@
     pub jobs: mpsc::UnboundedSender<Job>,
     /// Commands to claim or settle idempotency keys.
     pub claims: mpsc::UnboundedSender<Command>,
-    /// Departures of the target to be persisted.
-    pub departures: mpsc::UnboundedSender<Departure>,
+    /// Departures of the target.
+    pub departures: Departures,
 }
 
 /// Parameters that experiments vary.
@@ -182,7 +182,7 @@
             log,
             jobs: channels.jobs,
             claims: channels.claims,
-            departures: channels.departures,
+            departures: Departures::new(channels.departures),
             name,
             clock,
             current: RwLock::new(Arc::new(settings.clone())),
@@ -272,6 +272,7 @@
         slots: 0,
         open: false,
         lender_slots: Vec::new(),
+        departure: None,
     };
     Fleet::new(gossip, Arc::clone(name), epoch_us / 1_000, profile)
 }
--- a/crates/daemon/tests/all/lender_directory.rs
+++ b/crates/daemon/tests/all/lender_directory.rs
@@ -22,6 +22,7 @@
             slots: 0,
             open: false,
             lender_slots: lender_slots.to_vec(),
+            departure: None,
         },
     }
 }
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -413,6 +413,7 @@
             slots: 8,
             open: true,
             lender_slots: Vec::new(),
+            departure: None,
             ..own.profile
         },
     };
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -39,6 +39,7 @@
             slots: 8,
             open: true,
             lender_slots: vec![0],
+            departure: None,
         },
     }
 }
--- a/crates/daemon/tests/all/platform_sidecar.rs
+++ b/crates/daemon/tests/all/platform_sidecar.rs
@@ -161,6 +161,13 @@
         self.second = Member::start(settings, Options::default());
     }
 
+    /// Like [`Self::restart_second`], with the same addresses.
+    pub(crate) fn restart_in_place(&mut self) {
+        let settings = self.second.node.settings.clone();
+        self.second.leave();
+        self.second = Member::start(settings, Options::default());
+    }
+
     pub(crate) fn configure(&self, version: u64, key: &str) {
         self.platform.write("op", "config", &config(version, key));
     }
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -10,6 +10,7 @@
 mod broadcast;
 mod census;
 mod contact;
+mod departure;
 mod exchange;
 mod merge;
 mod offset;
@@ -32,7 +33,7 @@
 pub use census::Size;
 pub use packet::{Packet, Payload};
 use probe::{Forwarded, Ping, Probe};
-pub use record::{Profile, Record, State, rank_key};
+pub use record::{Departure, Profile, Record, State, rank_key};
 use updates::Updates;
 
 use crate::confirmation::Date;
@@ -108,6 +109,8 @@
     pub confirmed: Option<Date>,
     /// Member whose digest keeps differing. The caller requests records from it.
     pub diverged: Option<Arc<str>>,
+    /// Departure of the local target that another member holds.
+    pub held_departure: Option<Departure>,
 }
 
 #[derive(Debug)]
@@ -283,6 +286,7 @@
             self.review_census(now);
             self.end_probe(now, &mut output);
             self.start_probe(random, now, &mut output);
+            self.probe_departed(random, now, &mut output);
         }
         output
     }
@@ -303,12 +307,14 @@
         } else if packet.revision == self.revision {
             self.merge_confirmation(&packet, now, &mut output);
         }
+        let mut returned = self.returned_record(&packet);
         match packet.payload {
             Payload::Ping { sequence } => {
-                let answer = self.packet(Payload::Ack {
+                let mut answer = self.packet(Payload::Ack {
                     sequence,
                     clock_us: now.as_micros(),
                 });
+                answer.records.extend(returned.take());
                 output.sends.push(Send {
                     to: from,
                     packet: answer,
@@ -325,6 +331,13 @@
                 output.sends.extend(self.forward(&packet));
             }
         }
+        if let Some(record) = returned {
+            let packet = Packet {
+                records: vec![record],
+                ..self.status(Payload::Push)
+            };
+            output.sends.push(Send { to: from, packet });
+        }
         output
     }
 
--- a/crates/policy/src/member/merge.rs
+++ b/crates/policy/src/member/merge.rs
@@ -27,15 +27,17 @@
 
     pub(super) fn merge(
         &mut self,
-        record: Record,
+        mut record: Record,
         source: Source,
         now: Moment,
         output: &mut Output,
     ) {
         if record.name == self.own.name {
+            self.take_departure(&record, output);
             self.refute(&record);
             return;
         }
+        self.keep_departure(&mut record, source);
         let known = self.members.get(&record.name);
         let previous_address = known.map(|member| member.record.profile.gossip);
         let before = match self.members.get_mut(&record.name) {
--- a/crates/policy/src/member/probe.rs
+++ b/crates/policy/src/member/probe.rs
@@ -244,7 +244,7 @@
     }
 
     /// Sequence number of a ping that is sent now.
-    fn next_ping(&mut self, subject: &Arc<str>, now: Moment) -> u64 {
+    pub(super) fn next_ping(&mut self, subject: &Arc<str>, now: Moment) -> u64 {
         self.sequence += 1;
         let ping = Ping {
             subject: Arc::clone(subject),
--- a/crates/policy/src/member/record.rs
+++ b/crates/policy/src/member/record.rs
@@ -33,6 +33,21 @@
     }
 }
 
+/// Notice of a target that it leaves.
+///
+/// Members keep the latest notice of each other member, also if a later record of that
+/// member lacks it, and return it to a process of that member that does not know it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Departure {
+    /// Start of the target, in milliseconds of its wall clock; zero if unknown.
+    #[serde(rename = "b")]
+    pub born_ms: u64,
+    /// Identity of the target.
+    #[serde(rename = "i")]
+    pub instance: Arc<str>,
+}
+
 /// Attributes that a member advertises.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -64,6 +79,9 @@
     /// Lender slots of the failure domain that the member holds.
     #[serde(rename = "l")]
     pub lender_slots: Vec<u16>,
+    /// Latest departure of a target of the member.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub departure: Option<Departure>,
 }
 
 /// Hash of a member's name that orders the members of a failure domain, lowest
--- a/crates/policy/src/registration.rs
+++ b/crates/policy/src/registration.rs
@@ -164,6 +164,14 @@
         let is_current = entry.incarnation.instance == *instance
             && (entry.start_unknown
                 || born_ms.is_none_or(|born_ms| born_ms == entry.incarnation.born_ms));
+        if is_current
+            && entry.start_unknown
+            && let Some(born_ms) = born_ms
+        {
+            // A later run of the same instance is told from this one by its start.
+            entry.incarnation.born_ms = born_ms;
+            entry.start_unknown = false;
+        }
         entry.leaving |= is_current;
         is_current
     }
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod member_census;
 mod member_confirmation;
 mod member_contacts;
+mod member_departure;
 mod member_gossip;
 mod price_fanout;
 mod quota_bound;
@@ -62,6 +63,7 @@
             slots: 0,
             open: true,
             lender_slots: Vec::new(),
+            departure: None,
         },
     }
 }
--- a/crates/policy/tests/all/member_confirmation.rs
+++ b/crates/policy/tests/all/member_confirmation.rs
@@ -26,6 +26,7 @@
         slots: 0,
         open: true,
         lender_slots: Vec::new(),
+        departure: None,
     };
     Fleet::new(Config::default(), name.into(), incarnation, profile)
 }
--- a/crates/policy/tests/all/member_gossip.rs
+++ b/crates/policy/tests/all/member_gossip.rs
@@ -44,6 +44,7 @@
         slots: 0,
         open: true,
         lender_slots: Vec::new(),
+        departure: None,
     }
 }
 
--- a/crates/policy/tests/all/registration_order.rs
+++ b/crates/policy/tests/all/registration_order.rs
@@ -153,3 +153,16 @@
         Verdict::New { leaving: false }
     );
 }
+
+/// Guards against a departure of an earlier run that a peer returns, and that keeps a
+/// later run of the same instance out for good once a health check has found it.
+#[test]
+fn earlier_departure_returned() {
+    let mut registration = Registration::default();
+    assert!(registration.adopt(&"i-1".into()));
+    assert!(registration.deregister(&"i-1".into(), Some(10)));
+    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false, Moment::ZERO);
+    assert_eq!(verdict, Verdict::New { leaving: false });
+    let verdict = registration.heartbeat(&incarnation("i-1", 10), 9, false, Moment::ZERO);
+    assert_eq!(verdict, Verdict::Stale);
+}
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -44,6 +44,7 @@
             slots: 50,
             open: true,
             lender_slots: Vec::new(),
+            departure: None,
         },
     }
 }
--- a/crates/wire/tests/all/gossip_seal.rs
+++ b/crates/wire/tests/all/gossip_seal.rs
@@ -1,8 +1,10 @@
 //! Only gossip datagrams that are authenticated with the fleet secret are
 //! accepted.
 
+use std::net::SocketAddr;
+
 use cardamomshed_code::Code;
-use cardamomshed_policy::member::{Packet, Payload};
+use cardamomshed_policy::member::{Departure, Packet, Payload, Profile};
 use cardamomshed_wire::{Secret, open, seal};
 
 fn packet() -> Packet {
@@ -39,3 +41,49 @@
     }
     assert!(open(&secret, &datagram[..10]).is_err());
 }
+
+fn profile(departure: Option<Departure>) -> Profile {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Profile {
+        domain: "domain".into(),
+        region: "region".into(),
+        gossip: address,
+        peer: address,
+        admin: address,
+        service: None,
+        slots: 8,
+        open: false,
+        lender_slots: Vec::new(),
+        departure,
+    }
+}
+
+/// Guards against a fleet that falls apart while its daemons are replaced by a version
+/// that knows departures.
+#[test]
+fn versions_compatible() {
+    /// The fields that matter here of a profile in a version without departures.
+    #[derive(serde::Deserialize)]
+    struct Old {
+        #[serde(rename = "n")]
+        slots: u32,
+    }
+    let encode = |profile: &Profile| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(profile, &mut bytes).expect("a profile");
+        bytes
+    };
+    let departure = Departure {
+        born_ms: 1_776_973_342_010,
+        instance: "i-7f3a91c2".into(),
+    };
+    let with = encode(&profile(Some(departure.clone())));
+    let old = ciborium::from_reader::<Old, _>(&*with).expect("an old profile");
+    assert_eq!(old.slots, 8);
+    let new = ciborium::from_reader::<Profile, _>(&*with).expect("a profile");
+    assert_eq!(new.departure, Some(departure));
+    let without = encode(&profile(None));
+    let new = ciborium::from_reader::<Profile, _>(&*without).expect("a profile");
+    assert_eq!(new.departure, None);
+    assert_eq!(with.len() - without.len(), 27, "bytes of a departure");
+}
