--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -63,6 +63,7 @@
     HeartbeatRejected = 315, "registration call rejected; it identifies no target of this daemon";
     DepartureNotStored = 316, "target deregistration could not be stored or read back";
     TargetUnidentified = 317, "target did not report its identity; the daemon waits for its heartbeat";
+    DepartureReturned = 318, "departure of the target received back from a peer";
     MemberJoined = 320, "member joined";
     MemberSuspected = 321, "member suspected";
     MemberFailed = 322, "member failed";
@@ -71,6 +72,8 @@
     EvacuationBegun = 330, "evacuation of a failure domain begun; its targets receive no new requests";
     EvacuationEnded = 331, "evacuation of a failure domain ended";
     EvacuationIgnored = 332, "evacuation of an unknown failure domain ignored";
+    TargetCold = 340, "target cold, or possibly so; its calls are limited";
+    TargetWarm = 341, "target warm; its calls are no longer limited";
     NoteInForce = 400, "release note in force";
     NoteRejected = 401, "release note from the platform could not be applied";
     ConfigInForce = 402, "configuration in force";
--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -9,6 +9,7 @@
 mod rewrite;
 pub mod root;
 mod seeds;
+mod warmth;
 mod worker;
 
 pub use worker::Stop;
--- a/crates/daemon/src/actor/rewrite.rs
+++ b/crates/daemon/src/actor/rewrite.rs
@@ -7,9 +7,7 @@
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
-use tokio::sync::oneshot;
 
-use crate::departure::Departure;
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -28,11 +26,6 @@
     let Some(incarnation) = lock(&node.registration).leaving().cloned() else {
         return;
     };
-    let (stored, _) = oneshot::channel();
-    let departure = Departure {
-        incarnation,
-        stored,
-    };
-    // The receiver lives as long as the daemon.
-    let _ = node.departures.send(departure);
+    // The receiver exists for as long as the process.
+    let _ = node.departures.unstored.send(incarnation);
 }
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -7,14 +7,14 @@
 use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler};
 use cardamomshed_code::Event;
 use cardamomshed_platform::Consumers;
+use cardamomshed_policy::registration::Incarnation;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Mutex, mpsc};
 
 use super::worker::{LocalFuture, Stop, Worker};
-use super::{follower, gossip, leaving, quota, rewrite};
+use super::{follower, gossip, leaving, quota, rewrite, warmth};
 use crate::claim::command::Command;
 use crate::claim::store;
-use crate::departure::Departure;
 use crate::job::Job;
 use crate::link;
 use crate::link::table::Task;
@@ -33,8 +33,8 @@
     pub jobs: mpsc::UnboundedReceiver<Job>,
     /// Commands to claim or settle idempotency keys.
     pub claims: mpsc::UnboundedReceiver<Command>,
-    /// Departures of the target to be persisted.
-    pub departures: mpsc::UnboundedReceiver<Departure>,
+    /// Departures of the target to be stored.
+    pub departures: mpsc::UnboundedReceiver<Incarnation>,
     /// Links whose tasks are to be spawned.
     pub link_tasks: mpsc::UnboundedReceiver<Task>,
     /// Gossip packets to be sent.
@@ -123,6 +123,8 @@
         let node = Arc::clone(&self.node);
         self.supervise("rewrite", move || Box::pin(rewrite::run(Arc::clone(&node))));
         let node = Arc::clone(&self.node);
+        self.supervise("warmth", move || Box::pin(warmth::run(Arc::clone(&node))));
+        let node = Arc::clone(&self.node);
         self.supervise("quota", move || Box::pin(quota::run(Arc::clone(&node))));
         let node = Arc::clone(&self.node);
         self.supervise("sweeper", move || Box::pin(sweep(Arc::clone(&node))));
@@ -170,7 +172,9 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = node.clock.now();
         node.links.sessions.remove_expired(now);
+        crate::warmth::configure(&node, false);
         node.local_target.tick();
+        crate::warmth::update(&node);
         node.routing.windows.tick();
         lock(&node.routing.prices).fanout.tick(now);
         divide_retries(&node);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dispatch;
 pub mod evacuation;
 pub mod exchange;
+mod health_check;
 pub mod history;
 pub mod http;
 pub mod job;
@@ -41,6 +42,7 @@
 pub mod target;
 pub mod tls;
 pub mod trace;
+pub mod warmth;
 
 pub use daemon::Daemon;
 pub use node::Options;
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -34,6 +34,7 @@
 mod store_return;
 mod target_recovery;
 mod unconfirmed_start;
+mod warmup_target;
 
 use std::time::Duration;
 
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -10,6 +10,7 @@
 mod broadcast;
 mod census;
 mod contact;
+mod departure;
 mod evacuation;
 mod exchange;
 mod merge;
@@ -33,7 +34,7 @@
 pub use census::Size;
 pub use packet::{Packet, Payload};
 use probe::{Forwarded, Ping, Probe};
-pub use record::{Profile, Record, State, rank_key};
+pub use record::{Departure, Profile, Record, State, rank_key};
 use updates::Updates;
 
 use crate::confirmation::Date;
@@ -112,6 +113,8 @@
     pub diverged: Option<Arc<str>>,
     /// Whether the set of evacuated failure domains changed.
     pub evacuations_changed: bool,
+    /// Departure of the local target that another member holds.
+    pub held_departure: Option<Departure>,
 }
 
 #[derive(Debug)]
@@ -290,6 +293,7 @@
             self.review_census(now);
             self.end_probe(now, &mut output);
             self.start_probe(random, now, &mut output);
+            self.probe_departed(random, now, &mut output);
         }
         output
     }
@@ -311,12 +315,14 @@
         } else if packet.revision == self.revision {
             self.merge_confirmation(&packet, now, &mut output);
         }
+        let mut returned = self.returned_record(&packet);
         match packet.payload {
             Payload::Ping { sequence } => {
-                let answer = self.packet(Payload::Ack {
+                let mut answer = self.packet(Payload::Ack {
                     sequence,
                     clock_us: now.as_micros(),
                 });
+                answer.records.extend(returned.take());
                 output.sends.push(Send {
                     to: from,
                     packet: answer,
@@ -333,6 +339,13 @@
                 output.sends.extend(self.forward(&packet));
             }
         }
+        if let Some(record) = returned {
+            let packet = Packet {
+                records: vec![record],
+                ..self.status(Payload::Push)
+            };
+            output.sends.push(Send { to: from, packet });
+        }
         output
     }
 
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod member_census;
 mod member_confirmation;
 mod member_contacts;
+mod member_departure;
 mod member_gossip;
 mod pipeline_order;
 mod price_fanout;
@@ -21,6 +22,7 @@
 mod route_choice;
 mod route_rejection;
 mod wallet_prefetch;
+mod warmup_limit;
 mod window_backpressure;
 
 use std::net::SocketAddr;
@@ -64,6 +66,7 @@
             slots: 0,
             open: true,
             lender_slots: Vec::new(),
+            departure: None,
         },
     }
 }
