Test the close of pipelined requests by a leaving daemon

Cause: that a leaving daemon answers what it has started and closes with the last response was shown with handlers of a test only.

Change: pipelined_requests::leaving_daemon_closes_last sends three requests at once to a daemon that leaves: only the third response closes.

--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -65,7 +65,7 @@
 /// How a connection ended.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum End {
-    /// The last response has been written.
+    /// The last response has been written, or no further request came in time.
     Answered,
     /// The client has closed its side, or failed to read or write.
     Gone,
--- a/crates/daemon/tests/all/pipelined_requests.rs
+++ b/crates/daemon/tests/all/pipelined_requests.rs
@@ -4,11 +4,12 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
-use cardamomshed_standin::client::eventually;
+use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::Fleet;
 use cardamomshed_standin::target::Target;
 
 use crate::chain;
+use crate::platform_sidecar::{Deployment, eventually_status};
 
 /// Time-out of a read. It is longer than any response takes.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -105,3 +106,27 @@
     }
     assert_eq!(fleet.executions(), 40, "unread requests were started");
 }
+
+/// Guards against a leaving daemon that closes a connection before requests which run
+/// are answered, or that does not close it.
+#[test]
+fn leaving_daemon_closes_last() {
+    let mut fleet = Deployment::start();
+    fleet.configure(3, "key-one");
+    fleet.heartbeat("ready");
+    let callers = fleet.second.node.settings.callers;
+    let get = Request::get(callers, "/open/").header("host", "h.example");
+    eventually_status(200, || get.clone().send());
+    fleet.second.node.lifecycle.set_leaving();
+    let mut stream = TcpStream::connect(callers).expect("a connection");
+    let timeout = Some(READ_TIMEOUT);
+    stream.set_read_timeout(timeout).expect("a socket");
+    let request = "GET /open/ HTTP/1.1\r\nhost: h.example\r\n\r\n";
+    let sent = stream.write_all(request.repeat(3).as_bytes());
+    sent.expect("the requests are sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an orderly end");
+    let responses = text.split("HTTP/1.1 200 OK\r\n").skip(1);
+    let closes = responses.map(|response| response.contains("connection: close\r\n"));
+    assert_eq!(closes.collect::<Vec<_>>(), [false, false, true], "{text}");
+}
