Advertise a cold target at most once a second

A target whose connections fail now and then would change its member record at each suspicion and each health check after it.

A change of the advertised state follows the one before it after one second or more; load reports still tell it at once.

--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -131,6 +131,7 @@
             announcement,
             broken: 0,
             advertised_cold: false,
+            advertised_at: None,
         });
         drop(target);
         self.request_check();
@@ -228,8 +229,8 @@
         }
     }
 
-    /// Whether the target became cold or warm since the last call, and its remaining
-    /// cold time.
+    /// Whether the target became cold or warm since it was last advertised, and its
+    /// remaining cold time.
     pub fn take_cold_change(&self) -> Option<(bool, Duration)> {
         let now = self.clock.now();
         lock(&self.state).as_mut()?.take_cold_change(now)
--- a/crates/daemon/src/target/state.rs
+++ b/crates/daemon/src/target/state.rs
@@ -12,6 +12,9 @@
 use super::announcement::Announcement;
 use super::call::Connection;
 
+/// Shortest interval between two changes of the advertised state. A target whose
+/// connections fail now and then would otherwise change its member record at each.
+const MIN_ADVERTISEMENT_INTERVAL: Duration = Duration::from_secs(1);
 /// Broken connections in a row after which the target may have restarted.
 const MAX_BROKEN: u32 = 3;
 
@@ -32,6 +35,8 @@
     pub(super) broken: u32,
     /// Whether the target is advertised as cold.
     pub(super) advertised_cold: bool,
+    /// When that last changed.
+    pub(super) advertised_at: Option<Moment>,
 }
 
 impl State {
@@ -45,16 +50,18 @@
         self.broken >= MAX_BROKEN
     }
 
-    /// Whether the target became cold or warm since the last call, and its remaining
-    /// cold time.
+    /// Whether the target became cold or warm since it was last advertised, and its
+    /// remaining cold time. A change soon after the last one is told later.
     pub(super) fn take_cold_change(&mut self, now: Moment) -> Option<(bool, Duration)> {
         let warmup = self.gate.warmup();
         let is_cold = warmup.is_in_force(now);
-        if self.advertised_cold == is_cold {
+        let is_recent = |at: Moment| now.since(at) < MIN_ADVERTISEMENT_INTERVAL;
+        if self.advertised_cold == is_cold || self.advertised_at.is_some_and(is_recent) {
             return None;
         }
         let remaining = warmup.remaining(now);
         self.advertised_cold = is_cold;
+        self.advertised_at = Some(now);
         Some((is_cold, remaining))
     }
 
