Adopt the next instance after the departure of another one

Peers keep the departure of a target for good and return it to a daemon that restarts. That daemon then took no target from a health check, also where another instance had replaced the one that left, and waited for its heartbeat.

A health check of another instance than the leaving one is adopted. Late heartbeats of the former instance stay refused.

--- a/crates/policy/src/registration.rs
+++ b/crates/policy/src/registration.rs
@@ -127,9 +127,11 @@
 
     /// Registers an instance that answered a health check. Returns whether it may
     /// receive calls, which requires that no heartbeat or deregistration was
-    /// processed before.
+    /// processed before, except the deregistration of another instance: the one that
+    /// answers has replaced it.
     pub fn adopt(&mut self, instance: &Arc<str>) -> bool {
-        if self.current.is_some() {
+        let is_replaced = |entry: &Entry| entry.leaving && entry.incarnation.instance != *instance;
+        if !self.current.as_ref().is_none_or(is_replaced) {
             return false;
         }
         let incarnation = Incarnation {
--- a/crates/policy/tests/all/registration_order.rs
+++ b/crates/policy/tests/all/registration_order.rs
@@ -166,3 +166,15 @@
     let verdict = registration.heartbeat(&incarnation("i-1", 10), 9, false, Moment::ZERO);
     assert_eq!(verdict, Verdict::Stale);
 }
+
+/// Guards against the departure of a former instance that a peer returns, and that keeps
+/// out the next instance, found by a health check, until its heartbeat.
+#[test]
+fn next_instance_adopted() {
+    let mut registration = Registration::default();
+    assert!(registration.deregister(&"i-1".into(), Some(10)));
+    assert!(!registration.adopt(&"i-1".into()));
+    assert!(registration.adopt(&"i-2".into()));
+    let verdict = registration.heartbeat(&incarnation("i-1", 10), 9, false, Moment::ZERO);
+    assert_eq!(verdict, Verdict::Stale);
+}
