Test the guard beside an evacuated target with a caller that knows nothing

Without the guard, a daemon that has not learned of an evacuation reached the target. No test showed it on its own. The test of a restored store asked a daemon that prefers its own domain in any case, so it passed without the hold; it now asks the daemon of the evacuated domain.

--- a/crates/daemon/tests/all/domain_evacuation.rs
+++ b/crates/daemon/tests/all/domain_evacuation.rs
@@ -108,7 +108,8 @@
     fleet.platform.set_era(1);
     fleet.platform.remove("op", "evacuate/a");
     std::thread::sleep(Duration::from_millis(2_500));
-    assert_eq!(fleet.runs_of(1, 10)[0], 0);
+    assert_eq!(evacuated(&fleet, 0), ["a"]);
+    assert_eq!(fleet.runs_of(0, 10)[0], 0);
     evacuate(&fleet, "a");
     await_evacuated(&fleet, &["a"]);
 }
@@ -140,3 +141,19 @@
     }
     assert_eq!(fleet.sites[0].runs(), before + 1);
 }
+
+/// Guards against a call that reaches an evacuated target from a daemon that does not
+/// know of the evacuation yet, or that is refused there and nowhere else tried.
+#[test]
+fn unaware_caller_refused() {
+    let fleet = Fleet::start();
+    fleet.configure(3, |value| {
+        value["routes"]["r-open"]["max-attempts"] = json!(1);
+    });
+    // Only the guard beside the target learns of it.
+    let node = &fleet.sites[0].member.node;
+    node.evacuation.apply(&["a".into()].into());
+    assert_eq!(fleet.runs_of(0, 10), [0, 10, 0]);
+    node.evacuation.apply(&[].into());
+    assert_eq!(fleet.runs_of(0, 10), [10, 0, 0]);
+}
