Choose targets by an estimate of their load, and spill by price

Cause: many daemons choose by reports that arrive only with their own replies. The larger of report and own calls hid what was sent since, load times service time gave slow targets too little, and two random samples mostly compared reports that were too old. The slow link was used only above four limits, a load at which the ingress has long refused requests by price.

Change: `route::estimate` adds the calls sent since the report and returns to the usual load as it ages; a target that nothing is known of counts as usually loaded. Two random samples are compared with the four targets that reported last (`route::recent`), by free slots and then by wait. A share of the calls leaves a tier whose prices stand above a bound for 500 ms, in proportion to the logarithm of the price (`route::spill`). A queue of four limits still uses the link at once, if that gains more than its round trip. The daemon does not pass prices on to the balancer yet.

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,22 +1,28 @@
 //! Load balancing over the targets of a service.
 //!
-//! Two random targets of the nearest tier are compared and the one with the
-//! smaller backlog is chosen. While targets reject calls, one that does not is
-//! compared with them. Load is the larger of the load that the target's
-//! daemon reported with its last response and the calls from this daemon that
-//! are in flight. The local failure domain is preferred to the rest of the
-//! region, and the region to the slow link between regions. The slow link is
-//! used only within its byte budget.
-
+//! Two random targets of the nearest tier are compared with the few that
+//! reported last, and the one with most free slots, or else the shortest wait,
+//! is chosen. While targets reject calls, one that does not is compared with
+//! them. The local failure domain is preferred to the rest of the region, and
+//! the region to the slow link between regions. The slow link is used only
+//! within its byte budget.
+
+mod compare;
+mod estimate;
 mod health;
 mod link;
+mod recent;
+mod spill;
 
 use std::time::Duration;
 
 use rand::Rng;
 
+use estimate::Estimate;
 use health::Health;
 pub use link::ByteBudget;
+use recent::Recent;
+use spill::{Mean, Spill};
 
 use crate::gate::Load;
 use crate::key::TargetKey;
@@ -44,12 +50,14 @@
 /// nearer target's backlog in time, at which it is chosen instead.
 const REGION_BACKLOG_RATIO: f64 = 0.6;
 /// Load of the nearer target, as a multiple of its limit, above which the slow
-/// link is considered. The link is billed by volume, so it is not used for a
-/// short burst, only for a queue that the nearer targets cannot drain soon.
+/// link is considered at once. The link is billed by volume, so for a shorter
+/// queue it is used only if the nearer targets stay full.
 const REMOTE_SPILL_ABOVE: f64 = 4.0;
-/// Load of a target in another region, as a multiple of its limit, below which
-/// it is chosen over an overloaded nearer target.
-const REMOTE_SPILL_BELOW: f64 = 0.8;
+/// Time that the slow link adds to a call and its reply.
+const REMOTE_ROUND_TRIP: Duration = Duration::from_millis(40);
+/// Load of a target in a farther tier, as a multiple of its limit, below which
+/// it is chosen over a full nearer target.
+const SPILL_BELOW: f64 = 0.8;
 /// Load that is added to a target that rejects every call. A rejected call costs a
 /// retry, of which there are few, so calls rather queue for as long at a target
 /// that accepts them.
@@ -59,8 +67,6 @@
 const SOUND_REJECTION: f64 = 0.05;
 /// Interval between two computations of that mean.
 const REJECTION_INTERVAL: Duration = Duration::from_millis(250);
-/// Age from which a reported load is ignored.
-const MAX_LOAD_AGE: Duration = Duration::from_secs(5);
 
 /// Local view of one target.
 #[derive(Debug)]
@@ -68,12 +74,7 @@
     tier: Tier,
     /// Index in the list of its tier; `by_tier[tier][index]` is this target.
     index: usize,
-    load: Load,
-    load_reported_at: Moment,
-    /// Whether `load` was reported by the target's daemon.
-    is_reported: bool,
-    /// Calls from this daemon that are not answered yet.
-    in_flight: u32,
+    estimate: Estimate,
     open: bool,
     health: Health,
 }
@@ -105,8 +106,10 @@
     pub target: TargetKey,
     /// Its tier.
     pub tier: Tier,
-    /// Load of the target as a multiple of its limit.
+    /// Estimated load of the target as a multiple of its limit.
     pub load: f64,
+    /// Age of the report that the estimate rests on, if there is a recent one.
+    pub age: Option<Duration>,
     /// Alternative that was rejected, with its load.
     pub rejected: Option<(TargetKey, f64)>,
 }
@@ -119,6 +122,16 @@
     free: Vec<TargetKey>,
     /// Keys of the targets, by tier.
     by_tier: [Vec<TargetKey>; TIERS],
+    /// Targets with the newest reports, by tier.
+    recent: [Recent; TIERS],
+    /// Means over the reports of the targets, by tier.
+    means: [Mean; TIERS],
+    /// Mean over the reports of the targets in this region.
+    region_mean: Mean,
+    /// Smoothed service time over all reports, in seconds; zero before the first.
+    mean_time: f64,
+    /// Share of the calls that go beyond the failure domain and beyond the region.
+    spills: [Spill; TIERS - 1],
     ejected: usize,
     service_health: Health,
     /// Mean share of rejected calls over the targets with a recent report, assumed
@@ -135,13 +148,7 @@
         let target = Target {
             tier,
             index: keys.len(),
-            load: Load {
-                limit: slots,
-                ..Load::default()
-            },
-            load_reported_at: now,
-            is_reported: false,
-            in_flight: 0,
+            estimate: Estimate::new(slots, now),
             open: true,
             health: Health::default(),
         };
@@ -160,6 +167,7 @@
             return;
         };
         let keys = &mut self.by_tier[target.tier as usize];
+        self.recent[target.tier as usize].remove(key);
         keys.swap_remove(target.index);
         if let Some(moved) = keys.get(target.index).copied()
             && let Some(moved) = self.targets[moved.0 as usize].as_mut()
@@ -206,24 +214,21 @@
         let mut best: Option<Choice> = None;
         let tiers = [Tier::Domain, Tier::Region, Tier::Remote];
         for tier in tiers.into_iter().take(if remote { 3 } else { 2 }) {
+            // Short waits do not send a call farther, but a tier that stays full does.
+            let is_drawn = self.draw_spill(tier, random, now);
+            if best.is_some_and(|near| near.load <= SPILL_ABOVE) && !is_drawn {
+                continue;
+            }
             let Some(found) = self.choose_in_tier(tier, exclude, random, now) else {
                 continue;
             };
-            let spills = |near: Choice| match tier {
-                Tier::Remote => near.load > REMOTE_SPILL_ABOVE && found.load < REMOTE_SPILL_BELOW,
-                Tier::Domain | Tier::Region => {
-                    let (here, there) =
-                        self.backlogs((near.target, near.load), (found.target, found.load), now);
-                    near.load > SPILL_ABOVE && there < here * REGION_BACKLOG_RATIO
-                }
+            let spills = |near: Choice| {
+                let has_room = found.load <= SPILL_ABOVE;
+                is_drawn && has_room || self.shortens_wait(near, found, random, now)
             };
-            let replaces = best.is_none_or(spills);
-            if replaces {
+            if best.is_none_or(spills) {
                 best = Some(found);
             }
-            if best.is_some_and(|near| near.load <= SPILL_ABOVE) {
-                break;
-            }
         }
         best
     }
@@ -231,7 +236,7 @@
     /// Records that a call was sent.
     pub fn record_start(&mut self, key: TargetKey, now: Moment) {
         if let Some(target) = self.get_mut(key) {
-            target.in_flight += 1;
+            target.estimate.record_start();
             target.health.record_probe(now);
         }
     }
@@ -251,7 +256,7 @@
         let total = self.len();
         let ejected = self.ejected;
         let target = self.targets.get_mut(key.0 as usize)?.as_mut()?;
-        target.in_flight = target.in_flight.saturating_sub(1);
+        target.estimate.record_end();
         if outcome == Outcome::Neutral {
             return None;
         }
@@ -274,10 +279,11 @@
     }
 
     fn record_load(&mut self, key: TargetKey, load: Load, now: Moment) {
+        let used = self.means.map(Mean::used);
         if let Some(target) = self.get_mut(key) {
-            target.load = load;
-            target.load_reported_at = now;
-            target.is_reported = true;
+            let tier = target.tier;
+            target.estimate.record_load(load, used[tier as usize], now);
+            self.observe_load(tier, key, load, now);
         }
         self.update_mean_rejection(now);
     }
@@ -288,7 +294,7 @@
         }
         self.rejection_updated = now;
         let reported = self.targets.iter().flatten();
-        let reported = reported.filter_map(|target| target.reported_rejection(now));
+        let reported = reported.filter_map(|target| target.estimate.rejection(now));
         let (sum, count) = reported.fold((0.0, 0.0), |(sum, count), rejection| {
             (sum + rejection, count + 1.0)
         });
@@ -311,6 +317,7 @@
             target: first,
             tier,
             load: self.load(first, now),
+            age: self.age(first, now),
             rejected: None,
         };
         let second = self.sample(tier, exclude, random, now, |key| key != first);
@@ -319,7 +326,9 @@
         let sound = is_sought
             .then(|| self.sample(tier, exclude, random, now, |key| self.is_sound(key, now)))
             .flatten();
-        for other in [second, sound].into_iter().flatten() {
+        let recent = self.recent[tier as usize].iter();
+        let recent = recent.filter(|key| self.is_eligible(*key, exclude, now));
+        for other in [second, sound].into_iter().flatten().chain(recent) {
             if other != choice.target {
                 choice = self.better_of(choice, other, now);
             }
@@ -327,14 +336,19 @@
         Some(choice)
     }
 
-    /// The one of two targets with the smaller backlog.
+    /// The one of two targets with more free slots or the shorter wait, and of two
+    /// equals the faster one.
     fn better_of(&self, choice: Choice, other: TargetKey, now: Moment) -> Choice {
         let load = self.load(other, now);
-        let (here, there) = self.backlogs((choice.target, choice.load), (other, load), now);
+        let (here, there) = (
+            self.rank(choice.target, choice.load, now),
+            self.rank(other, load, now),
+        );
         if there < here {
             return Choice {
                 target: other,
                 load,
+                age: self.age(other, now),
                 rejected: Some((choice.target, choice.load)),
                 ..choice
             };
@@ -345,25 +359,6 @@
         }
     }
 
-    /// Backlogs of two targets in seconds, each computed as load times service
-    /// time. Targets of one service differ in speed. A target whose service time
-    /// is unknown or was reported too long ago is assumed to be as fast as the
-    /// other.
-    fn backlogs(&self, one: (TargetKey, f64), other: (TargetKey, f64), now: Moment) -> (f64, f64) {
-        let time = |key: TargetKey| {
-            let target = self.targets[key.0 as usize].as_ref();
-            let target = target.filter(|target| now.since(target.load_reported_at) < MAX_LOAD_AGE);
-            let time = target.map(|target| target.load.service_time);
-            time.filter(|time| !time.is_zero())
-        };
-        let (first, second) = (time(one.0), time(other.0));
-        let fallback = Duration::from_secs(1);
-        let of = |own: Option<Duration>, beside: Option<Duration>| {
-            own.or(beside).unwrap_or(fallback).as_secs_f64()
-        };
-        (one.1 * of(first, second), other.1 * of(second, first))
-    }
-
     /// Samples an available target of a tier that meets a condition.
     fn sample(
         &self,
@@ -377,9 +372,7 @@
         if keys.is_empty() {
             return None;
         }
-        let eligible = |key: TargetKey| {
-            condition(key) && !exclude.contains(&key) && self.is_available(key, now)
-        };
+        let eligible = |key: TargetKey| condition(key) && self.is_eligible(key, exclude, now);
         for _ in 0..MAX_SAMPLES {
             let key = keys[random.random_range(0..keys.len())];
             if eligible(key) {
@@ -391,46 +384,9 @@
         order.copied().find(|key| eligible(*key))
     }
 
-    fn is_available(&self, key: TargetKey, now: Moment) -> bool {
-        self.targets[key.0 as usize]
-            .as_ref()
-            .is_some_and(|target| target.open && target.health.accepts_calls(now))
-    }
-
-    /// Load of a target as a multiple of its limit, scaled up by its failure
-    /// rate so that a target that fails fast does not appear idle.
-    fn load(&self, key: TargetKey, now: Moment) -> f64 {
-        let Some(target) = &self.targets[key.0 as usize] else {
-            return f64::INFINITY;
-        };
-        if target.health.is_ejected() {
-            // The ejection has ended; zero load lets the probe call through.
-            return 0.0;
-        }
-        let reported = if now.since(target.load_reported_at) < MAX_LOAD_AGE {
-            target.load.running + target.load.waiting
-        } else {
-            0
-        };
-        let calls = f64::from(reported.max(target.in_flight)) + 1.0;
-        let busy = calls / f64::from(target.load.limit.max(1));
-        let rejection = target.reported_rejection(now);
-        let penalty = rejection.unwrap_or(self.mean_rejection) * REJECTION_LOAD;
-        busy / (1.0 - target.health.failure_rate()).max(0.05) + penalty
-    }
-
-    /// Whether a target recently reported that it rejects few calls.
-    fn is_sound(&self, key: TargetKey, now: Moment) -> bool {
+    fn is_eligible(&self, key: TargetKey, exclude: &[TargetKey], now: Moment) -> bool {
         let target = self.targets[key.0 as usize].as_ref();
-        let rejection = target.and_then(|target| target.reported_rejection(now));
-        rejection.is_some_and(|rejection| rejection < SOUND_REJECTION)
-    }
-}
-
-impl Target {
-    /// Share of rejected calls, if it was reported recently.
-    fn reported_rejection(&self, now: Moment) -> Option<f64> {
-        let is_recent = self.is_reported && now.since(self.load_reported_at) < MAX_LOAD_AGE;
-        is_recent.then_some(self.load.rejection)
+        !exclude.contains(&key)
+            && target.is_some_and(|target| target.open && target.health.accepts_calls(now))
     }
 }
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_level;
 mod confirmation_reads;
+mod even_load;
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
@@ -9,8 +10,11 @@
 mod member_confirmation;
 mod member_contacts;
 mod member_gossip;
+#[path = "../play/mod.rs"]
+mod play;
 mod price_fanout;
 mod quota_bound;
+mod region_spill;
 mod registration_order;
 mod retry_budget;
 mod retry_tokens;
--- /dev/null
+++ b/crates/policy/tests/all/region_spill.rs
@@ -0,0 +1,111 @@
+//! Calls that leave a region for another over the slow link.
+
+use std::time::Duration;
+
+use cardamomshed_policy::gate::Load;
+use cardamomshed_policy::route::{Balancer, Outcome, Tier};
+use cardamomshed_policy::{Moment, TargetKey};
+
+use crate::play::{Figures, Play, Setup, WINDOW};
+use crate::{random, seed};
+
+/// Time after which the share of the link has settled.
+const SETTLED: Duration = Duration::from_secs(10);
+
+fn run(demand: &'static [f64]) -> Figures {
+    let mut setup = Setup::new(seed(), demand);
+    setup.priced = true;
+    setup.warm_up = SETTLED;
+    Play::<Balancer>::run(setup)
+}
+
+/// Shares of the first region's calls that went over the link, by window.
+fn shares(figures: &Figures) -> Vec<f64> {
+    let settled = SETTLED.div_duration_f64(WINDOW) as usize;
+    let windows = figures.windows[settled..].iter();
+    let shares = windows.map(|(calls, far)| f64::from(*far) / f64::from(*calls));
+    shares.collect()
+}
+
+/// Guards against callers that are refused while another region has half of its
+/// capacity free, and against a share of the link that alternates.
+#[test]
+fn full_region_helped() {
+    let figures = run(&[1.3, 0.5]);
+    let lost = figures.priced_out + figures.refused + figures.late;
+    let lost = lost as f64 / figures.calls as f64;
+    assert!(lost <= 0.1, "{lost:.3} were refused or waited too long");
+    let shares = shares(&figures);
+    let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+    let furthest = shares.iter().map(|share| (share - mean).abs());
+    let furthest = furthest.fold(0.0, f64::max);
+    assert!(furthest <= 0.15, "{furthest:.2} from the mean {mean:.2}");
+}
+
+/// Guards against use of the billed link where the region has capacity.
+#[test]
+fn sufficient_region_kept() {
+    let crossed = shares(&run(&[0.8, 0.5]));
+    assert!(
+        crossed.iter().all(|share| *share == 0.0),
+        "calls crossed the link"
+    );
+}
+
+/// Guards against two full regions that send each other calls.
+#[test]
+fn full_regions_kept() {
+    let shares = shares(&run(&[1.1, 1.1]));
+    let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+    assert!(mean <= 0.05, "{mean:.3} of the calls crossed the link");
+}
+
+/// A balancer with a target in the region and one in another, and their keys.
+fn two_regions() -> (Balancer, TargetKey, TargetKey) {
+    let mut balancer = Balancer::default();
+    let near = balancer.insert(Tier::Domain, 10, Moment::ZERO);
+    let far = balancer.insert(Tier::Remote, 10, Moment::ZERO);
+    (balancer, near, far)
+}
+
+/// Number of choices out of 100 that take the other region.
+fn count_remote(balancer: &Balancer, now: Moment) -> usize {
+    let mut random = random();
+    let choices = (0..100).filter_map(|_| balancer.choose(&[], true, &mut random, now));
+    choices.filter(|choice| choice.tier == Tier::Remote).count()
+}
+
+/// Guards against use of the link for a short burst, and for calls that the other region
+/// would serve at the same price.
+#[test]
+fn standing_price_required() {
+    let (mut balancer, near, far) = two_regions();
+    let mut counts = Vec::new();
+    for millis in (0..=2_000).step_by(10) {
+        let now = Moment::from_millis(millis);
+        let is_expensive = millis >= 500;
+        balancer.record_price(near, if is_expensive { 1.0 } else { 0.0 }, now);
+        balancer.record_price(far, if millis >= 1_500 { 1.0 } else { 0.0 }, now);
+        counts.push(count_remote(&balancer, now));
+    }
+    assert!(counts[..=95].iter().all(|count| *count == 0), "a burst");
+    assert!(counts[130] > 20, "the price has stood for 0.8 s");
+    assert_eq!(counts[200], 0, "the other region is as expensive");
+}
+
+/// Guards against a long way to a target that is reached sooner by waiting.
+#[test]
+fn short_waits_kept() {
+    let now = Moment::from_millis(1);
+    let (mut balancer, near, _) = two_regions();
+    balancer.record_start(near, now);
+    let load = Load {
+        running: 10,
+        waiting: 50,
+        limit: 10,
+        service_time: Duration::from_millis(5),
+        rejection: 0.0,
+    };
+    balancer.record_end(near, Outcome::Answered, Some(load), now);
+    assert_eq!(count_remote(&balancer, now), 0);
+}
