Follow the slowdown that targets report, and pass prices to the balancer

Cause: some targets report in the fourth figure of X-Upstream-Load how long work takes there at this moment. It was not read, so gate and callers followed a slow phase of 600 ms with the delay of a smoothed service time. The balancer of the daemon had no prices to spill by.

Change: `platform::load` decodes the figure in responses and health checks; other forms say nothing. `gate::slowdown` smooths it over 50 ms and lets it return to one from 300 ms on. The service time without the slowdown times the slowdown in force is reported, and expected for waits and deadlines. The balancer counts work at a target that is slower than usual by more than 1.3 as so many times more. The load report has a further optional field, the price of a call on the target itself, absent while it is zero. Event 210 shows the age of the report that the estimate rests on.

Tests: gate_slowdown and load_decoding are new.

--- a/crates/daemon/src/actor/leaving.rs
+++ b/crates/daemon/src/actor/leaving.rs
@@ -252,4 +252,8 @@
             instance: Some(Arc::clone(&report.instance)),
         },
     );
+    if let Some(factor) = report.slowdown {
+        let instance = Some(&*report.instance);
+        node.local_target.record_slowdown(instance, factor);
+    }
 }
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event, Ran};
 use cardamomshed_note::Route;
+use cardamomshed_policy::TargetKey;
 use cardamomshed_policy::route::{Outcome, Tier, Transition};
-use cardamomshed_policy::{TargetKey, gate};
-use cardamomshed_wire::Call;
+use cardamomshed_wire::{Call, Load};
 use tokio::sync::oneshot;
 
 use crate::context::Context;
@@ -50,7 +50,7 @@
 impl Attempt<'_> {
     /// Reports the end of the attempt to the balancer. Returns the change in the
     /// target's ejection state, if any.
-    fn record_end(&mut self, outcome: Outcome, load: Option<gate::Load>) -> Option<Transition> {
+    fn record_end(&mut self, outcome: Outcome, load: Option<Load>) -> Option<Transition> {
         self.ended = true;
         let target = self.selection.choice.target;
         let now = self.node.clock.now();
@@ -325,7 +325,7 @@
             } else {
                 Outcome::Answered
             };
-            (outcome, Some(answer.load.into()), answer.tokens)
+            (outcome, Some(answer.load), answer.tokens)
         }
         Reply::Refused(refused) => {
             context.record_level(refused.level);
@@ -342,7 +342,7 @@
                 Ran::No => attempt.lent,
                 Ran::Unknown => refused.tokens,
             };
-            (outcome, refused.load.map(Into::into), unused)
+            (outcome, refused.load, unused)
         }
     };
     context.restore(attempt.lent, unused);
@@ -375,11 +375,15 @@
 fn log_selection(node: &Node, context: &Context, route: &Route, selection: &Selection) {
     let rejected = selection.rejected.as_deref().unwrap_or("none");
     let rejected_load = selection.choice.rejected.map_or(0.0, |(_, load)| load);
+    let report_ms = selection
+        .choice
+        .age
+        .map_or(-1, |age| age.as_millis() as i64);
     node.log_decision(
         Event::TargetSelected,
         context.request,
         format_args!(
-            "service={} chosen={} tier={:?} load={:.2} rejected={rejected} rejected_load={rejected_load:.2}",
+            "service={} chosen={} tier={:?} load={:.2} report_ms={report_ms} rejected={rejected} rejected_load={rejected_load:.2}",
             route.service, selection.peer.node, selection.choice.tier, selection.choice.load
         ),
     );
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event};
-use cardamomshed_platform::{answer, header};
+use cardamomshed_platform::{answer, header, load};
 use cardamomshed_policy::admission::{ADMIT_ALL, Level};
 use cardamomshed_policy::gate::{Offer, Ticket};
 use cardamomshed_policy::{Moment, RouteKey};
@@ -358,6 +358,9 @@
             .map_err(exchange_error)?;
         node.metrics.late_responses.inc_by(response.late);
         if platform {
+            if let Some(factor) = load::slowdown(&response.headers) {
+                self.permit.record_slowdown(factor);
+            }
             check_response(&response)?;
         }
         Ok(Answer {
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -7,7 +7,8 @@
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::retry::Budget;
 use cardamomshed_policy::route::{Balancer, Choice, Outcome, Tier, Transition};
-use cardamomshed_policy::{Moment, TargetKey, gate};
+use cardamomshed_policy::{Moment, TargetKey};
+use cardamomshed_wire::Load;
 use indexmap::IndexMap;
 use serde::Serialize;
 
@@ -156,11 +157,15 @@
         service: &str,
         target: TargetKey,
         outcome: Outcome,
-        load: Option<gate::Load>,
+        load: Option<Load>,
         now: Moment,
     ) -> Option<Transition> {
         let mut table = lock(&self.table);
         let entry = table.services.get_mut(service)?;
+        if let Some(load) = load {
+            entry.balancer.record_price(target, load.price(), now);
+        }
+        let load = load.map(Into::into);
         entry.balancer.record_end(target, outcome, load, now)
     }
 
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -247,9 +247,12 @@
     /// Load to report to other daemons, zero without a target.
     pub fn load(&self) -> Load {
         let now = self.clock.now();
-        lock(&self.state)
-            .as_ref()
-            .map_or_else(Load::default, |target| target.gate.load(now).into())
+        let target = lock(&self.state);
+        target.as_ref().map_or_else(Load::default, |target| {
+            let load = target.gate.load(now);
+            let price = target.pricer.price() * load.service_time.as_secs_f64();
+            Load::from(load).with_price(price)
+        })
     }
 
     /// Calls that run or wait, relative to the limit; zero without a target.
@@ -377,6 +380,19 @@
             .map_or(ADMIT_ALL, |target| target.controller.level())
     }
 
+    /// Records how much longer than usual work takes on the target, as the response of
+    /// an instance reported it. Ignored if another target is registered by now.
+    pub fn record_slowdown(&self, instance: Option<&str>, factor: f64) {
+        let now = self.clock.now();
+        let mut target = lock(&self.state);
+        let current = target.as_mut();
+        if let Some(current) =
+            current.filter(|target| target.announcement.instance.as_deref() == instance)
+        {
+            current.gate.record_slowdown(factor, now);
+        }
+    }
+
     fn record_wait(&self, wait: Duration) {
         if let Some(target) = lock(&self.state).as_mut() {
             let long_wait = target.gate.is_long_wait(wait);
@@ -444,6 +460,12 @@
 }
 
 impl Permit<'_> {
+    /// Records how much longer than usual work takes on the target.
+    pub fn record_slowdown(&self, factor: f64) {
+        let instance = self.instance.as_deref();
+        self.target.record_slowdown(instance, factor);
+    }
+
     /// Records how the call ended. Without it, the drop of the permit cancels the
     /// call.
     pub const fn complete(&mut self, completion: Completion) {
--- a/crates/policy/examples/balance.rs
+++ b/crates/policy/examples/balance.rs
@@ -160,7 +160,7 @@
     figures.waits.value_at_quantile(quantile) as f64 / 1_000.0
 }
 
-fn even<C: Chooser>(name: &str, seed: u64) {
+fn even<C: Chooser>(name: &str, reported: bool, seed: u64) {
     for (demand, phases) in [
         (&[0.6], false),
         (&[0.8], false),
@@ -171,15 +171,17 @@
     ] {
         let mut setup = Setup::new(seed, demand);
         setup.phases = phases;
+        setup.reported = reported;
         let figures = Play::<C>::run(setup);
         println!(
-            "| {name} | {:.2} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.4} |",
+            "| {name} | {:.2} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.1} | {:.4} |",
             demand[0],
             if phases { "yes" } else { "no" },
             figures.utilization.0 - figures.utilization.1,
             figures.spread,
             millis(&figures, 0.5),
             millis(&figures, 0.99),
+            figures.totals.value_at_quantile(0.99) as f64 / 1_000.0,
             share(figures.refused, &figures),
         );
     }
@@ -224,14 +226,15 @@
 fn main() {
     let seed = std::env::args().nth(1).and_then(|seed| seed.parse().ok());
     let seed = seed.unwrap_or(1);
-    println!("| choice | demand | phases | use, most less least | spread of calls per slot");
-    even::<Baseline>("f1c308d", seed);
-    even::<Trial<2, 0, true, false, false>>("own calls added", seed);
-    even::<Trial<2, 0, true, true, false>>("and corrected by age", seed);
-    even::<Trial<2, 0, true, true, true>>("and by free slots", seed);
-    even::<Trial<6, 0, true, true, true>>("and six samples", seed);
-    even::<Trial<2, 4, true, true, true>>("two samples, last reports", seed);
-    even::<Balancer>("policy::route", seed);
+    println!("| choice | demand | phases | use | spread | p50 | p99 | p99 to the end | refused |");
+    even::<Baseline>("f1c308d", false, seed);
+    even::<Trial<2, 0, true, false, false>>("own calls added", false, seed);
+    even::<Trial<2, 0, true, true, false>>("and corrected by age", false, seed);
+    even::<Trial<2, 0, true, true, true>>("and by free slots", false, seed);
+    even::<Trial<6, 0, true, true, true>>("and six samples", false, seed);
+    even::<Trial<2, 4, true, true, true>>("two samples, last reports", false, seed);
+    even::<Balancer>("policy::route", false, seed);
+    even::<Balancer>("and the fourth figure", true, seed);
     println!("| choice | demand | by price | by gates or late | p50 | p99 | over the link |");
     regions::<Baseline>("f1c308d", seed);
     regions::<Balancer>("policy::route", seed);
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -8,6 +8,7 @@
 mod limit;
 mod queue;
 mod reserve;
+mod slowdown;
 
 use std::time::Duration;
 
@@ -163,7 +164,7 @@
     pub waiting: u32,
     /// Calls that may run concurrently.
     pub limit: u32,
-    /// Smoothed service time over all routes.
+    /// Expected service time over all routes at this moment.
     pub service_time: Duration,
     /// Smoothed share of the calls that the target rejected without running them,
     /// within 0..=1.
@@ -182,6 +183,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     started: Moment,
+    /// Slowdown of the target at the start.
+    slowdown: f64,
     route: RouteKey,
     priority: Priority,
 }
@@ -250,7 +253,7 @@
             return Decision::Shed(Shed::Closed);
         }
         self.detect_stall(now, changes);
-        let service_time = self.limit.service_time_of(offer.route);
+        let service_time = self.limit.service_time_of(offer.route, now);
         if now + service_time > offer.deadline {
             return Decision::Shed(Shed::Deadline);
         }
@@ -294,7 +297,7 @@
             let total = now.since(call.started);
             let running = self.running.len() as u32 + 1;
             self.limit
-                .observe(call.route, total, own_time, running, now);
+                .observe(call.route, total, own_time, call.slowdown, running, now);
         }
         self.start_queued(now, changes);
     }
@@ -305,6 +308,11 @@
         self.rejection += REJECTION_SMOOTHING * (outcome - self.rejection);
     }
 
+    /// Records how much longer than usual work takes on the target, as it reports.
+    pub fn record_slowdown(&mut self, factor: f64, now: Moment) {
+        self.limit.observe_slowdown(factor, now);
+    }
+
     /// Removes a call that waits or runs and returns whether it was running.
     pub fn cancel(&mut self, ticket: Ticket, now: Moment, changes: &mut Vec<Change>) -> bool {
         let ran = self.remove_running(ticket).is_some();
@@ -328,7 +336,7 @@
             running: self.running.len() as u32,
             waiting: self.queue.len() as u32,
             limit: self.effective_limit(now),
-            service_time: self.limit.service_time(),
+            service_time: self.limit.service_time(now),
             rejection: self.rejection,
         }
     }
@@ -340,13 +348,13 @@
 
     /// Smoothed time from start to completion of this route's calls.
     pub fn service_time_of(&self, route: RouteKey) -> Duration {
-        self.limit.service_time_of(route)
+        Duration::from_secs_f64(self.limit.usual_time_of(route))
     }
 
     /// Whether only a standing queue explains a wait of this length at this
     /// target.
     pub fn is_long_wait(&self, wait: Duration) -> bool {
-        wait > MIN_LONG_WAIT.max(self.limit.service_time())
+        wait > MIN_LONG_WAIT.max(self.limit.usual_time())
     }
 
     /// Calls that may run concurrently: the adaptive limit, reduced during a
@@ -377,6 +385,7 @@
         self.by_priority[call.priority.index()] += 1;
         let running = Running {
             started: now,
+            slowdown: self.limit.slowdown(now),
             route: call.route,
             priority: call.priority,
         };
@@ -387,7 +396,7 @@
     /// no call has completed for many service times. Sheds the queued calls, so
     /// that other targets can run them in time.
     fn detect_stall(&mut self, now: Moment, changes: &mut Vec<Change>) {
-        let stall_timeout = MIN_STALL.max(self.limit.service_time() * STALL_SERVICE_TIMES);
+        let stall_timeout = MIN_STALL.max(self.limit.service_time(now) * STALL_SERVICE_TIMES);
         // A few long calls on an otherwise idle target are no stall.
         let busy = self.running.len() >= 2 && self.running.len() as u32 * 2 >= self.limit.current();
         let is_due = busy && now.since(self.last_progress) >= stall_timeout;
@@ -411,7 +420,7 @@
 
     fn latest_start(&self, offer: &Offer, now: Moment) -> Moment {
         let wait_bound = now + self.config.max_wait;
-        let service_time = self.limit.service_time_of(offer.route).as_micros() as u64;
+        let service_time = self.limit.service_time_of(offer.route, now).as_micros() as u64;
         let deadline_bound = offer.deadline.as_micros().saturating_sub(service_time);
         wait_bound.min(Moment::from_micros(deadline_bound))
     }
@@ -419,7 +428,7 @@
     /// Expected wait of a call behind `ahead` other calls.
     fn expected_wait(&self, ahead: usize, now: Moment) -> Duration {
         let rounds = (ahead + 1) as f64 / f64::from(self.effective_limit(now).max(1));
-        self.limit.service_time().mul_f64(rounds)
+        self.limit.service_time(now).mul_f64(rounds)
     }
 
     /// Evicts a queued call in favour of `offer`, if the queue holds one that
@@ -435,7 +444,7 @@
     }
 
     fn shed_reason(&self, offer: &Offer, wait: Duration, now: Moment) -> Shed {
-        if now + wait + self.limit.service_time_of(offer.route) > offer.deadline {
+        if now + wait + self.limit.service_time_of(offer.route, now) > offer.deadline {
             Shed::Deadline
         } else {
             Shed::Full
--- a/crates/policy/src/gate/limit.rs
+++ b/crates/policy/src/gate/limit.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::slowdown::Slowdown;
 use crate::key::RouteKey;
 use crate::moment::Moment;
 
@@ -35,14 +36,16 @@
     adaptive: bool,
     /// Service time of a route without completed calls, in seconds.
     initial_estimate: f64,
-    /// Smoothed time from start to completion by route, in seconds.
+    /// Smoothed time from start to completion by route, in seconds, without the
+    /// slowdown at that time.
     by_route: IndexMap<RouteKey, f64>,
     /// Within `[floor, slots]`.
     current: f64,
-    /// Smoothed time from start to completion over all routes, in seconds.
+    /// The same over all routes.
     total_time: f64,
     /// Own time without load, in seconds; zero while unknown.
     base_time: f64,
+    slowdown: Slowdown,
     window_start: Moment,
     window_sum: f64,
     window_count: u32,
@@ -61,6 +64,7 @@
             current: f64::from(slots),
             total_time: initial_estimate.as_secs_f64(),
             base_time: 0.0,
+            slowdown: Slowdown::NONE,
             window_start: Moment::ZERO,
             window_sum: 0.0,
             window_count: 0,
@@ -80,31 +84,56 @@
         if whole == 0 { 1 } else { whole }
     }
 
-    /// Smoothed time from start to completion of a call.
-    pub fn service_time(&self) -> Duration {
+    /// Records a factor by which the target reports that work takes longer than usual.
+    pub fn observe_slowdown(&mut self, factor: f64, now: Moment) {
+        self.slowdown.observe(factor, now);
+    }
+
+    /// Factor by which work takes longer than usual; one unless the target reports it.
+    pub fn slowdown(&self, now: Moment) -> f64 {
+        self.slowdown.factor(now)
+    }
+
+    /// Expected time from start to completion of a call that starts now.
+    pub fn service_time(&self, now: Moment) -> Duration {
+        Duration::from_secs_f64(self.total_time * self.slowdown(now))
+    }
+
+    /// Expected time from start to completion of a call of this route that starts now.
+    pub fn service_time_of(&self, route: RouteKey, now: Moment) -> Duration {
+        Duration::from_secs_f64(self.usual_time_of(route) * self.slowdown(now))
+    }
+
+    /// Smoothed time from start to completion of a call, without the slowdown at that
+    /// time.
+    pub fn usual_time(&self) -> Duration {
         Duration::from_secs_f64(self.total_time)
     }
 
-    /// Smoothed time from start to completion of this route's calls.
-    pub fn service_time_of(&self, route: RouteKey) -> Duration {
+    /// Smoothed time from start to completion of this route's calls, in seconds, without
+    /// the slowdown at that time.
+    pub fn usual_time_of(&self, route: RouteKey) -> f64 {
         let known = self.by_route.get(&route).copied();
-        Duration::from_secs_f64(known.unwrap_or(self.initial_estimate))
+        known.unwrap_or(self.initial_estimate)
     }
 
-    /// Records a completed call. `running` is the number of calls in progress,
-    /// this one included. A call without `own_time` is ignored.
+    /// Records a completed call. `slowdown` was in force when it started, `running`
+    /// is the number of calls in progress, this one included. A call without
+    /// `own_time` is ignored.
     pub fn observe(
         &mut self,
         route: RouteKey,
         total: Duration,
         own_time: Option<Duration>,
+        slowdown: f64,
         running: u32,
         now: Moment,
     ) {
         let Some(own_time) = own_time else {
             return;
         };
-        let seconds = total.as_secs_f64();
+        let slowdown = f64::midpoint(slowdown, self.slowdown(now));
+        let seconds = total.as_secs_f64() / slowdown;
         if self.by_route.is_empty() {
             self.total_time = seconds;
         }
--- a/crates/policy/src/route/compare.rs
+++ b/crates/policy/src/route/compare.rs
@@ -90,17 +90,19 @@
 
     /// Rank of a target with this load among the targets of a tier; the smallest is
     /// chosen. Up to one call per slot it is the share of slots in use, so that targets
-    /// get load in proportion to their speed, and beyond it grows with the wait. Equal
-    /// targets are ranked by their service time.
+    /// get load in proportion to their speed, and beyond it grows with the wait. Work at
+    /// a target that is slower than usual counts for as many times more. Equal targets
+    /// are ranked by their service time.
     pub(super) fn rank(&self, key: TargetKey, load: f64, now: Moment) -> (f64, f64) {
-        let mean = if self.mean_time > 0.0 {
-            self.mean_time
-        } else {
-            1.0
-        };
-        let slowness = self.time(key, now).unwrap_or(mean) / mean;
-        let waiting = (load - 1.0).max(0.0);
-        (load.min(1.0) + waiting * slowness, slowness)
+        let target = self.targets[key.0 as usize].as_ref();
+        let slowdown = target.map_or(1.0, |target| target.estimate.slowdown(now));
+        // The usual time of this target relative to that of the others.
+        let slowness = self.time(key, now).map(|time| time / self.mean_time);
+        let slowness = slowness.filter(|slowness| slowness.is_finite());
+        let slowness = slowness.unwrap_or(1.0) / slowdown;
+        let work = load * slowdown;
+        let waiting = (work - 1.0).max(0.0);
+        (work.min(1.0) + waiting * slowness, slowness)
     }
 
     fn time(&self, key: TargetKey, now: Moment) -> Option<f64> {
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -16,6 +16,8 @@
 /// The same for the service time, which changes with phases of several hundred
 /// milliseconds.
 const TIME_MEMORY: Duration = Duration::from_millis(500);
+/// Ratio of the service time to the usual one up to which it counts as noise.
+const NOISE: f64 = 1.3;
 /// Reports from which a target that reports less than the usual load is believed. At a
 /// new target, many daemons would otherwise see the same free slots and fill them at once.
 const TRUSTED_REPORTS: u32 = 4;
@@ -108,6 +110,15 @@
         (calls.max(f64::from(self.in_flight)) + 1.0) / limit
     }
 
+    /// Estimated service time relative to the usual one of this target; one unless it is
+    /// clearly slower than usual.
+    pub(super) fn slowdown(&self, now: Moment) -> f64 {
+        let time = self.service_time(now);
+        let slowdown = time.map(|time| time / self.usual_time);
+        let slowdown = slowdown.filter(|slowdown| slowdown.is_finite());
+        slowdown.filter(|slowdown| *slowdown > NOISE).unwrap_or(1.0)
+    }
+
     /// Estimated service time in seconds, if a recent report tells it.
     pub(super) fn service_time(&self, now: Moment) -> Option<f64> {
         let age = self.age(now)?;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
+mod gate_slowdown;
 mod member_census;
 mod member_confirmation;
 mod member_contacts;
--- a/crates/policy/tests/play/mod.rs
+++ b/crates/policy/tests/play/mod.rs
@@ -82,6 +82,8 @@
     pub demand: &'static [f64],
     /// Whether targets have slow phases.
     pub phases: bool,
+    /// Whether targets report them to their gates with each response.
+    pub reported: bool,
     pub length: Duration,
     /// Calls before this moment are not counted.
     pub warm_up: Duration,
@@ -104,6 +106,7 @@
             service: Duration::from_millis(60),
             demand,
             phases: false,
+            reported: true,
             length: Duration::from_secs(20),
             warm_up: Duration::from_secs(5),
             low: 0.0,
@@ -148,6 +151,8 @@
 pub struct Figures {
     /// Time from the arrival of a call to its start, in microseconds.
     pub waits: Histogram<u64>,
+    /// Time from the arrival of a call to its end, in microseconds.
+    pub totals: Histogram<u64>,
     pub calls: u64,
     /// Calls that the ingress refused by price.
     pub priced_out: u64,
@@ -201,6 +206,7 @@
             samples: 0.0,
             figures: Figures {
                 waits: Histogram::new(3).expect("a valid precision"),
+                totals: Histogram::new(3).expect("a valid precision"),
                 calls: 0,
                 priced_out: 0,
                 refused: 0,
@@ -253,7 +259,15 @@
             Event::Offer(id) => self.offer(id, now),
             Event::Finish(id) => {
                 let (target, started) = (self.calls[id].target, self.calls[id].started);
+                if now.since(Moment::ZERO) >= self.setup.warm_up {
+                    let total = now.since(self.calls[id].arrived).as_micros() as u64;
+                    self.figures.totals.record(total).expect("resizes itself");
+                }
+                let is_slow = self.targets[target].is_slow;
                 let gate = &mut self.targets[target].gate;
+                if self.setup.reported && self.setup.phases {
+                    gate.record_slowdown(if is_slow { SLOWDOWN } else { 1.0 }, now);
+                }
                 gate.finish(
                     Ticket(id as u64),
                     Some(now.since(started)),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -208,6 +208,26 @@
     /// Share of the calls that the target rejects, in percent.
     #[serde(rename = "j", default, skip_serializing_if = "is_zero")]
     pub rejected_percent: u8,
+    /// Price of a call on the target itself, in millionths; saturates at [`u32::MAX`].
+    #[serde(rename = "p", default, skip_serializing_if = "is_free")]
+    pub price_millionths: u32,
+}
+
+/// Millionths in a unit of prices.
+const MILLIONTHS: f64 = 1e6;
+
+impl Load {
+    /// Sets the price of a call.
+    #[must_use]
+    pub fn with_price(mut self, price: f64) -> Self {
+        self.price_millionths = (price * MILLIONTHS).round() as u32;
+        self
+    }
+
+    /// Price of a call on the target itself, without its outbound calls.
+    pub fn price(self) -> f64 {
+        f64::from(self.price_millionths) / MILLIONTHS
+    }
 }
 
 #[expect(
@@ -218,6 +238,14 @@
     *value == 0
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that `skip_serializing_if` requires"
+)]
+const fn is_free(price: &u32) -> bool {
+    *price == 0
+}
+
 impl From<gate::Load> for Load {
     fn from(load: gate::Load) -> Self {
         Self {
@@ -226,6 +254,7 @@
             limit: load.limit,
             service_us: u32::try_from(load.service_time.as_micros()).unwrap_or(u32::MAX),
             rejected_percent: (load.rejection * 100.0).round() as u8,
+            price_millionths: 0,
         }
     }
 }
