--- a/crates/policy/tests/all/region_spill.rs
+++ b/crates/policy/tests/all/region_spill.rs
@@ -93,6 +93,38 @@
     assert_eq!(counts[200], 0, "the other region is as expensive");
 }
 
+/// Guards against callers that are refused while other failure domains of the region have
+/// capacity: their targets are taken once the own ones stay expensive, and only then.
+#[test]
+fn full_domain_helped() {
+    let mut balancer = Balancer::default();
+    let near = balancer.insert(Tier::Domain, 10, Moment::ZERO);
+    balancer.insert(Tier::Region, 10, Moment::ZERO);
+    let mut random = random();
+    for (from, price) in [(0, 0.0), (1_000, 1.0)] {
+        for millis in (from..from + 1_000).step_by(10) {
+            balancer.record_price(near, price, Moment::from_millis(millis));
+        }
+        let now = Moment::from_millis(from + 990);
+        let choices = (0..100).filter_map(|_| balancer.choose(&[], false, &mut random, now));
+        let beyond = choices.filter(|choice| choice.tier == Tier::Region).count();
+        assert_eq!(beyond > 20, price > 0.0, "{beyond} of 100 at price {price}");
+    }
+}
+
+/// Guards against use of the link when its byte budget is spent.
+#[test]
+fn spent_budget_kept() {
+    let (mut balancer, near, _) = two_regions();
+    let mut random = random();
+    for millis in (0..2_000).step_by(10) {
+        let now = Moment::from_millis(millis);
+        balancer.record_price(near, 1.0, now);
+        let choice = balancer.choose(&[], false, &mut random, now);
+        assert_eq!(choice.expect("a target").target, near);
+    }
+}
+
 /// Guards against a long way to a target that is reached sooner by waiting.
 #[test]
 fn short_waits_kept() {
