Test that the daemon beside a target follows its slowdown

Change: the signed target of the daemon's tests can report a slowdown; one test checks that the load report follows it, that it ends without further responses, and that callers do not see the header.

--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod retry_outcomes;
 mod signed_target;
 mod target_recovery;
+mod target_slowdown;
 mod unconfirmed_start;
 
 use std::time::Duration;
--- a/crates/daemon/tests/all/signed_target.rs
+++ b/crates/daemon/tests/all/signed_target.rs
@@ -24,6 +24,8 @@
     /// Status of further responses to requests that ran, which carry neither the
     /// signature nor the mark of a rejection; zero for proper responses.
     pub(crate) unmarked: AtomicU16,
+    /// Fourth figure of the load that proper responses report; zero for none.
+    pub(crate) slowdown_percent: AtomicU16,
     headers: Mutex<Vec<(String, String)>>,
 }
 
@@ -110,6 +112,10 @@
         let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
         (name.as_str().to_owned(), value)
     });
+    let percent = observed.slowdown_percent.load(Ordering::Relaxed);
+    if percent > 0 {
+        response.insert_header((header::LOAD, format!("1,0,8,{percent}")));
+    }
     *observed.headers.lock().expect("not poisoned") = fields.collect();
     response
         .insert_header((header::SIGNATURE, "3e1b.07"))
