Raise the price from which calls leave a tier

Change: calls leave a tier from a price of 0.05 on, half of the price at which the ingress refuses the first requests, with a share of 0.4 for each e-fold.

--- a/crates/policy/src/route/spill.rs
+++ b/crates/policy/src/route/spill.rs
@@ -13,13 +13,13 @@
 use crate::moment::Moment;
 
 /// Price of a call in the nearer tier above which a share of the calls leaves it. The
-/// ingress refuses the first requests, of low priority, at ten times this price.
-const LINK_PRICE: f64 = 0.01;
+/// ingress refuses the first requests, of low priority, at twice this price.
+const LINK_PRICE: f64 = 0.05;
 /// Multiple of the farther tier's price that the nearer one must exceed, so that two
 /// tiers do not send each other calls.
 const PRICE_RATIO: f64 = 1.5;
 /// Growth of the share for each e-fold of the price.
-const SHARE_PER_E_FOLD: f64 = 0.2;
+const SHARE_PER_E_FOLD: f64 = 0.4;
 /// Largest share, so that reports of the nearer tier keep coming.
 const MAX_SHARE: f64 = 0.9;
 /// Time for which the price must be above its bound before calls leave the tier.
