--- a/crates/daemon/src/actor/leaving.rs
+++ b/crates/daemon/src/actor/leaving.rs
@@ -243,4 +243,8 @@
         },
         warmth,
     );
+    if let Some(factor) = report.slowdown {
+        let instance = Some(&*report.instance);
+        node.local_target.record_slowdown(instance, factor);
+    }
 }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -8,7 +8,8 @@
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::retry::Budget;
 use cardamomshed_policy::route::{self, Balancer, Choice, Outcome, Tier, Transition};
-use cardamomshed_policy::{Moment, RegionKey, TargetKey, gate};
+use cardamomshed_policy::{Moment, RegionKey, TargetKey};
+use cardamomshed_wire::Load;
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
@@ -231,11 +232,15 @@
         service: &str,
         target: TargetKey,
         outcome: Outcome,
-        load: Option<gate::Load>,
+        load: Option<Load>,
         now: Moment,
     ) -> Option<Transition> {
         let mut table = lock(&self.table);
         let entry = table.services.get_mut(service)?;
+        if let Some(load) = load {
+            entry.balancer.record_price(target, load.price(), now);
+        }
+        let load = load.map(Into::into);
         entry.balancer.record_end(target, outcome, load, now)
     }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -33,6 +33,7 @@
 mod signed_target;
 mod store_return;
 mod target_recovery;
+mod target_slowdown;
 mod unconfirmed_start;
 mod warmup_target;
 
--- a/crates/daemon/tests/all/signed_target.rs
+++ b/crates/daemon/tests/all/signed_target.rs
@@ -37,6 +37,8 @@
     pub(crate) arrivals: Mutex<Vec<Instant>>,
     /// Identity of the target, and when it ceases to be cold; `i-1` and warm by default.
     pub(crate) identity: Mutex<Option<(String, Instant)>>,
+    /// Fourth figure of the load that proper responses report; zero for none.
+    pub(crate) slowdown_percent: AtomicU16,
     headers: Mutex<Vec<(String, String)>>,
 }
 
@@ -150,6 +152,10 @@
         let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
         (name.as_str().to_owned(), value)
     });
+    let percent = observed.slowdown_percent.load(Ordering::Relaxed);
+    if percent > 0 {
+        response.insert_header((header::LOAD, format!("1,0,8,{percent}")));
+    }
     *observed.headers.lock().expect("not poisoned") = fields.collect();
     response
         .insert_header((header::SIGNATURE, "3e1b.07"))
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -3,18 +3,23 @@
 mod admission_level;
 mod confirmation_reads;
 mod evacuation_state;
+mod even_load;
 mod gate_fairness;
 mod gate_order;
 mod gate_reserve;
+mod gate_slowdown;
 mod member_census;
 mod member_confirmation;
 mod member_contacts;
 mod member_departure;
 mod member_gossip;
 mod pipeline_order;
+#[path = "../play/mod.rs"]
+mod play;
 mod price_fanout;
 mod quota_bound;
 mod region_choice;
+mod region_spill;
 mod registration_order;
 mod retry_budget;
 mod retry_tokens;
