--- a/crates/note/src/settings.rs
+++ b/crates/note/src/settings.rs
@@ -57,6 +57,16 @@
     /// Bytes of request and response bodies that this daemon buffers at once.
     #[serde(default = "default_bodies")]
     pub bodies: Size,
+    /// Memory of the machine that this process may use; at least 32 MiB.
+    #[serde(default = "default_memory")]
+    pub memory: Size,
+    /// File descriptors that this process may have open; at least 220.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: u32,
+    /// Connections of callers that may be open at once. Without it, half of the
+    /// descriptors that are not kept for files.
+    #[serde(default)]
+    pub connections: Option<u32>,
     /// Intervals and timeouts.
     #[serde(default)]
     pub timing: Timing,
@@ -146,6 +156,9 @@
     pub lease: Timespan,
     /// Interval of gossip probes.
     pub probe: Timespan,
+    /// Time without progress after which the connection of a caller that does not read
+    /// its response is closed while memory is short.
+    pub write: Timespan,
 }
 
 impl Default for Timing {
@@ -161,6 +174,7 @@
             idle: Timespan::from_millis(60_000),
             lease: Timespan::from_millis(120_000),
             probe: Timespan::from_millis(1_000),
+            write: Timespan::from_millis(5_000),
         }
     }
 }
@@ -183,6 +197,21 @@
     Size::from_bytes(256 * 1024 * 1024)
 }
 
+const fn default_memory() -> Size {
+    Size::from_bytes(1024 * 1024 * 1024)
+}
+
+const fn default_descriptors() -> u32 {
+    4_100
+}
+
+/// Smallest memory that is accepted, in bytes.
+const MIN_MEMORY: usize = 32 * 1024 * 1024;
+/// Descriptors that are not used for connections.
+const FILE_DESCRIPTORS: u32 = 200;
+/// Fewest descriptors that are accepted.
+const MIN_DESCRIPTORS: u32 = 220;
+
 /// Shortest interval or timeout that is accepted.
 const MIN_TIMESPAN: Timespan = Timespan::from_millis(5);
 
@@ -200,6 +229,13 @@
         Ok(settings)
     }
 
+    /// Connections of callers that may be open at once.
+    #[must_use]
+    pub fn max_connections(&self) -> u32 {
+        let default = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
+        self.connections.unwrap_or(default)
+    }
+
     /// Returns these settings with those fields of `changed` that a running
     /// daemon can adopt, and the names of the changed fields that need a
     /// restart.
@@ -207,6 +243,7 @@
     pub fn reloaded(&self, changed: &Self) -> (Self, Vec<&'static str>) {
         let mut next = self.clone();
         next.bodies = changed.bodies;
+        next.connections = changed.connections;
         next.platform_reads = changed.platform_reads;
         next.platform_writes = changed.platform_writes;
         next.timing = Timing {
@@ -247,6 +284,8 @@
             ("sidecar", local_target(self) != local_target(other)),
             ("tls", debug(&self.tls) != debug(&other.tls)),
             ("slow_link", self.slow_link != other.slow_link),
+            ("memory", self.memory != other.memory),
+            ("descriptors", self.descriptors != other.descriptors),
             ("log", self.log != other.log),
             (
                 "timing.platform",
@@ -279,6 +318,12 @@
         if self.peers.ip().is_unspecified() || self.admin.ip().is_unspecified() {
             return out_of_range("peers and admin: must not be unspecified addresses");
         }
+        if self.memory.get() < MIN_MEMORY {
+            return out_of_range("memory: must be 32MiB or more");
+        }
+        if self.descriptors < MIN_DESCRIPTORS || self.connections == Some(0) {
+            return out_of_range("descriptors and connections: must be 220 and 1 or more");
+        }
         let timing = &self.timing;
         let timespans = [
             timing.heartbeat,
@@ -291,6 +336,7 @@
             timing.idle,
             timing.lease,
             timing.probe,
+            timing.write,
         ];
         if timespans.iter().any(|timespan| *timespan < MIN_TIMESPAN) {
             return out_of_range("timing: each value must be 5ms or more");
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -129,6 +129,9 @@
         platform_writes: 400.0,
         slow_link: cardamomshed_note::Size::from_bytes(200 * 1024),
         bodies: cardamomshed_note::Size::from_bytes(256 * 1024 * 1024),
+        memory: cardamomshed_note::Size::from_bytes(1024 * 1024 * 1024),
+        descriptors: 4_100,
+        connections: None,
         timing: Timing {
             poll: Timespan::from_millis(200),
             drain: Timespan::from_millis(5_000),
--- a/crates/standin/src/soak/process.rs
+++ b/crates/standin/src/soak/process.rs
@@ -179,6 +179,8 @@
             ("{{platform.address}}", site.platform.to_string()),
             ("{{platform.reads-per-s}}", "6000".to_owned()),
             ("{{platform.writes-per-s}}", "1200".to_owned()),
+            ("{{limits.memory-mb}}", "160".to_owned()),
+            ("{{limits.max-fds}}", "4100".to_owned()),
             ("{{service}}", vm.service.to_owned()),
             ("{{app-addr}}", vm.target.to_string()),
             ("{{bounds.strict-revoke}}", "true".to_owned()),
@@ -209,6 +211,11 @@
         }
     }
 
+    /// Id of the process, if it was started and not seen to end.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
