Decide in a policy what memory is reserved and who is closed

The module `policy::memory` holds an account of reserved bytes by kind, the share that one connection may hold, the choice of slow readers whose connections are closed, and that of the connection which makes room for a new one. No daemon uses it yet.

Run: the 6 tests of memory_account, two of them with quickcheck, pass.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod key;
 pub mod member;
+pub mod memory;
 pub mod moment;
 pub mod price;
 pub mod quota;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod member_confirmation;
 mod member_contacts;
 mod member_gossip;
+mod memory_account;
 mod price_fanout;
 mod quota_bound;
 mod registration_order;
