--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -36,6 +36,9 @@
     SettingsRead = 107, "settings reloaded; those that can change at run time are in force";
     SettingsRejected = 108, "changed settings rejected; the previous ones remain in force";
     LinesDropped = 109, "log lines dropped";
+    ReaderClosed = 120, "connection of a caller that reads its responses too slowly closed";
+    ConnectionReplaced = 121, "connection limit reached; the longest idle one closed";
+    ConnectionRefused = 122, "connection limit reached; the new one closed";
     RequestAccepted = 200, "request accepted at the ingress";
     RequestRefused = 201, "request refused at the ingress";
     RequestAnswered = 202, "request answered";
--- a/crates/code/src/result.rs
+++ b/crates/code/src/result.rs
@@ -55,7 +55,7 @@
     DeadlineUnmet = 1304, 504, "the deadline cannot be met";
     NoTarget = 1305, 503, "no target of the service is available";
     Leaving = 1306, 503, "the daemon or target is leaving";
-    MemoryShed = 1308, 503, "the daemon holds as many request bodies as its limit allows";
+    MemoryShed = 1308, 503, "the daemon's memory is nearly used up";
     TargetStalled = 1309, 503, "the target has stopped answering; the call was not started";
     TargetRefused = 1310, 503, "the target said that it did not run the call";
     LinkFailed = 1401, 502, "the peer daemon cannot be reached";
@@ -63,7 +63,7 @@
     TargetTimeout = 1403, 504, "the target did not answer before the deadline";
     OutcomeUnknown = 1404, 504, "it is unknown whether the request ran";
     Cancelled = 1405, 499, "the caller cancelled the request";
-    AnswerTooLarge = 1406, 502, "the answer exceeds its limit";
+    AnswerTooLarge = 1406, 502, "the answer exceeds its limit or the memory for answers";
     KeyInProgress = 1501, 409, "a request with this idempotency key is in progress";
     KeyReused = 1502, 422, "the idempotency key was used for another request";
     ClaimUnavailable = 1503, 503, "the platform cannot record the idempotency key";
--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -15,6 +15,7 @@
 use crate::claim::command::Command;
 use crate::claim::store;
 use crate::departure::Departure;
+use crate::http::closing;
 use crate::job::Job;
 use crate::link;
 use crate::link::table::Task;
@@ -168,6 +169,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = node.clock.now();
         node.links.sessions.remove_expired(now);
+        closing::sweep(&node);
         node.local_target.tick();
         node.routing.windows.tick();
         lock(&node.routing.prices).fanout.tick(now);
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -223,6 +223,7 @@
                 | Code::DeadlineUnmet
                 | Code::TargetStalled
                 | Code::Leaving
+                | Code::MemoryShed
                 | Code::NoTarget
                 | Code::LinkFailed
                 | Code::TargetFailed,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -11,95 +11,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use bytes::BytesMut;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 mod head;
+mod message;
+mod reader;
 
-use head::{Framing, Head};
+use head::Framing;
+pub use message::{Correlation, Error, Request, Response};
+use reader::Reader;
+
+use crate::memory::Memory;
 
-/// Largest response head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Buffer space reserved for one read, in bytes.
-const READ_BYTES: usize = 8 * 1024;
-/// Largest number of response heads read for one request, interim responses and
-/// responses to earlier requests included.
-const MAX_RESPONSES: usize = 4;
-/// Largest line with the size of a chunk, and largest trailer line, in bytes.
-const MAX_LINE_BYTES: usize = 4 * 1024;
-/// Largest size of the lines between chunks per byte of data, beside
-/// [`MAX_HEAD_BYTES`] for the whole body. A chunk of one byte needs five.
-const MAX_FRAMING_PER_BYTE: usize = 8;
 /// Idle time after which a connection is not used for a request that must not
 /// be repeated. The target may close such a connection while the request is
 /// sent, which leaves its outcome unknown.
 const MAX_UNREPEATABLE_IDLE: Duration = Duration::from_millis(1_500);
+/// Largest request body that is sent with the head in one write, in bytes.
+const MAX_JOINED_BODY: usize = 16 * 1024;
 /// Requests without a success after which a connection is closed rather than kept.
 const MAX_UNSUCCESSFUL: usize = 64;
 
-/// A request to the target.
-#[derive(Debug)]
-pub struct Request<'a> {
-    /// Request line and header lines, with the empty line that ends them.
-    pub head: &'a str,
-    /// Complete body.
-    pub body: &'a Bytes,
-    /// Whether the response has no body, as for `HEAD`.
-    pub head_only: bool,
-    /// Whether the request may run more than once.
-    pub repeatable: bool,
-    /// How the response to this request is recognised. With `None`, the first final
-    /// response is taken.
-    pub correlation: Option<Correlation<'a>>,
-}
-
-/// Header field by which the response to a request is told from late responses to
-/// earlier ones.
-#[derive(Clone, Copy, Debug)]
-pub struct Correlation<'a> {
-    /// Name of the field, in lower case.
-    pub name: &'a str,
-    /// Value in the response to this request. Responses with another value are
-    /// skipped.
-    pub value: &'a str,
-    /// Whether a response without the field is skipped too.
-    pub required: bool,
-}
-
-impl Correlation<'_> {
-    /// Whether a response whose field has this value, or that lacks the field, may
-    /// be the one to this request.
-    fn matches(self, value: Option<&str>) -> bool {
-        value.map_or(!self.required, |value| value == self.value)
-    }
-}
-
-/// A complete response.
-#[derive(Clone, Debug)]
-pub struct Response {
-    /// HTTP status.
-    pub status: u16,
-    /// Header fields, with names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// Complete body, without transfer encoding.
-    pub body: Bytes,
-    /// Late responses to earlier requests that were skipped before this one.
-    pub late: u64,
-}
-
-/// Why there is no complete response.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Error {
-    /// No connection was established, so nothing was sent.
-    NotSent(String),
-    /// The request may have been sent; whether it ran is unknown.
-    Sent(String),
-    /// The response body exceeds the limit.
-    TooLarge,
-}
-
 /// An open connection to the target.
 #[derive(Debug)]
 struct Connection {
@@ -124,9 +59,19 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<Vec<Idle>>,
+    /// Account in which the bodies of responses are reserved.
+    memory: Memory,
 }
 
 impl Pool {
+    /// Creates a pool without connections.
+    pub fn new(memory: Memory) -> Self {
+        Self {
+            idle: RefCell::default(),
+            memory,
+        }
+    }
+
     /// Closes every idle connection.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
@@ -150,7 +95,8 @@
             Some(connection) => connection,
             None => Connection::new(connect_to(address, connect).await?),
         };
-        let (response, keep_for) = round_trip(&mut connection.stream, request, limit).await?;
+        let exchanged = round_trip(&mut connection.stream, request, limit, &self.memory);
+        let (response, keep_for) = exchanged.await?;
         connection.record(request, response.status);
         if let Some(keep_for) = keep_for
             && connection.unsuccessful.len() < MAX_UNSUCCESSFUL
@@ -242,19 +188,27 @@
     stream: &mut TcpStream,
     request: &Request<'_>,
     limit: usize,
+    memory: &Memory,
 ) -> Result<(Response, Option<Duration>), Error> {
     let (read_half, mut write_half) = stream.split();
-    let mut message = Vec::with_capacity(request.head.len() + request.body.len());
-    message.extend_from_slice(request.head.as_bytes());
-    message.extend_from_slice(request.body);
+    let mut first = request.head.as_bytes().to_vec();
+    let mut rest: &[u8] = request.body;
+    if rest.len() <= MAX_JOINED_BODY {
+        first.extend_from_slice(rest);
+        rest = &[];
+    }
     let mut reader = Reader {
         half: read_half,
         buffer: BytesMut::new(),
         late: 0,
+        memory,
     };
     let mut written = false;
     let head = {
-        let write = write_half.write_all(&message);
+        let write = async {
+            write_half.write_all(&first).await?;
+            write_half.write_all(rest).await
+        };
         tokio::pin!(write);
         let read = reader.response_head(request, limit);
         tokio::pin!(read);
@@ -286,164 +240,3 @@
     };
     Ok((response, keep_for))
 }
-
-struct Reader<'a> {
-    half: tokio::net::tcp::ReadHalf<'a>,
-    buffer: BytesMut,
-    /// Late responses that were skipped.
-    late: u64,
-}
-
-impl Reader<'_> {
-    /// Reads more bytes into the buffer. Returns zero at the end of the connection.
-    async fn fill(&mut self) -> Result<usize, Error> {
-        self.buffer.reserve(READ_BYTES);
-        let read = self.half.read_buf(&mut self.buffer).await;
-        read.map_err(|error| Error::Sent(error.to_string()))
-    }
-
-    async fn fill_or_fail(&mut self) -> Result<(), Error> {
-        if self.fill().await? == 0 {
-            return Err(Error::Sent(
-                "connection closed before the response was complete".to_owned(),
-            ));
-        }
-        Ok(())
-    }
-
-    /// Reads the head of the response to `request`. Skips interim responses and
-    /// responses to earlier requests, with bodies of up to `limit` bytes.
-    async fn response_head(&mut self, request: &Request<'_>, limit: usize) -> Result<Head, Error> {
-        for _ in 0..MAX_RESPONSES {
-            let head = self.head().await?;
-            if (100..200).contains(&head.status) {
-                continue;
-            }
-            let is_match = request
-                .correlation
-                .is_none_or(|field| field.matches(head.get(field.name)));
-            if is_match {
-                return Ok(head);
-            }
-            self.late += 1;
-            self.body(&head, false, limit)
-                .await
-                .map_err(|error| match error {
-                    // This is not the response to the request.
-                    Error::TooLarge => Error::Sent("late response too large".to_owned()),
-                    other => other,
-                })?;
-            if matches!(head.framing, Framing::UntilClose) {
-                break;
-            }
-        }
-        Err(Error::Sent("no response to this request".to_owned()))
-    }
-
-    async fn head(&mut self) -> Result<Head, Error> {
-        loop {
-            if let Some((head, length)) = head::parse(&self.buffer).map_err(Error::Sent)? {
-                self.buffer.advance(length);
-                return Ok(head);
-            }
-            if self.buffer.len() > MAX_HEAD_BYTES {
-                return Err(Error::Sent("response head too large".to_owned()));
-            }
-            self.fill_or_fail().await?;
-        }
-    }
-
-    async fn body(&mut self, head: &Head, head_only: bool, limit: usize) -> Result<Bytes, Error> {
-        if head_only || matches!(head.status, 100..=199 | 204 | 304) {
-            return Ok(Bytes::new());
-        }
-        match head.framing {
-            Framing::Length(length) if length > limit => Err(Error::TooLarge),
-            Framing::Length(length) => {
-                while self.buffer.len() < length {
-                    self.fill_or_fail().await?;
-                }
-                Ok(self.buffer.split_to(length).freeze())
-            }
-            Framing::Chunked => self.chunked_body(limit).await,
-            Framing::UntilClose => {
-                while self.fill().await? > 0 {
-                    if self.buffer.len() > limit {
-                        return Err(Error::TooLarge);
-                    }
-                }
-                Ok(self.buffer.split().freeze())
-            }
-        }
-    }
-
-    async fn chunked_body(&mut self, limit: usize) -> Result<Bytes, Error> {
-        let mut body = BytesMut::new();
-        let mut framing_bytes = 0;
-        loop {
-            let (start, length) = self.chunk_size().await?;
-            self.buffer.advance(start);
-            if length == 0 {
-                self.skip_trailers().await?;
-                return Ok(body.freeze());
-            }
-            if length > limit.saturating_sub(body.len()) {
-                return Err(Error::TooLarge);
-            }
-            while self.buffer.len() < length + 2 {
-                self.fill_or_fail().await?;
-            }
-            if &self.buffer[length..length + 2] != b"\r\n" {
-                return Err(Error::Sent("chunk longer than its size".to_owned()));
-            }
-            body.extend_from_slice(&self.buffer[..length]);
-            self.buffer.advance(length + 2);
-            framing_bytes += start + 2;
-            if framing_bytes > MAX_HEAD_BYTES + body.len() * MAX_FRAMING_PER_BYTE {
-                return Err(Error::Sent("chunk extensions too large".to_owned()));
-            }
-        }
-    }
-
-    /// Reads the line before a chunk. Returns its length and the size of the chunk,
-    /// both in bytes.
-    async fn chunk_size(&mut self) -> Result<(usize, usize), Error> {
-        loop {
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete((start, length))) => {
-                    return Ok((start, usize::try_from(length).unwrap_or(usize::MAX)));
-                }
-                Ok(httparse::Status::Partial) => self.fill_line().await?,
-                Err(_) => return Err(Error::Sent("invalid chunk size".to_owned())),
-            }
-        }
-    }
-
-    /// Discards the trailer fields, up to and with the empty line.
-    async fn skip_trailers(&mut self) -> Result<(), Error> {
-        let mut skipped = 0;
-        while skipped <= MAX_HEAD_BYTES {
-            let end = self.buffer.windows(2).position(|pair| pair == b"\r\n");
-            match end {
-                Some(0) => {
-                    self.buffer.advance(2);
-                    return Ok(());
-                }
-                Some(end) => {
-                    self.buffer.advance(end + 2);
-                    skipped += end + 2;
-                }
-                None => self.fill_line().await?,
-            }
-        }
-        Err(Error::Sent("trailer too large".to_owned()))
-    }
-
-    /// Reads more of the line that the buffer holds a part of.
-    async fn fill_line(&mut self) -> Result<(), Error> {
-        if self.buffer.len() > MAX_LINE_BYTES {
-            return Err(Error::Sent("line of a chunked body too large".to_owned()));
-        }
-        self.fill_or_fail().await
-    }
-}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,10 +3,13 @@
 
 pub mod admin;
 pub mod announce;
+pub mod closing;
+pub mod connections;
 pub mod control;
 pub mod head;
 pub mod ingress;
 mod open;
 pub mod outbound;
 pub mod problem;
+mod receive;
 pub mod server;
--- /dev/null
+++ b/crates/daemon/src/http/connections.rs
@@ -0,0 +1,358 @@
+//! Open connections of callers: what they do, what is held for them, and their close
+//! from outside the task that serves them.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::memory::{Activity, ConnectionKey, Reader};
+use futures_util::task::AtomicWaker;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::clock::Clock;
+use crate::memory::Reservation;
+use crate::sync::lock;
+
+/// Connections by the address of the caller.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: Mutex<HashMap<SocketAddr, Arc<Connection>>>,
+    next: AtomicU64,
+}
+
+/// State of one connection.
+#[derive(Debug)]
+pub struct Connection {
+    key: ConnectionKey,
+    clock: Clock,
+    state: Mutex<State>,
+    /// Whether the connection is to be closed.
+    closed: AtomicBool,
+    /// Wakes the task that serves the connection.
+    waker: AtomicWaker,
+}
+
+#[derive(Debug)]
+struct State {
+    /// Open requests.
+    requests: usize,
+    /// Open requests whose body is arriving; at most `requests`.
+    receiving: usize,
+    /// Accept, end of the last request, or start of the last body, by activity.
+    since: Moment,
+    /// Bytes of responses that are held for the connection.
+    held: usize,
+    /// When `held` rose from zero.
+    began: Moment,
+    /// Bytes written since then.
+    written: u64,
+    /// When bytes were written last, or `held` rose from zero.
+    progressed: Moment,
+}
+
+impl Connections {
+    /// Adds a connection.
+    fn insert(&self, peer: SocketAddr, clock: Clock) -> Arc<Connection> {
+        let now = clock.now();
+        let connection = Arc::new(Connection {
+            key: ConnectionKey(self.next.fetch_add(1, Ordering::Relaxed)),
+            clock,
+            state: Mutex::new(State {
+                requests: 0,
+                receiving: 0,
+                since: now,
+                held: 0,
+                began: now,
+                written: 0,
+                progressed: now,
+            }),
+            closed: AtomicBool::new(false),
+            waker: AtomicWaker::new(),
+        });
+        lock(&self.open).insert(peer, Arc::clone(&connection));
+        connection
+    }
+
+    /// Number of connections that are not being closed.
+    pub fn len(&self) -> usize {
+        let open = lock(&self.open);
+        open.values().filter(|one| !one.is_closed()).count()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The open connection of the caller with this address.
+    pub fn get(&self, peer: Option<SocketAddr>) -> Option<Arc<Connection>> {
+        lock(&self.open).get(&peer?).cloned()
+    }
+
+    /// What each connection that is not being closed does.
+    pub fn activities(&self) -> Vec<(ConnectionKey, Activity)> {
+        let open = lock(&self.open);
+        let open = open.values().filter(|one| !one.is_closed());
+        open.map(|one| (one.key, one.activity())).collect()
+    }
+
+    /// Connections for which responses are held.
+    pub fn readers(&self) -> Vec<Reader> {
+        let open = lock(&self.open);
+        let readers = open.values().filter_map(|one| one.reader());
+        readers.collect()
+    }
+
+    /// Bytes that are held for all connections.
+    pub fn held(&self) -> usize {
+        let open = lock(&self.open);
+        open.values().map(|one| lock(&one.state).held).sum()
+    }
+
+    /// Closes the connection with this key.
+    pub fn close(&self, key: ConnectionKey) {
+        let open = lock(&self.open);
+        if let Some(connection) = open.values().find(|one| one.key == key) {
+            connection.closed.store(true, Ordering::Release);
+            connection.waker.wake();
+        }
+    }
+}
+
+impl Connection {
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    fn activity(&self) -> Activity {
+        let state = lock(&self.state);
+        if state.requests == 0 {
+            Activity::Idle(state.since)
+        } else if state.requests == state.receiving {
+            Activity::Receiving(state.since)
+        } else {
+            Activity::Busy
+        }
+    }
+
+    fn reader(&self) -> Option<Reader> {
+        let state = lock(&self.state);
+        (state.held > 0 && !self.is_closed()).then_some(Reader {
+            key: self.key,
+            held: state.held,
+            written: state.written,
+            began: state.began,
+            progressed: state.progressed,
+        })
+    }
+
+    /// Bytes of responses that are held for the connection.
+    pub fn held(&self) -> usize {
+        lock(&self.state).held
+    }
+
+    /// Records that a request has begun.
+    pub fn begin_request(&self) {
+        lock(&self.state).requests += 1;
+    }
+
+    /// Records that a request has ended.
+    pub fn end_request(&self) {
+        let mut state = lock(&self.state);
+        state.requests -= 1;
+        state.since = self.clock.now();
+    }
+
+    /// Records that the body of a request is arriving, until the guard is dropped.
+    pub fn receive(self: &Arc<Self>) -> Receiving {
+        let mut state = lock(&self.state);
+        state.receiving += 1;
+        state.since = self.clock.now();
+        drop(state);
+        Receiving(Arc::clone(self))
+    }
+
+    /// Holds a response of this length until the guard is dropped.
+    pub fn hold(self: &Arc<Self>, bytes: usize) -> Hold {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        if state.held == 0 {
+            state.began = now;
+            state.progressed = now;
+            state.written = 0;
+        }
+        state.held += bytes;
+        drop(state);
+        Hold {
+            connection: Arc::clone(self),
+            bytes,
+        }
+    }
+
+    fn record_written(&self, bytes: usize) {
+        let mut state = lock(&self.state);
+        if state.held > 0 {
+            state.written += bytes as u64;
+            state.progressed = self.clock.now();
+        }
+    }
+}
+
+/// Marks that the body of a request is arriving.
+#[derive(Debug)]
+pub struct Receiving(Arc<Connection>);
+
+impl Drop for Receiving {
+    fn drop(&mut self) {
+        lock(&self.0.state).receiving -= 1;
+    }
+}
+
+/// A response that is held for a connection.
+#[derive(Debug)]
+pub struct Hold {
+    connection: Arc<Connection>,
+    bytes: usize,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        lock(&self.connection.state).held -= self.bytes;
+    }
+}
+
+/// A connection of a caller, or one of another listener, which is not counted.
+#[derive(Debug)]
+pub struct Stream {
+    tcp: TcpStream,
+    counted: Option<Counted>,
+}
+
+/// A counted connection, which leaves the table on drop.
+#[derive(Debug)]
+struct Counted {
+    table: Arc<Connections>,
+    peer: SocketAddr,
+    connection: Arc<Connection>,
+    _reservation: Reservation,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let mut open = lock(&self.table.open);
+        // The address may belong to a newer connection by now.
+        if open
+            .get(&self.peer)
+            .is_some_and(|open| Arc::ptr_eq(open, &self.connection))
+        {
+            open.remove(&self.peer);
+        }
+    }
+}
+
+impl Stream {
+    /// A connection that is not counted.
+    pub const fn uncounted(tcp: TcpStream) -> Self {
+        Self { tcp, counted: None }
+    }
+
+    /// Adds a connection to the table.
+    pub fn counted(
+        tcp: TcpStream,
+        peer: SocketAddr,
+        table: &Arc<Connections>,
+        clock: Clock,
+        reservation: Reservation,
+    ) -> Self {
+        let counted = Counted {
+            table: Arc::clone(table),
+            peer,
+            connection: table.insert(peer, clock),
+            _reservation: reservation,
+        };
+        Self {
+            tcp,
+            counted: Some(counted),
+        }
+    }
+
+    /// Turns off Nagle's algorithm, which would delay responses.
+    pub fn set_nodelay(&self) {
+        // Without the option, responses are delayed.
+        let _ = self.tcp.set_nodelay(true);
+    }
+
+    /// Registers the task, and fails if the connection is to be closed. The other end
+    /// then gets a reset instead of what the kernel has not sent.
+    fn check(&self, context: &Context<'_>) -> io::Result<()> {
+        let Some(counted) = &self.counted else {
+            return Ok(());
+        };
+        counted.connection.waker.register(context.waker());
+        if counted.connection.is_closed() {
+            // Without the option, the kernel sends the rest for as long as it is read.
+            let _ = self.tcp.set_zero_linger();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
+    fn record(&self, written: &Poll<io::Result<usize>>) {
+        if let (Some(counted), Poll::Ready(Ok(bytes))) = (&self.counted, written) {
+            counted.connection.record_written(*bytes);
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.check(context)?;
+        Pin::new(&mut self.tcp).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check(context)?;
+        let written = Pin::new(&mut self.tcp).poll_write(context, buffer);
+        self.record(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check(context)?;
+        let written = Pin::new(&mut self.tcp).poll_write_vectored(context, buffers);
+        self.record(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(context)
+    }
+}
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -175,6 +175,13 @@
     Ok(())
 }
 
+/// Request target without scheme and host.
+pub fn path_and_query(request: &HttpRequest) -> String {
+    let uri = request.uri();
+    uri.path_and_query()
+        .map_or_else(|| uri.path().to_owned(), ToString::to_string)
+}
+
 /// Value of a header, if it is present and visible ASCII.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -7,20 +7,19 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{HttpRequest, HttpResponse, web};
-use bytes::{Bytes, BytesMut};
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_note::{Digest, Lookup, Match, Unconfirmed};
 use cardamomshed_policy::admission::{self, Rank};
 use cardamomshed_policy::{AccountKey, Moment, Priority};
 use cardamomshed_wire::Request;
-use futures_util::StreamExt;
 
+use super::receive::{before, read_request};
 use super::{head, open, problem};
 use crate::actor::quota;
 use crate::claim;
 use crate::context::{self, Context};
 use crate::dispatch::dispatch;
-use crate::lifecycle::Reservation;
+use crate::memory::Reservation;
 use crate::node::Node;
 use crate::reply::{Answer, Refused, Reply};
 use crate::request::Parts;
@@ -64,15 +63,19 @@
     let node = node.into_inner();
     let id = Request::random();
     let started = node.clock.now();
-    let guard = open::Guard::new(&node);
-    let served = serve_root(&node, id, &request, payload).await;
-    guard.attach(match served {
-        Ok((origin, reply)) => complete(&node, id, &origin, started, &reply),
+    let guard = open::Guard::new(&node, &request);
+    let served = serve_root(&node, id, &guard, &request, payload).await;
+    let response = match served {
+        Ok((origin, reply)) => {
+            let reply = guard.limit(reply);
+            complete(&node, id, &origin, started, &reply)
+        }
         Err(failure) => {
             let refused = Refused::not_run(failure.code, failure.detail, 0);
             refuse(&node, id, None, &refused)
         }
-    })
+    };
+    guard.attach(response)
 }
 
 /// Serves a call that the local target makes in a call context.
@@ -132,7 +135,7 @@
     payload: web::Payload,
 ) -> Result<(Match, Parts, Context, Reservation), Failure> {
     let lookup = node.lookup();
-    let path = path_and_query(request);
+    let path = head::path_and_query(request);
     let access = lookup
         .route(&path)
         .cloned()
@@ -160,13 +163,17 @@
 async fn serve_root(
     node: &Arc<Node>,
     id: Request,
+    guard: &open::Guard,
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<(Origin, Reply), Failure> {
     head::check(request)?;
     let lookup = node.lookup();
     let origin = identify(node, &lookup, request)?;
-    let served = serve_identified(node, id, &lookup, &origin, request, payload).await;
+    let served = match guard.check() {
+        Ok(()) => serve_identified(node, id, &lookup, &origin, request, payload).await,
+        Err(failure) => Err(failure),
+    };
     let reply = served.unwrap_or_else(|failure| {
         Reply::Refused(Refused::not_run(failure.code, failure.detail, 0))
     });
@@ -186,8 +193,8 @@
         return Err(Failure::new(Code::Leaving, ""));
     }
     let rank = admit(node, origin).await?;
-    let received = read_request(node, lookup, request, origin.headers.clone(), payload).await;
-    let (parts, _reservation) = received?;
+    let received = read_request(node, lookup, request, origin.headers.clone(), payload);
+    let (parts, _reservation) = before(node, origin.deadline, received).await?;
     node.log_decision(
         Event::RequestAccepted,
         id,
@@ -238,7 +245,7 @@
 
 /// Authenticates the caller and resolves the route.
 fn identify(node: &Node, lookup: &Lookup, request: &HttpRequest) -> Result<Origin, Failure> {
-    let path = path_and_query(request);
+    let path = head::path_and_query(request);
     let key = head::presented_key(request.headers())?;
     check_confirmed(node, lookup)?;
     let (account, account_key) = lookup
@@ -325,62 +332,6 @@
     admitted.ok_or_else(|| Failure::new(Code::AdmissionShed, access.route.name.to_string()))
 }
 
-/// Reads the complete body and reserves memory for it.
-///
-/// # Errors
-///
-/// [`Code::BodyTooLarge`], [`Code::MemoryShed`], or [`Code::BadRequest`] if the
-/// body is truncated or malformed.
-pub(super) async fn read_request(
-    node: &Arc<Node>,
-    lookup: &Lookup,
-    request: &HttpRequest,
-    headers: Vec<(String, String)>,
-    payload: web::Payload,
-) -> Result<(Parts, Reservation), Failure> {
-    let limit = lookup.config.limits.body.get();
-    let declared = head::text(request.headers(), "content-length")
-        .and_then(|length| length.parse::<usize>().ok());
-    let too_large = || Failure::new(Code::BodyTooLarge, format!("at most {limit} bytes"));
-    if declared.is_some_and(|length| length > limit) {
-        return Err(too_large());
-    }
-    let chunked = request.headers().contains_key("transfer-encoding");
-    let expected = declared.unwrap_or(if chunked { limit } else { 0 });
-    let reservation = node
-        .lifecycle
-        .reserve(expected, node.current_settings().bodies.get())
-        .map_err(|code| Failure::new(code, ""))?;
-    let body = read_body(payload, expected, limit).await?;
-    let parts = Parts {
-        method: request.method().to_string(),
-        path: path_and_query(request),
-        headers,
-        body: body.ok_or_else(too_large)?,
-    };
-    Ok((parts, reservation))
-}
-
-/// Reads a body. Returns `None` if it exceeds `limit` bytes.
-async fn read_body(
-    mut payload: web::Payload,
-    expected: usize,
-    limit: usize,
-) -> Result<Option<Bytes>, Failure> {
-    if expected == 0 {
-        return Ok(Some(Bytes::new()));
-    }
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| Failure::new(Code::BadRequest, error.to_string()))?;
-        if body.len() + chunk.len() > limit {
-            return Ok(None);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(Some(body.freeze()))
-}
-
 /// Deadline from the request's timeout header, at most `limit` from now.
 fn deadline(node: &Node, request: &HttpRequest, limit: Duration) -> Moment {
     let requested = head::text(request.headers(), TIMEOUT_HEADER)
@@ -389,13 +340,6 @@
     node.clock.now() + requested.min(limit)
 }
 
-/// Request target without scheme and host.
-pub(super) fn path_and_query(request: &HttpRequest) -> String {
-    let uri = request.uri();
-    uri.path_and_query()
-        .map_or_else(|| uri.path().to_owned(), ToString::to_string)
-}
-
 /// Records the outcome of a root request and builds its response.
 fn complete(
     node: &Node,
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -13,7 +13,7 @@
 use cardamomshed_policy::{AccountKey, Moment, Priority};
 use cardamomshed_wire::Request;
 
-use super::{head, ingress, open, problem};
+use super::{head, ingress, open, problem, receive};
 use crate::actor::quota;
 use crate::backpressure::Adjustment;
 use crate::context::{self, Context};
@@ -62,11 +62,15 @@
     let started = node.clock.now();
     let attempt = head::text(request.headers(), header::ATTEMPT).unwrap_or_default();
     let id = Request::from_label(attempt);
-    let guard = open::Guard::new(&node);
+    let guard = open::Guard::new(&node, &request);
     let response = match identify(&node, &request, started) {
         Ok(origin) => {
-            let reply = match run(&node, id, &origin, &request, payload).await {
-                Ok(reply) => reply,
+            let reply = match guard.check() {
+                Ok(()) => run(&node, id, &origin, &request, payload).await,
+                Err(failure) => Err(failure),
+            };
+            let reply = match reply {
+                Ok(reply) => guard.limit(reply),
                 Err(failure) => Reply::Refused(Refused::not_run(failure.code, failure.detail, 0)),
             };
             complete(&node, id, &origin, started, &reply)
@@ -88,7 +92,7 @@
         let detail = "no configuration has been received yet";
         return Err(Failure::new(Code::KeyUnconfirmed, detail));
     }
-    let path = ingress::path_and_query(request);
+    let path = head::path_and_query(request);
     let access = lookup
         .host_route(&host(request.headers()), &path)
         .ok_or_else(|| Failure::new(Code::RouteUnknown, ""))?;
@@ -154,8 +158,8 @@
         let service = sidecar.service.to_string();
         headers.push((header::CALLER_SERVICE.to_owned(), service));
     }
-    let (parts, _reservation) =
-        ingress::read_request(node, &lookup, request, headers, payload).await?;
+    let received = receive::read_request(node, &lookup, request, headers, payload);
+    let (parts, _reservation) = receive::before(node, origin.deadline, received).await?;
     let root = context::Root {
         request: id,
         account: Arc::clone(&origin.account),
--- a/crates/daemon/src/http/problem.rs
+++ b/crates/daemon/src/http/problem.rs
@@ -75,9 +75,12 @@
 fn builder(refused: &Refused, status: u16) -> HttpResponseBuilder {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = HttpResponse::build(status);
-    // The unread rest of a large body would be parsed as the next request. The
-    // caller of a leaving daemon is to connect to another daemon.
-    if matches!(refused.code, Code::BodyTooLarge | Code::Leaving) {
+    // The unread rest of a body would be parsed as the next request. The caller of a
+    // leaving daemon is to connect to another daemon.
+    if matches!(
+        refused.code,
+        Code::BodyTooLarge | Code::MemoryShed | Code::Leaving
+    ) {
         response.force_close();
     }
     response.content_type("application/problem+json");
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -23,7 +23,8 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use super::{admin, announce, control, ingress, outbound};
+use super::connections::Stream;
+use super::{admin, announce, closing, control, ingress, outbound};
 use crate::node::Node;
 use crate::tls;
 
@@ -124,11 +125,11 @@
         (Some(files), _) => serve_tls(node, files, listeners.callers)?,
         (None, Some(_)) => {
             let app = callers.default_service(web::to(outbound::serve));
-            serve_local(node, listeners.callers, handler(app))?
+            serve_local(node, Admission::Counted, listeners.callers, handler(app))?
         }
         (None, None) => {
             let app = callers.default_service(web::to(ingress::from_caller));
-            serve_local(node, listeners.callers, handler(app))?
+            serve_local(node, Admission::Counted, listeners.callers, handler(app))?
         }
     });
     let target = App::new().app_data(data.clone());
@@ -142,18 +143,23 @@
                 registration::DEREGISTER_PATH,
                 web::post().to(control::deregister),
             );
-        serve_local(node, listeners.target, handler(app))?
+        serve_local(node, Admission::Uncounted, listeners.target, handler(app))?
     } else {
         let app = target
             .route(announce::PATH, web::put().to(announce::put))
             .default_service(web::to(ingress::from_target));
-        serve_local(node, listeners.target, handler(app))?
+        serve_local(node, Admission::Uncounted, listeners.target, handler(app))?
     });
     if let Some(listener) = listeners.ready {
         let app = App::new()
             .app_data(data.clone())
             .route(registration::READY_PATH, web::get().to(control::ready));
-        servers.push(serve_local(node, listener, handler(app))?);
+        servers.push(serve_local(
+            node,
+            Admission::Uncounted,
+            listener,
+            handler(app),
+        )?);
     }
     let app = App::new()
         .app_data(data)
@@ -161,7 +167,12 @@
         .route("/status", web::get().to(admin::status))
         .route("/explain/{request}", web::get().to(admin::explain))
         .default_service(web::to(admin::not_found));
-    servers.push(serve_local(node, listeners.admin, handler(app))?);
+    servers.push(serve_local(
+        node,
+        Admission::Uncounted,
+        listeners.admin,
+        handler(app),
+    )?);
     Ok(servers)
 }
 
@@ -178,6 +189,7 @@
     });
     let server = server
         .workers(1)
+        .max_connections(node.settings.max_connections() as usize)
         // The request of a caller that closes its side is cancelled.
         .h1_allow_half_closed(false)
         .keep_alive(KEEP_ALIVE)
@@ -193,7 +205,16 @@
 }
 
 /// Handler that serves one connection until it ends.
-type Handler = Rc<dyn Fn(TcpStream, SocketAddr) -> LocalBoxFuture<'static, ()>>;
+type Handler = Rc<dyn Fn(Stream, SocketAddr) -> LocalBoxFuture<'static, ()>>;
+
+/// Whether the connections of a listener are counted and limited.
+#[derive(Clone, Copy, Debug)]
+enum Admission {
+    /// They are those of callers.
+    Counted,
+    /// They are not limited.
+    Uncounted,
+}
 
 /// Future that builds a connection handler.
 type Building = LocalBoxFuture<'static, Result<Handler>>;
@@ -221,11 +242,10 @@
             .await
             .map_err(|()| anyhow::anyhow!("the HTTP application failed to start"))?;
         let service = Rc::new(service);
-        let handler: Handler = Rc::new(move |stream: TcpStream, peer| {
+        let handler: Handler = Rc::new(move |stream: Stream, peer| {
             let service = Rc::clone(&service);
             Box::pin(async move {
-                // Responses are small; Nagle's algorithm would only delay them.
-                let _ = stream.set_nodelay(true);
+                stream.set_nodelay();
                 // An error closes the connection, which the caller observes.
                 let _ = service.call((stream, Some(peer))).await;
             })
@@ -235,7 +255,12 @@
 }
 
 /// Serves a listener on the daemon's thread.
-fn serve_local(node: &Arc<Node>, listener: TcpListener, building: Building) -> Result<Server> {
+fn serve_local(
+    node: &Arc<Node>,
+    admission: Admission,
+    listener: TcpListener,
+    building: Building,
+) -> Result<Server> {
     let listener = tokio::net::TcpListener::from_std(listener)
         .context("cannot register a listener with the runtime")?;
     let node = Arc::clone(node);
@@ -256,7 +281,7 @@
             };
             match accepted {
                 Ok((stream, peer)) => {
-                    actix_rt::spawn(handler(stream, peer));
+                    serve_stream(&node, admission, &handler, stream, peer);
                 }
                 Err(error) => {
                     node.log_event(Event::ListenerFailed, format_args!("{error}"));
@@ -264,18 +289,40 @@
                 }
             }
         }
-        accept_established(&listener, &handler).await;
+        accept_established(&node, admission, &listener, &handler).await;
     });
     Ok(Server::Local(Local { stop, task }))
 }
 
 /// Accepts the connections that the kernel has established or is establishing. Their
 /// requests may have been sent, and would be lost when the listener is closed.
-async fn accept_established(listener: &tokio::net::TcpListener, handler: &Handler) {
+async fn accept_established(
+    node: &Node,
+    admission: Admission,
+    listener: &tokio::net::TcpListener,
+    handler: &Handler,
+) {
     // Without the filter, a connection may be established just before the close.
     let _ = SockRef::from(listener).attach_filter(&IGNORE_NEW_CONNECTIONS);
     tokio::time::sleep(HANDSHAKE_TIME).await;
     while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+        serve_stream(node, admission, handler, stream, peer);
+    }
+}
+
+/// Serves a connection, unless it is one too many of callers.
+fn serve_stream(
+    node: &Node,
+    admission: Admission,
+    handler: &Handler,
+    tcp: TcpStream,
+    peer: SocketAddr,
+) {
+    let stream = match admission {
+        Admission::Counted => closing::admit(node, tcp, peer),
+        Admission::Uncounted => Some(Stream::uncounted(tcp)),
+    };
+    if let Some(stream) = stream {
         actix_rt::spawn(handler(stream, peer));
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod link;
 pub mod logging;
 pub mod members;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod quota;
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -1,16 +1,12 @@
-//! Lifecycle state of a daemon and the memory used by request bodies.
+//! Lifecycle state of a daemon.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use cardamomshed_code::Code;
-
-/// Lifecycle flags of a daemon and a counter of reserved body bytes.
+/// Lifecycle flags of a daemon.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     leaving: AtomicBool,
     closing: AtomicBool,
-    body_bytes: Arc<AtomicUsize>,
 }
 
 impl Lifecycle {
@@ -34,34 +30,4 @@
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
-
-    /// Reserves `bytes` for a body until the returned guard is dropped.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::MemoryShed`] if more than `limit` bytes would be reserved in total.
-    pub fn reserve(&self, bytes: usize, limit: usize) -> Result<Reservation, Code> {
-        let before = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let reservation = Reservation {
-            body_bytes: Arc::clone(&self.body_bytes),
-            bytes,
-        };
-        if before + bytes > limit {
-            return Err(Code::MemoryShed);
-        }
-        Ok(reservation)
-    }
-}
-
-/// Guard that releases reserved body bytes on drop.
-#[derive(Debug)]
-pub struct Reservation {
-    body_bytes: Arc<AtomicUsize>,
-    bytes: usize,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
 }
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cardamomshed_code::{Code, Event};
 use cardamomshed_note::Timing;
 use cardamomshed_policy::Moment;
+use cardamomshed_policy::memory::Kind;
 use cardamomshed_wire::{Answer, Frame, Refusal, decode};
 use futures_util::StreamExt;
 use tokio::sync::mpsc;
@@ -17,10 +18,13 @@
 use super::sessions::RETENTION;
 use super::table::{Command, Link, Pending};
 use super::writer::{self, Outbound};
+use crate::memory::Buffer;
 use crate::node::Node;
 use crate::reply::{self, Refused, Reply};
 use crate::sync::lock;
 
+/// Memory that the buffers of a link take, in bytes.
+pub(super) const LINK_BYTES: usize = 64 * 1024;
 /// Base of the exponential backoff between dial attempts.
 const BASE_BACKOFF: Duration = Duration::from_millis(50);
 /// Largest backoff between two dial attempts, before jitter.
@@ -52,6 +56,13 @@
     let mut failures = 0;
     let mut last_boot = None;
     loop {
+        let Some(_reservation) = node.memory.reserve(Kind::Link, LINK_BYTES) else {
+            failures += 1;
+            if !handle_dial_failure(&node, &link, failures, "no memory for the link").await {
+                break;
+            }
+            continue;
+        };
         let connect = node.current_settings().timing.connect.get();
         let dialled = timeout(connect, handshake::dial(&node, link.peer.address)).await;
         let connection = match dialled {
@@ -320,11 +331,11 @@
     let (frame, chunk) = decode(bytes).map_err(|failure| failure.to_string())?;
     let completed = match frame {
         Frame::Answer(answer) => begin_answer(node, link, *answer, &chunk),
-        Frame::AnswerData { id } => continue_answer(link, id, &chunk),
+        Frame::AnswerData { id } => continue_answer(node, link, id, &chunk),
         Frame::Refusal(refusal) => {
             let id = refusal.id;
             link.refuse(id, refused_from_wire(*refusal), node.clock.now());
-            Some(id)
+            Some(Frame::Received { id })
         }
         Frame::Pong => {
             if let Some(pinged_at) = liveness.pinged_at.take() {
@@ -337,8 +348,8 @@
             None
         }
     };
-    if let Some(id) = completed {
-        let _ = out.send(Outbound::Frame(Frame::Received { id }));
+    if let Some(frame) = completed {
+        let _ = out.send(Outbound::Frame(frame));
     }
     Ok(())
 }
@@ -357,15 +368,16 @@
     }
 }
 
-/// Handles the head of an answer with the first chunk of its body. Returns the
-/// id of the call if that completes it.
-fn begin_answer(node: &Node, link: &Link, answer: Answer, chunk: &Bytes) -> Option<u64> {
+/// Handles the head of an answer with the first chunk of its body. If that completes the
+/// call, returns the frame that tells the peer so. An answer for which there is no memory
+/// is cancelled, so that the peer does not send the rest.
+fn begin_answer(node: &Node, link: &Link, answer: Answer, chunk: &Bytes) -> Option<Frame> {
     let id = answer.id;
     let limit = node.lookup().config.limits.body.get() as u64;
     if answer.length > limit {
         let refused = Refused::unknown(Code::AnswerTooLarge, "", answer.tokens);
         link.complete(id, Reply::Refused(refused));
-        return Some(id);
+        return Some(Frame::Received { id });
     }
     // Answers that were begun on an earlier connection have been discarded.
     let is_repeated = lock(&link.calls)
@@ -375,26 +387,44 @@
         let detail = "answer begun twice on one connection";
         let refused = Refused::unknown(Code::FrameInvalid, detail, answer.tokens);
         link.complete(id, Reply::Refused(refused));
-        return Some(id);
+        return Some(Frame::Received { id });
+    }
+    let length = answer.length as usize;
+    let mut body = Buffer::new(&node.memory, Kind::Response, length);
+    if !body.reserve_exact(length) || !body.extend(chunk) {
+        return Some(discard_answer(node, link, id, answer.tokens));
     }
-    if answer.length == chunk.len() as u64 {
-        link.complete(id, Reply::Answer(complete_answer(answer, chunk.clone())));
-        return Some(id);
+    if body.len() == length {
+        let reply = Reply::Answer(complete_answer(answer, body.freeze()));
+        link.complete(id, reply);
+        return Some(Frame::Received { id });
     }
-    let mut body = BytesMut::with_capacity(answer.length as usize);
-    body.extend_from_slice(chunk);
     if let Some(pending) = lock(&link.calls).get_mut(&id) {
         pending.partial = Some((answer, body));
     }
     None
 }
 
-/// Appends a chunk to the body of an answer. Returns the id of the call if that
-/// completes it.
-fn continue_answer(link: &Link, id: u64, chunk: &Bytes) -> Option<u64> {
+/// Completes a call whose answer finds no memory.
+fn discard_answer(node: &Node, link: &Link, id: u64, tokens: u8) -> Frame {
+    let metrics = &node.metrics.unreserved;
+    metrics.with_label_values(&["answer"]).inc();
+    let detail = "no memory for the answer";
+    let refused = Refused::unknown(Code::AnswerTooLarge, detail, tokens);
+    link.complete(id, Reply::Refused(refused));
+    Frame::Cancel { id }
+}
+
+/// Appends a chunk to the body of an answer. If that completes the call, returns the
+/// frame that tells the peer so.
+fn continue_answer(node: &Node, link: &Link, id: u64, chunk: &Bytes) -> Option<Frame> {
     let mut calls = lock(&link.calls);
     let (answer, body) = calls.get_mut(&id)?.partial.as_mut()?;
-    body.extend_from_slice(chunk);
+    if !body.extend(chunk) {
+        let tokens = answer.tokens;
+        drop(calls);
+        return Some(discard_answer(node, link, id, tokens));
+    }
     if (body.len() as u64) < answer.length {
         return None;
     }
@@ -411,7 +441,7 @@
         ))
     };
     link.complete(id, reply);
-    Some(id)
+    Some(Frame::Received { id })
 }
 
 fn complete_answer(answer: Answer, body: Bytes) -> reply::Answer {
--- a/crates/daemon/src/link/session.rs
+++ b/crates/daemon/src/link/session.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cardamomshed_code::{Code, Event};
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::ADMIT_ALL;
 use cardamomshed_policy::member::Record;
+use cardamomshed_policy::memory::Kind;
 use cardamomshed_wire::{Answer, Call, Frame, Refusal, decode};
 use futures_util::StreamExt;
 use tokio::sync::{mpsc, oneshot};
@@ -20,7 +21,7 @@
 use super::sessions::{Completed, Outlet, Progress};
 use super::writer::{self, Outbound};
 use crate::job::Job;
-use crate::lifecycle::Reservation;
+use crate::memory::Buffer;
 use crate::node::Node;
 use crate::reply::{Refused, Reply};
 use crate::sync::lock;
@@ -181,30 +182,26 @@
         return;
     }
     let limit = node.lookup().config.limits.body.get() as u64;
-    let reservation = node
-        .lifecycle
-        .reserve(call.length as usize, node.current_settings().bodies.get());
-    let code = match &reservation {
-        _ if call.length > limit => Some(Code::BodyTooLarge),
-        Err(code) => Some(*code),
-        Ok(_) => None,
+    let length = call.length as usize;
+    let mut body = Buffer::new(&node.memory, Kind::Request, length);
+    let code = if call.length > limit {
+        Some(Code::BodyTooLarge)
+    } else if !body.reserve_exact(length) || !body.extend(chunk) {
+        Some(Code::MemoryShed)
+    } else {
+        None
     };
     if let Some(code) = code {
         let refused = Refused::not_run(code, "", call.tokens);
         reject(node, boot, out, id, deadline, refused);
         return;
     }
-    let Ok(reservation) = reservation else {
-        return;
-    };
-    if call.length == chunk.len() as u64 {
-        start(node, boot, call, chunk.clone(), deadline, reservation);
+    if body.len() == length {
+        start(node, boot, call, body.freeze(), deadline);
         return;
     }
-    let mut body = BytesMut::with_capacity(call.length as usize);
-    body.extend_from_slice(chunk);
     node.links.sessions.update(boot, |session| {
-        let receiving = Progress::Receiving(call, body, deadline, reservation);
+        let receiving = Progress::Receiving(call, body, deadline);
         session.calls.insert(id, receiving);
     });
 }
@@ -216,28 +213,21 @@
         let Some(Progress::Receiving(call, body, ..)) = session.calls.get_mut(&id) else {
             return None;
         };
-        body.extend_from_slice(chunk);
-        if (body.len() as u64) < call.length {
+        // A body beyond its declared length never starts.
+        if body.extend(chunk) && (body.len() as u64) < call.length {
             return None;
         }
         session.calls.remove(&id)
     });
-    if let Some(Progress::Receiving(call, body, deadline, reservation)) = completed
+    if let Some(Progress::Receiving(call, body, deadline)) = completed
         && body.len() as u64 == call.length
     {
-        start(node, boot, call, body.freeze(), deadline, reservation);
+        start(node, boot, call, body.freeze(), deadline);
     }
 }
 
 /// Queues a complete call for execution.
-fn start(
-    node: &Arc<Node>,
-    boot: u64,
-    call: Box<Call>,
-    body: Bytes,
-    deadline: Moment,
-    reservation: Reservation,
-) {
+fn start(node: &Arc<Node>, boot: u64, call: Box<Call>, body: Bytes, deadline: Moment) {
     let id = call.id;
     let tokens = call.tokens;
     let (reply, completion) = oneshot::channel();
@@ -256,7 +246,6 @@
                 Err(_) if !queued => Reply::Refused(Refused::not_run(Code::Leaving, "", tokens)),
                 Err(_) => Reply::Refused(Refused::unknown(Code::OutcomeUnknown, "", tokens)),
             };
-            drop(reservation);
             finish(&node, boot, id, reply, deadline);
         })
     };
@@ -364,10 +353,13 @@
 
 /// Discards a call and aborts it if it is queued or running.
 fn cancel(node: &Node, boot: u64, id: u64) {
-    let progress = node
-        .links
-        .sessions
-        .update(boot, |session| session.calls.remove(&id));
+    let progress = node.links.sessions.update(boot, |session| {
+        if let Some(out) = &session.out {
+            // The rest of its answer is not sent.
+            let _ = out.queue.send(Outbound::Discard(id));
+        }
+        session.calls.remove(&id)
+    });
     if let Some(Progress::Running(task, _)) = progress {
         task.abort();
     }
--- a/crates/daemon/src/link/sessions.rs
+++ b/crates/daemon/src/link/sessions.rs
@@ -4,14 +4,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use cardamomshed_policy::Moment;
 use cardamomshed_wire::Call;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use super::writer::Outbound;
-use crate::lifecycle::Reservation;
+use crate::memory::Buffer;
 use crate::reply::Reply;
 use crate::sync::lock;
 
@@ -23,7 +22,7 @@
 #[derive(Debug)]
 pub(super) enum Progress {
     /// Part of the body has been received.
-    Receiving(Box<Call>, BytesMut, Moment, Reservation),
+    Receiving(Box<Call>, Buffer, Moment),
     /// The call is queued or running. Aborting the task cancels it.
     Running(AbortHandle, Moment),
     /// The call completed; the caller has not yet confirmed the reply.
@@ -35,7 +34,7 @@
 impl Progress {
     const fn deadline(&self) -> Moment {
         match self {
-            Self::Receiving(_, _, deadline, _)
+            Self::Receiving(_, _, deadline)
             | Self::Running(_, deadline)
             | Self::Rejected(deadline) => *deadline,
             Self::Completed(completed) => completed.deadline,
--- a/crates/daemon/src/link/table.rs
+++ b/crates/daemon/src/link/table.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cardamomshed_code::{Code, Event, Ran};
 use cardamomshed_policy::Moment;
 use cardamomshed_wire::{Answer, Call, Frame};
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::sessions::Sessions;
+use crate::memory::Buffer;
 use crate::reply::{Refused, Reply};
 use crate::service::Peer;
 use crate::sync::lock;
@@ -38,7 +39,7 @@
     /// call has been sent.
     pub(super) known_until: Option<Moment>,
     /// Answer whose body has been received in part.
-    pub(super) partial: Option<(Answer, BytesMut)>,
+    pub(super) partial: Option<(Answer, Buffer)>,
     pub(super) reply: oneshot::Sender<Reply>,
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a daemon.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -34,6 +34,12 @@
     pub late_responses: IntCounter,
     /// Bytes sent to other daemons, by purpose.
     pub bytes: IntCounterVec,
+    /// Bytes that are reserved, by kind.
+    pub memory: IntGaugeVec,
+    /// Requests and answers that found no memory, by cause.
+    pub unreserved: IntCounterVec,
+    /// Connections of callers that were closed, by cause.
+    pub closed: IntCounterVec,
     /// Open root requests.
     pub open: IntGauge,
     /// Revision of the release note in force.
@@ -90,6 +96,20 @@
                 "Bytes sent to other daemons, by purpose",
                 &["purpose"],
             )?,
+            memory: IntGaugeVec::new(
+                Opts::new("cardamomshed_memory_bytes", "Reserved memory by kind"),
+                &["kind"],
+            )?,
+            unreserved: counters(
+                "cardamomshed_memory_refusals_total",
+                "Requests and answers that found no memory, by cause",
+                &["cause"],
+            )?,
+            closed: counters(
+                "cardamomshed_connections_closed_total",
+                "Connections of callers that were closed, by cause",
+                &["cause"],
+            )?,
             open: IntGauge::new("cardamomshed_open_requests", "Requests that are open")?,
             revision: IntGauge::new(
                 "cardamomshed_revision",
@@ -111,6 +131,9 @@
         self.registry
             .register(Box::new(self.late_responses.clone()))?;
         self.registry.register(Box::new(self.bytes.clone()))?;
+        self.registry.register(Box::new(self.memory.clone()))?;
+        self.registry.register(Box::new(self.unreserved.clone()))?;
+        self.registry.register(Box::new(self.closed.clone()))?;
         self.registry.register(Box::new(self.open.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use cardamomshed_policy::admission::{self, Admission};
 use cardamomshed_policy::confirmation::Date;
 use cardamomshed_policy::member::{self, Fleet, Profile};
+use cardamomshed_policy::memory::Limits;
 use cardamomshed_policy::registration::Registration;
 use cardamomshed_policy::route::ByteBudget;
 use cardamomshed_wire::{Request, Secret};
@@ -22,9 +23,11 @@
 use crate::configuration::Configuration;
 use crate::context::Contexts;
 use crate::departure::Departure;
+use crate::http::connections::Connections;
 use crate::job::Job;
 use crate::lifecycle::Lifecycle;
 use crate::link::table::Links;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quota;
 use crate::routing::Routing;
@@ -78,8 +81,12 @@
     pub secret: Secret,
     /// Interned names and their keys.
     pub names: Interner,
-    /// Lifecycle flags and reserved body bytes.
+    /// Lifecycle flags.
     pub lifecycle: Lifecycle,
+    /// Account of memory.
+    pub memory: Memory,
+    /// Open connections of callers.
+    pub connections: Arc<Connections>,
     /// Current configuration.
     pub configuration: Configuration,
     /// Target that this daemon protects, with its admission state.
@@ -156,6 +163,8 @@
             secret: Secret::new(&settings.fleet_secret)?,
             names: Interner::default(),
             lifecycle: Lifecycle::default(),
+            memory: Memory::new(Limits::new(settings.memory.get(), settings.bodies.get())),
+            connections: Arc::default(),
             configuration: Configuration::new(clock),
             local_target: Target::new(clock),
             registration: Mutex::default(),
@@ -200,6 +209,8 @@
     /// changed fields that do.
     pub fn reload(&self, changed: &Settings) -> Vec<&'static str> {
         let (next, unapplied) = self.current_settings().reloaded(changed);
+        self.memory
+            .with(|account| account.set_requests(next.bodies.get()));
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         *current = Arc::new(next);
         unapplied
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -42,7 +42,7 @@
 
 /// Runs queued calls concurrently until all senders of `jobs` are dropped.
 pub async fn run(node: Arc<Node>, jobs: &mut mpsc::UnboundedReceiver<Job>) {
-    let pool = Rc::new(Pool::default());
+    let pool = Rc::new(Pool::new(node.memory.clone()));
     while let Some(job) = jobs.recv().await {
         actix_rt::spawn(serve(Arc::clone(&node), Rc::clone(&pool), job));
     }
@@ -89,6 +89,9 @@
     let downstream = lock(&node.routing.prices)
         .fanout
         .outbound(attributes.route, MIN_DOWNSTREAM_CALLS);
+    if node.memory.is_full() {
+        return shed_reply(node, call, &downstream, Code::MemoryShed);
+    }
     let entered = node.routing.windows.enter(offer(&attributes), &downstream);
     let mut pass = match entered.await {
         Ok(pass) => pass,
@@ -470,5 +473,6 @@
         Error::NotSent(detail) => Refused::not_run(Code::TargetFailed, detail, 0),
         Error::Sent(detail) => Refused::unknown(Code::TargetFailed, detail, 0),
         Error::TooLarge => Refused::unknown(Code::AnswerTooLarge, "", 0),
+        Error::NoMemory => Refused::unknown(Code::AnswerTooLarge, "no memory for the response", 0),
     }
 }
--- a/crates/policy/tests/all/memory_account.rs
+++ b/crates/policy/tests/all/memory_account.rs
@@ -12,15 +12,22 @@
 const MIB: usize = 1024 * 1024;
 const STALL: Duration = Duration::from_secs(5);
 
+const LIMITS: Limits = Limits {
+    total: 56 * MIB,
+    bodies: 48 * MIB,
+    requests: 32 * MIB,
+    connections: 28 * MIB,
+};
+
 fn account() -> Account {
-    Account::new(Limits::new(96 * MIB, 32 * MIB))
+    Account::new(LIMITS)
 }
 
 /// Guards against a sum of reservations beyond a limit, for any order of reservations
 /// and releases. Each step gives a kind, a size and whether it is a release.
 fn within_limits(steps: Vec<(u8, u32, bool)>) -> bool {
-    let limits = Limits::new(96 * MIB, 32 * MIB);
-    let mut account = Account::new(limits);
+    let limits = LIMITS;
+    let mut account = account();
     let mut reserved = Vec::new();
     steps.into_iter().all(|(kind, bytes, releases)| {
         let kind = Kind::ALL[usize::from(kind) % Kind::ALL.len()];
@@ -57,8 +64,7 @@
             held += bytes;
         }
     }
-    // The memory for bodies is 47 MiB, of which one connection holds half and one
-    // response at most.
+    // Half of the memory for bodies, and one response beyond it.
     held <= 32 * MIB && account.reserve(Kind::Response, 8 * MIB)
 }
 
