Reject responses whose status is not one from 100 to 599

Cause: the parser accepts any three digits. A response with status 000 or 600 to 999 was passed on: the caller got 502 for 000, with the headers and body of the response.

Change: a head with such a status is malformed, and the outcome is unknown (502, CS1402). The dialling end of a link checks the status as well, since a peer of an earlier version may pass one on.

--- a/crates/daemon/src/exchange/head.rs
+++ b/crates/daemon/src/exchange/head.rs
@@ -1,9 +1,12 @@
 //! Heads of HTTP/1.1 responses.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Largest number of header fields in a response.
 const MAX_HEADERS: usize = 64;
+/// Statuses that a response may have (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
 /// Time for which an idle connection is kept if the target sends no `keep-alive`
 /// timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -57,13 +60,17 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(error) => return Err(invalid(&error.to_string())),
     };
+    let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(invalid("status out of range"));
+    }
     let mut headers = Vec::with_capacity(response.headers.len());
     for field in response.headers.iter() {
         let value = std::str::from_utf8(field.value).map_err(|_| invalid(field.name))?;
         headers.push((field.name.to_ascii_lowercase(), value.trim().to_owned()));
     }
     let mut head = Head {
-        status: response.code.unwrap_or(0),
+        status,
         headers,
         framing: Framing::UntilClose,
         keep_alive: response.version == Some(1),
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -1,5 +1,6 @@
 //! Dialling end of a link. It connects, sends calls and receives their answers.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 use crate::reply::{self, Refused, Reply};
 use crate::sync::lock;
 
+/// Statuses that an answer may have. A peer of an earlier version passes on others.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Memory that the buffers of a link take, in bytes.
 pub(super) const LINK_BYTES: usize = 64 * 1024;
 /// Base of the exponential backoff between dial attempts.
@@ -379,6 +382,12 @@
         link.complete(id, Reply::Refused(refused));
         return Some(Frame::Received { id });
     }
+    if !FINAL_STATUSES.contains(&answer.status) {
+        let detail = format!("status {} is not that of a response", answer.status);
+        let refused = Refused::unknown(Code::TargetFailed, detail, answer.tokens);
+        link.complete(id, Reply::Refused(refused));
+        return Some(Frame::Received { id });
+    }
     // Answers that were begun on an earlier connection have been discarded.
     let is_repeated = lock(&link.calls)
         .get(&id)
