Count what all connections hold in one counter

Cause: each request summed the held bytes of every open connection, twice.

Change: the table keeps the sum.

--- a/crates/daemon/src/http/connections.rs
+++ b/crates/daemon/src/http/connections.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
@@ -24,6 +24,8 @@
 pub struct Connections {
     open: Mutex<HashMap<SocketAddr, Arc<Connection>>>,
     next: AtomicU64,
+    /// Bytes of responses that are held for all connections.
+    held: Arc<AtomicUsize>,
 }
 
 /// State of one connection.
@@ -32,6 +34,8 @@
     key: ConnectionKey,
     clock: Clock,
     state: Mutex<State>,
+    /// Bytes that are held for all connections of the table.
+    held_by_all: Arc<AtomicUsize>,
     /// Whether the connection is to be closed.
     closed: AtomicBool,
     /// Wakes the task that serves the connection.
@@ -72,6 +76,7 @@
                 written: 0,
                 progressed: now,
             }),
+            held_by_all: Arc::clone(&self.held),
             closed: AtomicBool::new(false),
             waker: AtomicWaker::new(),
         });
@@ -111,8 +116,7 @@
 
     /// Bytes that are held for all connections.
     pub fn held(&self) -> usize {
-        let open = lock(&self.open);
-        open.values().map(|one| lock(&one.state).held).sum()
+        self.held.load(Ordering::Relaxed)
     }
 
     /// Closes the connection with this key.
@@ -189,6 +193,7 @@
         }
         state.held += bytes;
         drop(state);
+        self.held_by_all.fetch_add(bytes, Ordering::Relaxed);
         Hold {
             connection: Arc::clone(self),
             bytes,
@@ -224,6 +229,8 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         lock(&self.connection.state).held -= self.bytes;
+        let all = &self.connection.held_by_all;
+        all.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
