Merge the account of memory and limits on clients

The dispatcher of callers' connections reports its writes to the table of connections and is closed through it.

--- a/crates/daemon/src/actor/root.rs
+++ b/crates/daemon/src/actor/root.rs
@@ -15,6 +15,7 @@
 use super::{follower, gossip, leaving, quota, rewrite, warmth};
 use crate::claim::command::Command;
 use crate::claim::store;
+use crate::http::closing;
 use crate::job::Job;
 use crate::link;
 use crate::link::table::Task;
@@ -173,6 +174,7 @@
         let now = node.clock.now();
         node.links.sessions.remove_expired(now);
         crate::warmth::configure(&node, false);
+        closing::sweep(&node);
         node.local_target.tick();
         crate::warmth::update(&node);
         node.routing.windows.tick();
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -274,6 +274,7 @@
                 | Code::TargetStalled
                 | Code::Leaving
                 | Code::Evacuated
+                | Code::MemoryShed
                 | Code::NoTarget
                 | Code::LinkFailed
                 | Code::TargetFailed,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,11 +3,14 @@
 
 pub mod admin;
 pub mod announce;
+pub mod closing;
 pub mod connection;
+pub mod connections;
 pub mod control;
 pub mod head;
 pub mod ingress;
 mod open;
 pub mod outbound;
 pub mod problem;
+mod receive;
 pub mod server;
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -69,6 +69,8 @@
     Answered,
     /// The client has closed its side, or failed to read or write.
     Gone,
+    /// The connection was closed through the monitor.
+    Closed,
 }
 
 /// Serves a connection until it ends or is closed through the monitor. Dropping the
@@ -80,10 +82,14 @@
     let stream = Rc::new(stream);
     let mut connection = Connection::new(host, Rc::clone(&stream), peer, Arc::clone(&monitor));
     let end = tokio::select! {
-        () = monitor.closed() => End::Gone,
+        () = monitor.closed() => End::Closed,
         end = poll_fn(|cx| connection.poll(cx)) => end,
     };
     drop(connection);
+    if end == End::Closed {
+        // Without the option, the kernel sends the rest for as long as it is read.
+        let _ = stream.set_zero_linger();
+    }
     if end == End::Answered {
         let _ = SockRef::from(&*stream).shutdown(Shutdown::Write);
         // The client is expected to close its side; the connection ends anyway.
@@ -399,7 +405,8 @@
                     Ok(length) => {
                         self.output.advance(length);
                         self.drop_written();
-                        self.monitor.record_write(self.host.clock.now());
+                        let now = self.host.clock.now();
+                        self.monitor.record_write(length, now);
                         progress = true;
                     }
                     Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
--- a/crates/daemon/src/http/connection/monitor.rs
+++ b/crates/daemon/src/http/connection/monitor.rs
@@ -6,6 +6,8 @@
 use cardamomshed_policy::Moment;
 use tokio::sync::Notify;
 
+use crate::http::connections;
+
 /// Progress of one connection, and the means to close it.
 #[derive(Debug)]
 pub struct Monitor {
@@ -15,15 +17,18 @@
     /// the connection was opened.
     written_at: AtomicU64,
     closed: Notify,
+    /// Place in the table of open connections, if the listener has one.
+    entry: Option<Arc<connections::Connection>>,
 }
 
 impl Monitor {
     /// Monitor of a connection that is opened `now`.
-    pub fn new(now: Moment) -> Arc<Self> {
+    pub fn new(now: Moment, entry: Option<Arc<connections::Connection>>) -> Arc<Self> {
         Arc::new(Self {
             waiting_bytes: AtomicUsize::new(0),
             written_at: AtomicU64::new(now.as_micros()),
             closed: Notify::new(),
+            entry,
         })
     }
 
@@ -44,14 +49,23 @@
     }
 
     pub(super) async fn closed(&self) {
-        self.closed.notified().await;
+        let Some(entry) = &self.entry else {
+            return self.closed.notified().await;
+        };
+        tokio::select! {
+            () = self.closed.notified() => {}
+            () = entry.closed() => {}
+        }
     }
 
     pub(super) fn set_waiting_bytes(&self, bytes: usize) {
         self.waiting_bytes.store(bytes, Ordering::Relaxed);
     }
 
-    pub(super) fn record_write(&self, now: Moment) {
+    pub(super) fn record_write(&self, bytes: usize, now: Moment) {
+        if let Some(entry) = &self.entry {
+            entry.record_written(bytes);
+        }
         self.written_at.store(now.as_micros(), Ordering::Relaxed);
     }
 }
--- a/crates/daemon/src/warmth.rs
+++ b/crates/daemon/src/warmth.rs
@@ -54,7 +54,7 @@
 /// Records how an exchange with the target ended for its connection.
 pub fn record_exchange(node: &Node, result: &Result<Response, Error>) {
     let connection = match result {
-        Ok(_) | Err(Error::TooLarge) => Connection::Answered,
+        Ok(_) | Err(Error::TooLarge | Error::NoMemory) => Connection::Answered,
         Err(Error::Sent(_)) => Connection::Broken,
         Err(Error::NotSent(_)) => Connection::Unopened,
     };
--- a/crates/daemon/tests/all/connection_rules.rs
+++ b/crates/daemon/tests/all/connection_rules.rs
@@ -108,7 +108,7 @@
         let client = TcpStream::connect(address).await.expect("a connection");
         client.set_nodelay(true).expect("a socket");
         let (stream, peer) = listener.accept().await.expect("a connection");
-        let monitor = Monitor::new(clock.now());
+        let monitor = Monitor::new(clock.now(), None);
         let served = connection::serve(host, stream, peer, Arc::clone(&monitor));
         Self {
             client,
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod digest;
 mod lookup;
+mod machine;
 mod name;
 mod quantity;
 mod release;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod key;
 pub mod member;
+pub mod memory;
 pub mod moment;
 pub mod pipeline;
 pub mod price;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod member_contacts;
 mod member_departure;
 mod member_gossip;
+mod memory_account;
 mod pipeline_order;
 #[path = "../play/mod.rs"]
 mod play;
--- a/crates/standin/src/soak/process.rs
+++ b/crates/standin/src/soak/process.rs
@@ -186,7 +186,6 @@
             ("{{bounds.grace}}", "6s".to_owned()),
             ("{{bounds.retry-budget-ratio}}", "0.2".to_owned()),
             ("{{bounds.budget-slack}}", "120".to_owned()),
-            ("{{bounds.cold-slack}}", String::new()),
             ("{{first-start}}", self.is_first.to_string()),
         ];
         let mut text = site.template.clone();
@@ -210,6 +209,11 @@
         }
     }
 
+    /// Id of the process, if it was started and not seen to end.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
