--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod merge;
 mod offset;
+mod output;
 mod packet;
 mod probe;
 mod record;
@@ -32,6 +33,7 @@
 use rand::Rng;
 
 pub use census::Size;
+pub use output::{Change, Output, Send};
 pub use packet::{Packet, Payload};
 use probe::{Forwarded, Ping, Probe};
 pub use record::{Departure, Profile, Record, State, rank_key};
@@ -79,44 +81,6 @@
 /// Bits of a ping's sequence number that count the pings of one process.
 const SEQUENCE_BITS: u32 = 22;
 
-/// Outgoing packet.
-#[derive(Clone, Debug)]
-pub struct Send {
-    /// Gossip address of the receiver.
-    pub to: std::net::SocketAddr,
-    /// Packet to send.
-    pub packet: Packet,
-}
-
-/// Change of another member's record, for the log and for routing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// Record after the change.
-    pub record: Record,
-    /// State before the change, `None` if the member was unknown.
-    pub before: Option<State>,
-}
-
-/// Effects of a call to [`Fleet`].
-#[derive(Debug, Default)]
-pub struct Output {
-    /// Packets to send.
-    pub sends: Vec<Send>,
-    /// Changes of other members' records.
-    pub changes: Vec<Change>,
-    /// Name of a member that advertises a newer release note than the local one.
-    pub newer_note: Option<Arc<str>>,
-    /// When a member with the same release note last knew it to be the newest.
-    /// `None` as well if the member's clock is not known yet.
-    pub confirmed: Option<Date>,
-    /// Member whose digest keeps differing. The caller requests records from it.
-    pub diverged: Option<Arc<str>>,
-    /// Whether the set of evacuated failure domains changed.
-    pub evacuations_changed: bool,
-    /// Departure of the local target that another member holds.
-    pub held_departure: Option<Departure>,
-}
-
 #[derive(Debug)]
 struct Member {
     record: Record,
