Confirm the configuration only by a store that holds no older one

After a return from a copy, a read found an older configuration than the one in force and still confirmed it as the newest, so that keys withdrawn meanwhile stayed confirmed.

store_return::withdrawn_key_refused and confirmation_reads::returned_store_unconfirmed are new and pass. store_return::departure_rewritten had relied on the store being written before the acknowledgement; since peers hold departures too it waits for the row.

--- a/crates/daemon/src/actor/distribution.rs
+++ b/crates/daemon/src/actor/distribution.rs
@@ -86,16 +86,16 @@
 }
 
 /// Replaces the configuration by the operators' one if that has a higher
-/// revision.
+/// revision. Returns the revision of the operators' one.
 ///
 /// # Errors
 ///
 /// [`Code::PlatformAnswer`] if `value` cannot be decoded.
-pub(super) fn install_operator_config(node: &Node, value: &Value) -> Result<(), Failure> {
+pub(super) fn install_operator_config(node: &Node, value: &Value) -> Result<u64, Failure> {
     let (config, left_out) = decode_config(value)?;
     let revision = config.revision;
     if revision <= node.lookup().config.revision {
-        return Ok(());
+        return Ok(revision);
     }
     let counts = (
         config.routes.len(),
@@ -111,7 +111,7 @@
             counts.0, counts.1, counts.2
         ),
     );
-    Ok(())
+    Ok(revision)
 }
 
 /// Installs the operators' configuration as received from a peer.
@@ -122,7 +122,7 @@
 fn receive_operator_config(node: &Node, text: &str) -> Result<(), Failure> {
     let value = serde_json::from_str::<Value>(text)
         .map_err(|error| Failure::new(Code::PlatformAnswer, error.to_string()))?;
-    install_operator_config(node, &value)
+    install_operator_config(node, &value).map(|_| ())
 }
 
 /// Requests the newer configuration from the member known to have it.
--- a/crates/daemon/src/actor/operator.rs
+++ b/crates/daemon/src/actor/operator.rs
@@ -14,7 +14,7 @@
     CONFIG_KEY, CONFIG_TABLE, Changes, Client, evacuated_domain, redact_config,
 };
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::confirmation::{Date, read_age};
+use cardamomshed_policy::confirmation::{Date, Reads, read_age};
 use cardamomshed_policy::evacuation::{Reading, Stamp};
 use serde_json::Value;
 
@@ -49,6 +49,7 @@
         client,
         version: None,
         era: 0,
+        reads: Reads::default(),
         evacuated: BTreeSet::new(),
         ignored: BTreeSet::new(),
         failures: 0,
@@ -68,6 +69,7 @@
     version: Option<u64>,
     /// Era of the store in which `version` and `evacuated` were read.
     era: u64,
+    reads: Reads,
     /// Failure domains that have an evacuation row.
     evacuated: BTreeSet<Arc<str>>,
     /// Names of them that no known failure domain has, as logged.
@@ -126,13 +128,14 @@
         let Some(version) = self.version else {
             let rows = self.client.operator_rows().await?;
             self.era = rows.era;
+            self.reads.record(rows.era, self.node.clock.now());
             self.evacuated = rows.evacuated;
             // Requests are served once a configuration is in force, and must not be
             // sent to an evacuated domain then.
             self.record_evacuations(rows.version, sent_at);
             if let Some(row) = rows.config {
-                install_value(&self.node, row.value);
-                self.node.confirm_configuration(sent, "store");
+                self.install(row.value);
+                self.confirm(sent, sent_at);
             }
             self.version = Some(rows.version);
             return Ok(());
@@ -143,7 +146,7 @@
                 let is_unchanged = feed.rows.is_empty();
                 for row in feed.rows {
                     if row.key == CONFIG_KEY && !row.removed {
-                        install_value(&self.node, row.value);
+                        self.install(row.value);
                     } else if let Some(domain) = evacuated_domain(&row.key) {
                         if row.removed {
                             self.evacuated.remove(domain);
@@ -162,13 +165,34 @@
                     sent
                 };
                 let confirmed = confirmed.before(FEED_LAG);
-                self.node.confirm_configuration(confirmed, "store");
+                self.confirm(confirmed, sent_at);
             }
             Changes::Compacted => self.version = None,
         }
         Ok(())
     }
 
+    /// Installs a configuration read from the store, with its API keys replaced by
+    /// digests. One that cannot be decoded is logged and dropped.
+    fn install(&mut self, mut value: Value) {
+        redact_config(&mut value);
+        match install_operator_config(&self.node, &value) {
+            Ok(revision) => self.reads.record_revision(revision),
+            Err(failure) => self
+                .node
+                .log_event(Event::ConfigRejected, format_args!("{failure}")),
+        }
+    }
+
+    /// Confirms the configuration in force at `date` by a read sent at `sent_at`, if the
+    /// store holds no older one.
+    fn confirm(&self, date: Date, sent_at: Moment) {
+        let in_force = self.node.lookup().config.revision;
+        if self.reads.confirm(in_force, sent_at, FEED_LAG) {
+            self.node.confirm_configuration(date, "store");
+        }
+    }
+
     /// Records the evacuations of known failure domains as of this store version, read
     /// by a request sent at `sent`. Other names are logged once and left out.
     fn record_evacuations(&mut self, version: u64, sent: Moment) {
@@ -189,12 +213,3 @@
         record_evacuations(&self.node, Reading { stamp, domains }, sent);
     }
 }
-
-/// Installs a configuration read from the store, with its API keys replaced by
-/// digests. One that cannot be decoded is logged and dropped.
-fn install_value(node: &Node, mut value: Value) {
-    redact_config(&mut value);
-    if let Err(failure) = install_operator_config(node, &value) {
-        node.log_event(Event::ConfigRejected, format_args!("{failure}"));
-    }
-}
--- a/crates/daemon/tests/all/store_return.rs
+++ b/crates/daemon/tests/all/store_return.rs
@@ -20,7 +20,10 @@
     let mut deployment = served();
     let copy = deployment.platform.copy();
     assert_eq!(deployment.heartbeat("draining").status, 200);
-    assert_eq!(deployment.platform.rows("leaving"), 1);
+    // A peer may hold the departure before the store does.
+    eventually("the departure is stored", || {
+        deployment.platform.rows("leaving") == 1
+    });
     deployment.platform.restore(copy);
     assert_eq!(deployment.platform.rows("leaving"), 0);
     eventually("the departure is stored again", || {
@@ -40,3 +43,26 @@
     let has_seed = || deployment.platform.peek("seeds", "a-0").is_some();
     eventually("a seed row is stored again", has_seed);
 }
+
+/// Guards against a withdrawn key that works again because the store returned with an
+/// older configuration, and against one that is confirmed as the newest.
+#[test]
+fn withdrawn_key_refused() {
+    let mut deployment = served();
+    deployment.heartbeat("ready");
+    eventually_status(200, || deployment.get("/a/").key("key-one").send());
+    let copy = deployment.platform.copy();
+    deployment.configure(4, "key-two");
+    eventually_status(401, || deployment.get("/a/").key("key-one").send());
+    eventually_status(200, || deployment.get("/a/").key("key-two").send());
+    deployment.platform.restore(copy);
+    // The store holds the older configuration, which confirms nothing.
+    eventually_status(503, || {
+        let reply = deployment.get("/a/").key("key-one").send();
+        assert_ne!(reply.status, 200, "a withdrawn key works again");
+        deployment.get("/a/").key("key-two").send()
+    });
+    deployment.configure(4, "key-two");
+    eventually_status(200, || deployment.get("/a/").key("key-two").send());
+    assert_eq!(deployment.get("/a/").key("key-one").send().status, 401);
+}
--- a/crates/policy/src/confirmation.rs
+++ b/crates/policy/src/confirmation.rs
@@ -26,6 +26,48 @@
     age.min(withdraw_within.mul_f64(LAST_READ))
 }
 
+/// Which reads of the store confirm the configuration in force.
+///
+/// A store that has returned from an older copy may lack the newest configuration, with
+/// the keys that it withdraws, until its writer writes it again.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reads {
+    /// Era of the store at the last read; `None` before the first.
+    era: Option<u64>,
+    /// When a read first showed that the store had returned from a copy.
+    returned_at: Option<Moment>,
+    /// Highest revision that the store held in that era.
+    revision: u64,
+}
+
+impl Reads {
+    /// Records a read in this era that ended `now`.
+    pub fn record(&mut self, era: u64, now: Moment) {
+        if self.era == Some(era) {
+            return;
+        }
+        self.returned_at = self.era.map(|_| now).or(self.returned_at);
+        self.era = Some(era);
+        self.revision = 0;
+    }
+
+    /// Records the revision of a configuration that was read.
+    pub const fn record_revision(&mut self, revision: u64) {
+        if revision > self.revision {
+            self.revision = revision;
+        }
+    }
+
+    /// Whether a read sent at `sent` confirms the configuration of revision `in_force`:
+    /// the store holds no older one, and has not returned from a copy within `settle`.
+    pub fn confirm(&self, in_force: u64, sent: Moment, settle: Duration) -> bool {
+        let is_settled = self
+            .returned_at
+            .is_none_or(|returned| sent.since(returned) >= settle);
+        self.revision >= in_force && is_settled
+    }
+}
+
 /// When the configuration was known to be the newest, on the local clock.
 ///
 /// Another process may have known it before this one started, so that a date may
--- a/crates/policy/tests/all/confirmation_reads.rs
+++ b/crates/policy/tests/all/confirmation_reads.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cardamomshed_policy::confirmation::read_age;
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::confirmation::{Reads, read_age};
 
 /// Bound on withdrawn keys of the users' installations.
 const WITHDRAW_WITHIN: Duration = Duration::from_secs(5);
@@ -37,3 +38,27 @@
         assert!(left >= READ_TIME, "rank {rank} has {left:?} for its read");
     }
 }
+
+/// Guards against a withdrawn key that is confirmed by a store that has lost its
+/// withdrawal.
+#[test]
+fn returned_store_unconfirmed() {
+    const SETTLE: Duration = Duration::from_secs(1);
+    let at = |seconds| Moment::ZERO + Duration::from_secs(seconds);
+    let mut reads = Reads::default();
+    assert!(!reads.confirm(3, at(1), SETTLE), "nothing was read");
+    reads.record(7, at(1));
+    reads.record_revision(3);
+    assert!(
+        reads.confirm(3, at(1), SETTLE),
+        "the first era is no return"
+    );
+    assert!(!reads.confirm(4, at(2), SETTLE), "a peer has a newer one");
+    reads.record(8, at(5));
+    assert!(!reads.confirm(3, at(9), SETTLE), "read before the return");
+    reads.record_revision(2);
+    assert!(!reads.confirm(3, at(9), SETTLE), "an older copy");
+    reads.record_revision(3);
+    assert!(!reads.confirm(3, at(5), SETTLE), "a newer one may be lost");
+    assert!(reads.confirm(3, at(6), SETTLE));
+}
