--- a/crates/policy/src/member/output.rs
+++ b/crates/policy/src/member/output.rs
@@ -23,7 +23,7 @@
     pub before: Option<State>,
 }
 
-/// Effects of a call to [`Fleet`].
+/// Effects of a call to [`Fleet`](super::Fleet).
 #[derive(Debug, Default)]
 pub struct Output {
     /// Packets to send.
