Name the table of callers' connections apart from their dispatcher

The modules connection and connections each had a type Connection. The table is connection_table::Table with entries now.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -5,7 +5,7 @@
 pub mod announce;
 pub mod closing;
 pub mod connection;
-pub mod connections;
+pub mod connection_table;
 pub mod control;
 pub mod head;
 pub mod ingress;
--- a/crates/daemon/src/http/closing.rs
+++ b/crates/daemon/src/http/closing.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use super::connections::Stream;
+use super::connection_table::Stream;
 use crate::node::Node;
 
 /// Memory that the buffers of one connection take, in bytes.
--- a/crates/daemon/src/http/connection/monitor.rs
+++ b/crates/daemon/src/http/connection/monitor.rs
@@ -6,7 +6,7 @@
 use cardamomshed_policy::Moment;
 use tokio::sync::Notify;
 
-use crate::http::connections;
+use crate::http::connection_table::Entry;
 
 /// Progress of one connection, and the means to close it.
 #[derive(Debug)]
@@ -18,12 +18,12 @@
     written_at: AtomicU64,
     closed: Notify,
     /// Place in the table of open connections, if the listener has one.
-    entry: Option<Arc<connections::Connection>>,
+    entry: Option<Arc<Entry>>,
 }
 
 impl Monitor {
     /// Monitor of a connection that is opened `now`.
-    pub fn new(now: Moment, entry: Option<Arc<connections::Connection>>) -> Arc<Self> {
+    pub fn new(now: Moment, entry: Option<Arc<Entry>>) -> Arc<Self> {
         Arc::new(Self {
             waiting_bytes: AtomicUsize::new(0),
             written_at: AtomicU64::new(now.as_micros()),
--- a/crates/daemon/src/http/connections.rs
+++ b/crates/daemon/src/http/connection_table.rs
@@ -1,5 +1,5 @@
-//! Open connections of callers: what they do, what is held for them, and their close
-//! from outside the task that serves them.
+//! Table of the open connections of callers: what they do, what is held for them, and
+//! their close from outside the task that serves them.
 
 use std::collections::HashMap;
 use std::future::poll_fn;
@@ -22,8 +22,8 @@
 
 /// Connections by the address of the caller.
 #[derive(Debug, Default)]
-pub struct Connections {
-    open: Mutex<HashMap<SocketAddr, Arc<Connection>>>,
+pub struct Table {
+    open: Mutex<HashMap<SocketAddr, Arc<Entry>>>,
     next: AtomicU64,
     /// Bytes of responses that are held for all connections.
     held: Arc<AtomicUsize>,
@@ -31,7 +31,7 @@
 
 /// State of one connection.
 #[derive(Debug)]
-pub struct Connection {
+pub struct Entry {
     key: ConnectionKey,
     clock: Clock,
     state: Mutex<State>,
@@ -61,11 +61,11 @@
     progressed: Moment,
 }
 
-impl Connections {
+impl Table {
     /// Adds a connection.
-    fn insert(&self, peer: SocketAddr, clock: Clock) -> Arc<Connection> {
+    fn insert(&self, peer: SocketAddr, clock: Clock) -> Arc<Entry> {
         let now = clock.now();
-        let connection = Arc::new(Connection {
+        let connection = Arc::new(Entry {
             key: ConnectionKey(self.next.fetch_add(1, Ordering::Relaxed)),
             clock,
             state: Mutex::new(State {
@@ -97,7 +97,7 @@
     }
 
     /// The open connection of the caller with this address.
-    pub fn get(&self, peer: Option<SocketAddr>) -> Option<Arc<Connection>> {
+    pub fn get(&self, peer: Option<SocketAddr>) -> Option<Arc<Entry>> {
         lock(&self.open).get(&peer?).cloned()
     }
 
@@ -130,7 +130,7 @@
     }
 }
 
-impl Connection {
+impl Entry {
     fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Acquire)
     }
@@ -226,7 +226,7 @@
 
 /// Marks that the body of a request is arriving.
 #[derive(Debug)]
-pub struct Receiving(Arc<Connection>);
+pub struct Receiving(Arc<Entry>);
 
 impl Drop for Receiving {
     fn drop(&mut self) {
@@ -237,7 +237,7 @@
 /// A response that is held for a connection.
 #[derive(Debug)]
 pub struct Hold {
-    connection: Arc<Connection>,
+    connection: Arc<Entry>,
     bytes: usize,
 }
 
@@ -259,15 +259,15 @@
 /// A counted connection, which leaves the table on drop.
 #[derive(Debug)]
 pub struct Counted {
-    table: Arc<Connections>,
+    table: Arc<Table>,
     peer: SocketAddr,
-    connection: Arc<Connection>,
+    connection: Arc<Entry>,
     _reservation: Reservation,
 }
 
 impl Counted {
     /// State of the connection.
-    pub fn connection(&self) -> Arc<Connection> {
+    pub fn connection(&self) -> Arc<Entry> {
         Arc::clone(&self.connection)
     }
 }
@@ -295,7 +295,7 @@
     pub fn counted(
         tcp: TcpStream,
         peer: SocketAddr,
-        table: &Arc<Connections>,
+        table: &Arc<Table>,
         clock: Clock,
         reservation: Reservation,
     ) -> Self {
--- a/crates/daemon/src/http/open.rs
+++ b/crates/daemon/src/http/open.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Failure};
 
-use super::connections::{Connection, Hold};
+use super::connection_table::{Entry, Hold};
 use crate::node::Node;
 use crate::reply::{Refused, Reply};
 
@@ -28,7 +28,7 @@
 pub(super) struct Guard {
     node: Arc<Node>,
     /// Connection of the caller; `None` if its listener does not count connections.
-    connection: Option<Arc<Connection>>,
+    connection: Option<Arc<Entry>>,
 }
 
 impl Guard {
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -24,7 +24,7 @@
 use tokio::task::JoinHandle;
 
 use super::connection::{self, Application, Host, Monitor, Timeouts};
-use super::connections::{Counted, Stream};
+use super::connection_table::{Counted, Stream};
 use super::{admin, announce, closing, control, ingress, outbound};
 use crate::node::Node;
 use crate::tls;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -24,7 +24,7 @@
 use crate::context::Contexts;
 use crate::departure::Departures;
 use crate::evacuation::Evacuation;
-use crate::http::connections::Connections;
+use crate::http::connection_table;
 use crate::job::Job;
 use crate::lifecycle::Lifecycle;
 use crate::link::table::Links;
@@ -87,7 +87,7 @@
     /// Account of memory.
     pub memory: Memory,
     /// Open connections of callers.
-    pub connections: Arc<Connections>,
+    pub connections: Arc<connection_table::Table>,
     /// Current configuration.
     pub configuration: Configuration,
     /// Target that this daemon protects, with its admission state.
