Send calls to targets of which nothing is known

A target without a recent report, a call in flight or a failure is now called when it is sampled, which is its part of the calls.

route_choice::new_target_tried failed before (no call of 50).

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -331,6 +331,9 @@
             age: self.age(first, now),
             rejected: None,
         };
+        if self.is_untried(first, now) {
+            return Some(choice);
+        }
         let second = self.sample(tier, query, random, now, |key| key != first);
         // Where many targets reject calls, two samples rarely find one that does not.
         let is_sought = self.mean_rejection >= SOUND_REJECTION;
--- a/crates/policy/src/route/compare.rs
+++ b/crates/policy/src/route/compare.rs
@@ -17,6 +17,8 @@
 /// Gain over the slow link from which every call that gains so much is sent over it.
 /// Of those that gain less, a share in proportion to the gain is sent.
 const LINK_COST: Duration = Duration::from_millis(10);
+/// Failure rate below which a target counts as one that has not failed lately.
+const SOUND_FAILURES: f64 = 0.05;
 
 impl Balancer {
     /// Updates what is known of a tier as a whole with the report of one target.
@@ -131,6 +133,16 @@
         busy / (1.0 - target.health.failure_rate()).max(0.05) + penalty
     }
 
+    /// Whether nothing is known of a target that has not failed lately, and no call to it
+    /// is in flight. It gets its part of the calls then, one at a time, since the best of
+    /// the targets with a report would always be preferred to it.
+    pub(super) fn is_untried(&self, key: TargetKey, now: Moment) -> bool {
+        let target = self.targets[key.0 as usize].as_ref();
+        target.is_some_and(|target| {
+            target.estimate.is_untried(now) && target.health.failure_rate() < SOUND_FAILURES
+        })
+    }
+
     /// Whether a target recently reported that it rejects few calls.
     pub(super) fn is_sound(&self, key: TargetKey, now: Moment) -> bool {
         let target = self.targets[key.0 as usize].as_ref();
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -95,6 +95,11 @@
         (self.reports > 0 && age < MAX_LOAD_AGE).then_some(age)
     }
 
+    /// Whether there is neither a recent report nor a call that will bring one.
+    pub(super) fn is_untried(&self, now: Moment) -> bool {
+        self.in_flight == 0 && self.age(now).is_none()
+    }
+
     /// Share of rejected calls, if it was reported recently.
     pub(super) fn rejection(&self, now: Moment) -> Option<f64> {
         self.age(now).map(|_| self.report.rejection)
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -244,3 +244,26 @@
     assert!(!budget.has_room(Moment::from_millis(1_000)));
     assert!(budget.has_room(Moment::from_millis(2_100)));
 }
+
+/// Guards against a new target without calls: the best of the targets with a report was
+/// always preferred to one of which nothing is known.
+#[test]
+fn new_target_tried() {
+    let (mut balancer, known) = domain_balancer(2);
+    let mut random = random();
+    let mut call = |balancer: &mut Balancer, number: u64| {
+        let now = Moment::from_millis(5 * number);
+        let chosen = balancer.choose(&ANY, &mut random, now);
+        let chosen = chosen.expect("a target is available").target;
+        balancer.record_start(chosen, now);
+        let report = load_with_time(0, 0, if chosen == known[0] { 20 } else { 21 });
+        balancer.record_end(chosen, Outcome::Answered, Some(report), now);
+        chosen
+    };
+    for number in 0..50 {
+        call(&mut balancer, number);
+    }
+    let added = balancer.insert(Tier::Domain, HOME, 10, Moment::from_millis(250));
+    let tried = (50..100).filter(|number| call(&mut balancer, *number) == added);
+    assert!(tried.count() > 0);
+}
