Release failed members of reachable failure domains

A lender grants live / size of an account's bound, and size counted failed members for an hour. Lost VMs that were replaced therefore kept callers within their rate at 429 for that time.

A failed member stops counting 12 s after its failure was detected if more members of its failure domain are alive than are failed and still counted. Expected members that were never met are treated alike, because records of failed members are exchanged only in groups that differ. Members of a domain that is cut off or reachable in its minority keep counting. The row of a domain in the store keeps failed members while its writer sees a minority.

--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -151,8 +151,9 @@
 /// Updates the shares held here to the current configuration and members.
 ///
 /// The first lender of an account has its whole bound less the part of the members
-/// that have failed or have not been met since the start, so that the shares in the
-/// parts of a divided fleet add up to the bound. Every other lender has one member's
+/// that may be cut off: those that have failed or have not been met since the start, and
+/// have not been released. The shares in the parts of a divided fleet thus add up to the
+/// bound. Every other lender has one member's
 /// part, for the time in which the first does not answer.
 pub(super) fn update_shares(node: &Node) {
     let (live, known) = fleet_size(node);
@@ -204,8 +205,8 @@
     }
 }
 
-/// Number of live members, and of all that have not left, as far as they are known
-/// or were counted before the start. Both include this daemon.
+/// Number of live members, and of all that have neither left nor been released, as far
+/// as they are known or were counted before the start. Both include this daemon.
 fn fleet_size(node: &Node) -> (u32, u32) {
     let fleet = lock(&node.members.fleet);
     (fleet.live() as u32, fleet.size())
--- a/crates/daemon/src/actor/seeds.rs
+++ b/crates/daemon/src/actor/seeds.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// Waits for `length`, or until the local failure domain has more active members than
-/// its row says, which is `recorded`.
+/// Waits for `length`, or until the local failure domain has more members than its row
+/// says, which is `recorded`.
 async fn pause(node: &Node, length: Duration, recorded: Option<u32>) {
     let end = Instant::now() + length;
     let Some(recorded) = recorded else {
@@ -123,7 +123,7 @@
     };
     while Instant::now() < end {
         sleep_until(end.min(Instant::now() + GROWTH_INTERVAL)).await;
-        if is_poller(node) && lock(&node.members.fleet).live_in_domain() > recorded {
+        if is_poller(node) && lock(&node.members.fleet).local_size() > recorded {
             return;
         }
     }
@@ -182,14 +182,14 @@
     serde_json::from_value::<Size>(row.value.clone()).ok()
 }
 
-/// Writes the number of active members of the local failure domain if its row has
-/// another one, and returns the number. Failed members are left out, since those of
-/// replaced VMs never return. The row is not lowered as long as this daemon has not
-/// met as many members as the row said at its start: the rest may be cut off.
+/// Writes the number of members of the local failure domain if its row has another one,
+/// and returns the number. Failed members are left out, since those of replaced VMs never
+/// return, unless this daemon may be cut off from them. The row is not lowered as long as
+/// this daemon awaits members that the row counted at its start.
 async fn record_size(node: &Node, client: &Client, rows: &[Row]) -> Result<u32, Failure> {
     let (members, may_lower) = {
         let fleet = lock(&node.members.fleet);
-        (fleet.live_in_domain(), !fleet.awaits_local_members())
+        (fleet.local_size(), !fleet.awaits_local_members())
     };
     let domain = node.settings.domain.to_arc();
     let key = format!("{domain}-size");
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -86,6 +86,8 @@
     record: Record,
     /// When the record last changed.
     changed_at: Moment,
+    /// Whether it is a failed member that no longer counts as part of the fleet.
+    is_released: bool,
     /// When it was last probed directly because it is suspect.
     probed_at: Option<Moment>,
     /// Relation of its clock to the local one, once it acknowledged a ping.
--- a/crates/policy/src/member/census.rs
+++ b/crates/policy/src/member/census.rs
@@ -4,20 +4,31 @@
 //! each failure domain from the rows of the store, or from a peer, and expects that many
 //! members until it has met them. Expected members count as not live, so that what a
 //! daemon may lend does not depend on the order in which members meet.
+//!
+//! Failed members count as well, since they may be cut off and lend on their side of a
+//! partition. Partitions separate whole failure domains, and a daemon that is cut off
+//! alone stops to accept keys, so that failed members of a domain that is otherwise
+//! reachable are lost. They, and expected members that were not met, are released after
+//! [`RELEASE_AFTER`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Fleet, State};
+use super::{Fleet, Member, State};
 use crate::moment::Moment;
 
+/// Time after which a failed member of a reachable failure domain no longer counts. When
+/// a domain is cut off, its members fail one by one. Most of them have failed this long
+/// after the first, so that the domain no longer counts as reachable.
+const RELEASE_AFTER: Duration = Duration::from_secs(12);
+
 /// Number of members of a failure domain.
 ///
-/// A row of the store has the active ones, since failed ones of replaced VMs never
-/// return. A peer passes on all that have not left, since those that it takes for failed
-/// may be cut off.
+/// A row of the store leaves out the failed ones of a reachable domain at once, a peer
+/// those that have been released.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Size {
@@ -39,6 +50,49 @@
     expected: IndexMap<Arc<str>, u32>,
 }
 
+/// Members of one failure domain, this one included.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    /// Those that acknowledge probes. Suspect ones may be cut off.
+    alive: u32,
+    /// Failed ones that have not been released.
+    failed: u32,
+    /// Active ones, and failed ones that have not been released.
+    counted: u32,
+    /// Those that have been met and have not left.
+    known: u32,
+    /// Those that are expected and have not been met.
+    missing: u32,
+}
+
+impl Tally {
+    fn add(&mut self, state: State, is_released: bool) {
+        if state == State::Left {
+            return;
+        }
+        self.known += 1;
+        self.counted += u32::from(!is_released);
+        self.alive += u32::from(state == State::Alive);
+        self.failed += u32::from(state == State::Failed && !is_released);
+    }
+
+    /// Whether the failure domain is reachable, and members that are not alive are
+    /// therefore lost and not cut off.
+    const fn is_reachable(self) -> bool {
+        self.alive > self.failed + self.missing
+    }
+}
+
+impl Member {
+    /// Whether this is a failed member whose release is due if its failure domain is
+    /// reachable.
+    fn is_overdue(&self, now: Moment) -> bool {
+        self.record.state == State::Failed
+            && !self.is_released
+            && now.since(self.changed_at) >= RELEASE_AFTER
+    }
+}
+
 impl Fleet {
     /// Whether sizes have been received since the start. Before that, the fleet may
     /// have any number of members that are not known here.
@@ -61,35 +115,47 @@
         true
     }
 
-    /// Number of members of each failure domain that have not left, expected ones and
-    /// this one included.
+    /// Number of members of each failure domain that have neither left nor been
+    /// released, expected ones and this one included.
     pub fn sizes(&self) -> Vec<Size> {
-        let mut sizes = self.known_by_domain();
-        for (domain, expected) in &self.census.expected {
-            let members = sizes.entry(Arc::clone(domain)).or_default();
-            *members = (*members).max(*expected);
-        }
-        let sizes = sizes.into_iter();
-        sizes
-            .map(|(domain, members)| Size { domain, members })
+        let tallies = self.tallies().into_iter();
+        tallies
+            .map(|(domain, tally)| Size {
+                domain,
+                members: tally.counted + tally.missing,
+            })
             .collect()
     }
 
-    /// Number of all members that have not left, expected ones and this one included.
+    /// Number of all members that have neither left nor been released, expected ones
+    /// and this one included.
     pub fn size(&self) -> u32 {
         if self.census.expected.is_empty() {
-            let known = self.members().filter(|record| record.state != State::Left);
-            return known.count() as u32 + 1;
+            let counted = self
+                .members
+                .values()
+                .filter(|member| member.record.state != State::Left && !member.is_released);
+            return counted.count() as u32 + 1;
         }
         self.sizes().iter().map(|size| size.members).sum()
     }
 
-    /// Number of active members of the local failure domain, this one included.
-    pub fn live_in_domain(&self) -> u32 {
-        let peers = self
-            .members()
-            .filter(|record| record.state.is_active() && self.is_local(record));
-        peers.count() as u32 + 1
+    /// Number of members of the local failure domain for its row in the store, this one
+    /// included: the active ones, and the failed ones as well if this daemon may be cut
+    /// off from them.
+    pub fn local_size(&self) -> u32 {
+        let mut tally = Tally::default();
+        let local = self.members.values();
+        let local = local.filter(|member| self.is_local(&member.record));
+        for member in local {
+            tally.add(member.record.state, member.is_released);
+        }
+        tally.add(State::Alive, false);
+        if tally.is_reachable() {
+            tally.counted - tally.failed
+        } else {
+            tally.counted
+        }
     }
 
     /// Whether more members are expected in the local failure domain than have been
@@ -98,40 +164,54 @@
         self.census.expected.contains_key(&self.own.profile.domain)
     }
 
-    /// Removes the failure domains of which as many members are known as were expected.
-    /// Members that were never met count as gone after the time for which failed ones
-    /// are remembered.
+    /// Removes the failure domains of which as many members are known as were expected,
+    /// and releases the lost members of reachable ones. Members that were never met count
+    /// as gone after the time for which failed ones are remembered.
     pub(super) fn review_census(&mut self, now: Moment) {
-        if self.census.expected.is_empty() {
-            return;
-        }
         let received_at = self.census.received_at.unwrap_or_default();
-        if now.since(received_at) >= self.config.retention {
+        let age = now.since(received_at);
+        if age >= self.config.retention {
             self.census.expected.clear();
+        }
+        let is_overdue = |member: &Member| member.is_overdue(now);
+        if self.census.expected.is_empty() && !self.members.values().any(is_overdue) {
             return;
         }
-        let known = self.known_by_domain();
-        self.census
-            .expected
-            .retain(|domain, expected| known.get(domain).is_none_or(|known| known < expected));
+        let tallies = self.tallies();
+        let is_reachable = |domain: &Arc<str>| {
+            tallies
+                .get(domain)
+                .is_some_and(|tally| tally.is_reachable())
+        };
+        self.census.expected.retain(|domain, _| {
+            let is_met = tallies.get(domain).is_some_and(|tally| tally.missing == 0);
+            !is_met && (age < RELEASE_AFTER || !is_reachable(domain))
+        });
+        for member in self.members.values_mut() {
+            if member.is_overdue(now) && is_reachable(&member.record.profile.domain) {
+                member.is_released = true;
+            }
+        }
     }
 
-    /// Number of known members of each failure domain that have not left, this one
-    /// included. Those that have failed count as met.
-    fn known_by_domain(&self) -> IndexMap<Arc<str>, u32> {
-        let mut known = IndexMap::<_, u32>::new();
-        for record in self.members().chain([&self.own]) {
-            if record.state == State::Left {
-                continue;
-            }
+    fn tallies(&self) -> IndexMap<Arc<str>, Tally> {
+        let mut tallies = IndexMap::<_, Tally>::new();
+        let others = self.members.values();
+        let others = others.map(|member| (&member.record, member.is_released));
+        for (record, is_released) in others.chain([(&self.own, false)]) {
             let domain = &record.profile.domain;
-            match known.get_mut(domain) {
-                Some(members) => *members += 1,
-                None => {
-                    known.insert(Arc::clone(domain), 1);
-                }
+            if let Some(tally) = tallies.get_mut(domain) {
+                tally.add(record.state, is_released);
+            } else {
+                let mut tally = Tally::default();
+                tally.add(record.state, is_released);
+                tallies.insert(Arc::clone(domain), tally);
             }
         }
-        known
+        for (domain, expected) in &self.census.expected {
+            let tally = tallies.entry(Arc::clone(domain)).or_default();
+            tally.missing = expected.saturating_sub(tally.known);
+        }
+        tallies
     }
 }
--- a/crates/policy/src/member/merge.rs
+++ b/crates/policy/src/member/merge.rs
@@ -49,6 +49,7 @@
                 let before = member.record.state;
                 member.record = record.clone();
                 member.changed_at = now;
+                member.is_released = false;
                 member.probed_at = None;
                 Some(before)
             }
@@ -57,6 +58,7 @@
                 let member = Member {
                     record: record.clone(),
                     changed_at: now,
+                    is_released: false,
                     probed_at: None,
                     offset: None,
                     calibrated_at: None,
--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -94,6 +94,52 @@
     assert_eq!(fleet.size(), 1);
 }
 
+/// Guards against two parts of a divided fleet that both lend the part of an account that
+/// belongs to a cut-off failure domain, or to the majority of a divided one.
+#[test]
+fn cut_off_members_kept() {
+    let mut fleet = started();
+    let lost = [("b", 1), ("b", 2), ("c", 1), ("c", 2)].map(|(domain, number)| Record {
+        state: State::Failed,
+        ..record(domain, number)
+    });
+    fleet.merge_all(lost.to_vec(), at(1));
+    fleet.merge_all(vec![record("b", 3)], at(1));
+    fleet.tick(&mut random(), at(600));
+    assert_eq!(fleet.sizes(), [size("b", 3), size("c", 2), size("a", 1)]);
+    fleet.merge_all(vec![record("b", 4), record("b", 5)], at(600));
+    fleet.tick(&mut random(), at(602));
+    assert_eq!(fleet.sizes(), [size("b", 3), size("c", 2), size("a", 1)]);
+    assert_eq!(fleet.size(), 6);
+}
+
+/// Guards against a released member that lends again while nobody counts it.
+#[test]
+fn returned_member_counted() {
+    let mut fleet = started();
+    fleet.receive_sizes(vec![size("a", 5)], at(1));
+    fleet.merge_all((1..4).map(|number| record("a", number)).collect(), at(1));
+    fleet.tick(&mut random(), at(10));
+    assert_eq!(fleet.size(), 5);
+    fleet.tick(&mut random(), at(14));
+    assert_eq!(fleet.size(), 4, "the fifth was never met");
+    let revived = |incarnation, state| Record {
+        incarnation,
+        state,
+        ..record("a", 3)
+    };
+    fleet.merge_all(vec![revived(1, State::Failed)], at(15));
+    fleet.tick(&mut random(), at(26));
+    assert_eq!(fleet.size(), 4);
+    fleet.tick(&mut random(), at(28));
+    assert_eq!(fleet.size(), 3);
+    fleet.merge_all(vec![revived(2, State::Alive)], at(28));
+    assert_eq!(fleet.size(), 4);
+    fleet.merge_all(vec![revived(2, State::Failed)], at(29));
+    fleet.tick(&mut random(), at(30));
+    assert_eq!(fleet.size(), 4, "the release begins anew");
+}
+
 /// Guards against accounts that are lent a part of their rate only, long after lost VMs
 /// were replaced: the lost ones count as if they might be cut off and lend.
 #[test]
