Evacuate failure domains by release notes

Only the rows of the production platform could evacuate a failure domain; on the project's own interface operators had no means to do so.

A release note has a section evacuations with add and withdraw. A daemon leaves an unknown name out (event 332) instead of rejecting the note, which would block all later ones. The section is not written if it is empty, so that older daemons read such notes.

--- a/crates/ctl/src/command/note.rs
+++ b/crates/ctl/src/command/note.rs
@@ -7,8 +7,9 @@
 
 use anyhow::Result;
 use cardamomshed_code::{Code, Failure};
-use cardamomshed_note::{Config, Note};
+use cardamomshed_note::{Config, Name, Note, Settings};
 use cardamomshed_platform::{Client, Condition};
+use getopts::{Matches, Options};
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
@@ -68,15 +69,30 @@
     }
 }
 
+fn add_settings_option(options: &mut Options) {
+    let help = "settings of a daemon, which list the failure domains";
+    options.optopt("", "settings", help, "FILE");
+}
+
+/// Failure domains in the file given by `--settings`, `None` if the option is missing.
+fn known_domains(matches: &Matches) -> Result<Option<Vec<Name>>, Failure> {
+    let Some(path) = matches.opt_str("settings") else {
+        return Ok(None);
+    };
+    Settings::read(Path::new(&path)).map(|settings| Some(settings.domains))
+}
+
 /// Validates a note against the accepted notes, or against an empty
 /// configuration if no platform is given.
 pub async fn check(arguments: &[String]) -> Result<()> {
-    let options = arguments::options();
-    let brief = "note check FILE [--platform URL]";
+    let mut options = arguments::options();
+    add_settings_option(&mut options);
+    let brief = "note check FILE [--platform URL] [--settings FILE]";
     let Some(matches) = arguments::parse(&options, brief, arguments)? else {
         return Ok(());
     };
     let file = arguments::positional(&matches, 0, "FILE")?;
+    let domains = known_domains(&matches)?;
     let base = if matches.opt_present("platform") {
         read_history(&arguments::platform(&matches)?)
             .await?
@@ -84,7 +100,7 @@
     } else {
         Config::default()
     };
-    let (note, next) = base.apply_file(Path::new(file))?;
+    let (note, next) = base.check_file(Path::new(file), domains.as_deref())?;
     println!(
         "{file}: valid; `{}` would become revision {}",
         note.note, next.revision
@@ -119,6 +135,11 @@
         keys.change.len(),
         keys.withdraw.len(),
     );
+    let evacuations = &note.evacuations;
+    if !evacuations.is_empty() {
+        let (added, withdrawn) = (evacuations.add.len(), evacuations.withdraw.len());
+        println!("  evacuations {added} added, {withdrawn} withdrawn");
+    }
     if note.limits.is_some() {
         println!("  limits    set");
     }
@@ -127,16 +148,18 @@
 /// Writes a note to the store, then waits until all daemons have it in force.
 pub async fn apply(arguments: &[String]) -> Result<()> {
     let mut options = arguments::options();
+    add_settings_option(&mut options);
     options.optopt("", "wait", "seconds to wait for it to be in force (6)", "S");
-    let brief = "note apply FILE --platform URL [--daemon ADDRESS]...";
+    let brief = "note apply FILE --platform URL [--settings FILE] [--daemon ADDRESS]...";
     let Some(matches) = arguments::parse(&options, brief, arguments)? else {
         return Ok(());
     };
     let file = arguments::positional(&matches, 0, "FILE")?;
     let wait = Duration::from_secs_f64(arguments::option(&matches, "wait", 6.0)?);
     let daemons = arguments::daemons(&matches)?;
+    let domains = known_domains(&matches)?;
     let client = arguments::platform(&matches)?;
-    let revision = submit(&client, Path::new(file)).await?;
+    let revision = submit(&client, Path::new(file), domains.as_deref()).await?;
     println!("accepted as revision {revision}");
     if daemons.is_empty() {
         println!("no --daemon given; not waiting for it to be in force");
@@ -147,7 +170,7 @@
 
 /// Writes a note as the next row and returns its revision. After a failed
 /// write, reads the accepted notes to determine whether it took effect.
-async fn submit(client: &Client, file: &Path) -> Result<usize, Failure> {
+async fn submit(client: &Client, file: &Path, domains: Option<&[Name]>) -> Result<usize, Failure> {
     let mut last_failure = Failure::new(Code::PlatformUnavailable, "");
     for _ in 0..MAX_ATTEMPTS {
         let history = match read_history(client).await {
@@ -162,7 +185,7 @@
         if let Some(revision) = accepted_revision(&history, file)? {
             return Ok(revision);
         }
-        let (note, next) = history.newest().apply_file(file)?;
+        let (note, next) = history.newest().check_file(file, domains)?;
         let revision = next.revision as usize;
         match client
             .put(TABLE, &row_key(revision), Condition::Absent, &note)
@@ -322,6 +345,12 @@
     print_changes("route", &old.routes, &new.routes);
     print_changes("account", &old.accounts, &new.accounts);
     print_changes("key", &old.keys, &new.keys);
+    for domain in old.evacuated.difference(&new.evacuated) {
+        println!("- evacuation {domain}");
+    }
+    for domain in new.evacuated.difference(&old.evacuated) {
+        println!("+ evacuation {domain}");
+    }
     if old.limits != new.limits {
         println!("- limits {}", to_json(&old.limits));
         println!("+ limits {}", to_json(&new.limits));
--- a/crates/daemon/src/actor/distribution.rs
+++ b/crates/daemon/src/actor/distribution.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 use slog::info;
 
-use crate::members::apply_output;
+use crate::members::{apply_evacuations, apply_output};
 use crate::node::Node;
 use crate::service::Peer;
 use crate::sync::lock;
@@ -46,6 +46,7 @@
     node.metrics
         .revision
         .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    apply_evacuations(node);
     node.quota.wake.notify_one();
     let output = lock(&node.members.fleet).set_revision(revision, &mut rand::rng());
     apply_output(node, output);
--- a/crates/daemon/src/evacuation.rs
+++ b/crates/daemon/src/evacuation.rs
@@ -13,6 +13,8 @@
     /// Evacuated domains. Locked for as long as a change is carried out, so that an
     /// older set never replaces a newer one.
     pub domains: Mutex<BTreeSet<Arc<str>>>,
+    /// Domains that release notes have evacuated and that no known failure domain has.
+    pub ignored: Mutex<BTreeSet<Arc<str>>>,
     /// Whether the domain of this daemon is among them.
     local: watch::Sender<bool>,
 }
@@ -23,6 +25,7 @@
         Self {
             domain,
             domains: Mutex::default(),
+            ignored: Mutex::default(),
             local: watch::Sender::new(false),
         }
     }
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -1,6 +1,7 @@
 //! Communication with the other members of the fleet and this daemon's rank among
 //! them. The functions apply decisions of the membership policy.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
@@ -32,6 +33,7 @@
         let _ = node.members.outgoing.send(send);
     }
     let now = node.clock.now();
+    let mut evacuations_changed = output.evacuations_changed;
     for change in &output.changes {
         node.routing.services.update(&change.record, now);
         node.quota.directory.update(&change.record);
@@ -43,8 +45,12 @@
         if change.record.state == State::Alive && change.before == Some(State::Failed) {
             node.members.rejoin.notify_one();
         }
+        // The first member of a failure domain may make its name known.
+        let is_new = change.before.is_none();
+        evacuations_changed |=
+            is_new && lock(&node.evacuation.ignored).contains(&change.record.profile.domain);
     }
-    if output.evacuations_changed {
+    if evacuations_changed {
         apply_evacuations(node);
     }
     if let Some(name) = output.newer_note {
@@ -59,11 +65,16 @@
     }
 }
 
-/// Carries out the evacuations that are known now: closes the targets of evacuated
-/// failure domains, reopens the others, and logs what changed.
-fn apply_evacuations(node: &Node) {
+/// Carries out the evacuations that are known now, by rows of the store and by release
+/// notes: closes the targets of evacuated failure domains, reopens the others, and logs
+/// what changed.
+pub fn apply_evacuations(node: &Node) {
     let mut applied = lock(&node.evacuation.domains);
-    let domains = lock(&node.members.fleet).evacuated().clone();
+    let mut domains = lock(&node.members.fleet).evacuated().clone();
+    domains.extend(noted_evacuations(node));
+    if domains == *applied {
+        return;
+    }
     node.evacuation.apply(&domains);
     node.routing.services.set_evacuated(&domains);
     let count = i64::try_from(domains.len()).unwrap_or(i64::MAX);
@@ -81,6 +92,21 @@
     *applied = domains;
 }
 
+/// Failure domains that release notes have evacuated. Names that no known failure domain
+/// has are logged once and left out.
+fn noted_evacuations(node: &Node) -> BTreeSet<Arc<str>> {
+    let config = Arc::clone(&node.lookup().config);
+    let is_known = |domain: &Arc<str>| is_known_domain(node, domain);
+    let (domains, unknown) = config.evacuated.iter().cloned().partition(is_known);
+    let unknown: BTreeSet<Arc<str>> = unknown;
+    let mut ignored = lock(&node.evacuation.ignored);
+    for domain in unknown.difference(&ignored) {
+        node.log_event(Event::EvacuationIgnored, format_args!("domain={domain:?}"));
+    }
+    *ignored = unknown;
+    domains
+}
+
 /// Records the failure domains for which a read of the store, sent at `sent`, found
 /// an evacuation row.
 pub fn record_evacuations(node: &Node, reading: Reading, sent: Moment) {
--- a/crates/note/src/config.rs
+++ b/crates/note/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration that results from a sequence of release notes.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::path::Path;
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use serde_saphyr::Spanned;
 
-use crate::release::{Account, Grant, Limits, Note, Route, Section};
+use crate::release::{Account, Evacuations, Grant, Limits, Note, Route, Section};
 use crate::{Name, Rate, Timespan, yaml};
 
 /// Maximum length of a route's path.
@@ -46,6 +46,9 @@
     /// entry has none.
     #[serde(default)]
     pub warmups: IndexMap<Arc<str>, Warmup>,
+    /// Failure domains that release notes have evacuated.
+    #[serde(default)]
+    pub evacuated: BTreeSet<Arc<str>>,
     /// Fleet-wide limits.
     pub limits: Limits,
 }
@@ -75,6 +78,7 @@
             connections: IndexMap::new(),
             health_paths: IndexMap::new(),
             warmups: IndexMap::new(),
+            evacuated: BTreeSet::new(),
             limits: Limits::default(),
         }
     }
@@ -138,6 +142,7 @@
         merge("routes", &mut next.routes, &note.routes)?;
         merge("accounts", &mut next.accounts, &note.accounts)?;
         merge("keys", &mut next.keys, &note.keys)?;
+        merge_evacuations(&mut next.evacuated, &note.evacuations)?;
         if let Some(limits) = &note.limits {
             check_limits(limits)?;
             next.limits = limits.clone();
@@ -171,9 +176,25 @@
     ///
     /// Those of [`yaml::read`] and [`Self::apply`], with line and column.
     pub fn apply_file(&self, path: &Path) -> Result<(Note, Self), Failure> {
+        self.check_file(path, None)
+    }
+
+    /// Like [`Self::apply_file`] with a check of the failure domains that the note
+    /// evacuates, if all domains of the deployment are known.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Self::apply_file`], and [`Code::ValueRange`] for a domain that is not
+    /// among `domains`.
+    pub fn check_file(
+        &self,
+        path: &Path,
+        domains: Option<&[Name]>,
+    ) -> Result<(Note, Self), Failure> {
         let (note, text) = yaml::read::<Note>(path)?;
         let next = self
             .apply(&note)
+            .and_then(|next| check_domains(&note.evacuations, domains).map(|()| next))
             .map_err(|violation| yaml::in_file(path, &violation.locate(&text)))?;
         Ok((note, next))
     }
@@ -279,11 +300,14 @@
             accounts: Entries,
             #[serde(default)]
             keys: Entries,
+            #[serde(default)]
+            evacuations: Entries,
         }
         let sections = yaml::parse::<Sections>(text).ok()?;
         let section = match self.section {
             "routes" => sections.routes,
             "accounts" => sections.accounts,
+            "evacuations" => sections.evacuations,
             _ => sections.keys,
         };
         let entry = section.get(self.list)?.get(self.index)?;
@@ -345,6 +369,40 @@
     Ok(())
 }
 
+/// Applies the evacuations of a note, first those that end. A name may occur only once.
+fn merge_evacuations(
+    evacuated: &mut BTreeSet<Arc<str>>,
+    changes: &Evacuations,
+) -> Result<(), Violation> {
+    let invalid =
+        |list, index, code, name: &Name| Err(violation("evacuations", list, index, code, name));
+    for (index, name) in changes.withdraw.iter().enumerate() {
+        if !evacuated.remove(&**name) {
+            return invalid("withdraw", index, Code::ReferenceUnknown, name);
+        }
+    }
+    for (index, name) in changes.add.iter().enumerate() {
+        if changes.withdraw.contains(name) || !evacuated.insert(name.to_arc()) {
+            return invalid("add", index, Code::NameTaken, name);
+        }
+    }
+    Ok(())
+}
+
+/// Rejects the evacuation of a failure domain that is not among `domains`.
+fn check_domains(changes: &Evacuations, domains: Option<&[Name]>) -> Result<(), Violation> {
+    let is_unknown = |name: &Name| domains.is_some_and(|domains| !domains.contains(name));
+    let Some(index) = changes.add.iter().position(is_unknown) else {
+        return Ok(());
+    };
+    let detail = format!(
+        "`{}` is not a failure domain of the settings",
+        changes.add[index]
+    );
+    let code = Code::ValueRange;
+    Err(violation("evacuations", "add", index, code, &detail))
+}
+
 /// Rejects an empty list of regions, which would admit no request at all. An entry
 /// without a restriction has no list.
 fn check_regions(
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -21,6 +21,6 @@
 pub use lookup::{Interner, Lookup, Match};
 pub use name::Name;
 pub use quantity::{Rate, Size, Timespan};
-pub use release::{Account, Grant, Limits, Note, Route, Section, Share, Unconfirmed};
+pub use release::{Account, Evacuations, Grant, Limits, Note, Route, Section, Share, Unconfirmed};
 pub use settings::{DEFAULT_COLD_SLACK, LogFormat, Settings, Sidecar, Timing, Tls};
 pub use yaml::{MAX_FILE_BYTES, parse, read};
--- a/crates/note/src/release.rs
+++ b/crates/note/src/release.rs
@@ -30,6 +30,10 @@
     /// Changes to granted keys.
     #[serde(default)]
     pub keys: Section<Grant>,
+    /// Changes to the evacuated failure domains. Omitted if there are none, since daemons
+    /// reject a note with a field that their version does not know.
+    #[serde(default, skip_serializing_if = "Evacuations::is_empty")]
+    pub evacuations: Evacuations,
     /// New fleet-wide limits; the limits in force are kept if it is absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<Limits>,
@@ -68,6 +72,24 @@
     }
 }
 
+/// Changes to the set of evacuated failure domains, whose targets receive no requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Evacuations {
+    /// Domains to evacuate; none of them may be evacuated.
+    pub add: Vec<Name>,
+    /// Domains whose evacuation ends; each of them must be evacuated.
+    pub withdraw: Vec<Name>,
+}
+
+impl Evacuations {
+    /// Returns whether nothing changes.
+    pub const fn is_empty(&self) -> bool {
+        self.add.is_empty() && self.withdraw.is_empty()
+    }
+}
+
 /// A route from a path to a service.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -223,6 +245,7 @@
         self.routes.is_empty()
             && self.accounts.is_empty()
             && self.keys.is_empty()
+            && self.evacuations.is_empty()
             && self.limits.is_none()
     }
 }
--- a/crates/note/tests/all/note_errors.rs
+++ b/crates/note/tests/all/note_errors.rs
@@ -1,9 +1,9 @@
 //! Invalid notes are refused with an error code, file, line and column.
 
 use cardamomshed_code::Code;
-use cardamomshed_note::{Config, MAX_FILE_BYTES};
+use cardamomshed_note::{Config, MAX_FILE_BYTES, Name};
 
-use crate::{file, is_at, note_failure};
+use crate::{file, is_at, note, note_failure};
 
 const HEAD: &str = "note: n\nauthor: a\n";
 
@@ -111,6 +111,35 @@
     assert!(is_at(&failure, Code::FileEncoding, 2), "{failure}");
 }
 
+/// Guards against an evacuation of a misspelt domain that is taken for accepted, and
+/// against one note that begins and ends the same evacuation.
+#[test]
+fn evacuations_checked() {
+    let text = |changes: &str| format!("{HEAD}evacuations:\n{changes}");
+    let config = Config::default()
+        .apply(&note(&text("  add: [a]\n")))
+        .expect("the note is accepted");
+    assert!(config.evacuated.iter().map(|domain| &**domain).eq(["a"]));
+    let domains = ["a", "b"].map(|name| Name::try_from(name.to_owned()).expect("a name"));
+    let cases = [
+        ("  add: [b, nowhere]\n", Code::ValueRange, 4),
+        ("  add: [a]\n", Code::NameTaken, 4),
+        ("  add:\n    - b\n    - b\n", Code::NameTaken, 6),
+        ("  withdraw: [b]\n", Code::ReferenceUnknown, 4),
+        ("  withdraw: [a]\n  add: [a]\n", Code::NameTaken, 5),
+        ("  change: [a]\n", Code::YamlInvalid, 4),
+    ];
+    for (changes, code, line) in cases {
+        let path = file("evacuations.yaml", text(changes).as_bytes());
+        let failure = config.check_file(&path, Some(&domains));
+        let failure = failure.expect_err("the note must be refused");
+        assert!(is_at(&failure, code, line), "{changes}: {failure}");
+    }
+    let ended = config.apply(&note(&text("  withdraw: [a]\n  add: [b]\n")));
+    let ended = ended.expect("the note is accepted");
+    assert!(ended.evacuated.iter().map(|domain| &**domain).eq(["b"]));
+}
+
 /// Guards against a list that was meant to restrict nothing and admits no request.
 #[test]
 fn empty_regions_refused() {
--- a/crates/note/tests/all/note_merge.rs
+++ b/crates/note/tests/all/note_merge.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cardamomshed_note::{Account, Config, Name, Note, Rate, Section};
+use cardamomshed_note::{Account, Config, Evacuations, Name, Note, Rate, Section};
 use quickcheck::{Gen, QuickCheck};
 
 use crate::note;
@@ -36,6 +36,7 @@
         routes: Section::default(),
         accounts,
         keys: Section::default(),
+        evacuations: Evacuations::default(),
         limits: None,
     }
 }
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -11,7 +11,9 @@
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
-use cardamomshed_note::{Account, Config, Digest, Grant, Interner, Lookup, Note, Rate, Section};
+use cardamomshed_note::{
+    Account, Config, Digest, Evacuations, Grant, Interner, Lookup, Note, Rate, Section,
+};
 use cardamomshed_policy::member::{self, Fleet as Members, Profile, Record, State};
 use cardamomshed_policy::quota::{Bound, Lease, Lender, RAISE_AFTER, Wallet};
 use cardamomshed_policy::{AccountKey, Moment};
@@ -172,6 +174,7 @@
             add: keys.collect(),
             ..Section::default()
         },
+        evacuations: Evacuations::default(),
         limits: None,
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,7 +10,8 @@
 use cardamomshed_daemon::{Daemon, Options, logging};
 use cardamomshed_load::Source;
 use cardamomshed_note::{
-    Account, Grant, Key, LogFormat, Name, Note, Rate, Route, Section, Settings, Timespan, Timing,
+    Account, Evacuations, Grant, Key, LogFormat, Name, Note, Rate, Route, Section, Settings,
+    Timespan, Timing,
 };
 use cardamomshed_platform::{Client, Condition};
 use cardamomshed_policy::Priority;
@@ -305,6 +306,7 @@
                 add: keys.collect(),
                 ..Section::default()
             },
+            evacuations: Evacuations::default(),
             limits: None,
         }
     }
@@ -316,6 +318,7 @@
             routes: Section::default(),
             accounts: Section::default(),
             keys: Section::default(),
+            evacuations: Evacuations::default(),
             limits: None,
             ..self.first_note()
         }
