Preview decisions without an effect on them

The policies decide and count in one step, so that nothing can tell what would become of a request without sending it. Gates, windows, ingress admission, the wallet, lenders and rotations decide on a copy, with the code that serves requests.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -32,6 +32,8 @@
 const STALE_AFTER: Duration = Duration::from_millis(500);
 /// Ranks per second by which a stale level rises.
 const RECOVERY_PER_S: f32 = 64.0;
+/// Steps in which the share of admitted requests is computed.
+const SHARE_STEPS: u32 = 1_000;
 
 /// How the ingress sheds load. The methods other than `Levels` serve as
 /// baselines for comparison.
@@ -91,20 +93,27 @@
 
     /// Decides on a request and returns its rank if it is admitted.
     pub fn admit(&mut self, request: &Request, now: Moment) -> Option<Rank> {
-        let share = self.usage.record(request.account, now);
-        let rank = Rank::new(request.priority, share * request.draw);
-        let route = self.routes.entry(request.route).or_insert(Route {
-            level: ADMIT_ALL.0,
-            updated: now,
-            offered: 0.0,
-            accepted: 0.0,
-        });
-        let admitted = match self.method {
-            Method::None => true,
-            Method::AcceptRatio => route.admits_by_ratio(request.draw),
-            Method::Levels => route.level(now).admits(rank),
+        let load = self.usage.record(request.account, now);
+        let route = self.routes.entry(request.route);
+        let route = route.or_insert_with(|| Route::new(now));
+        route.admit(self.method, request, load, now)
+    }
+
+    /// Share of such requests that are admitted now, over all values of
+    /// [`Request::draw`], which is ignored. Changes nothing.
+    pub fn share(&self, request: &Request, now: Moment) -> f64 {
+        let load = self.usage.preview(request.account, now);
+        let route = self.routes.get(&request.route).copied();
+        let route = route.unwrap_or_else(|| Route::new(now));
+        let is_admitted = |step: &u32| {
+            let draw = (f64::from(*step) + 0.5) / f64::from(SHARE_STEPS);
+            let request = Request { draw, ..*request };
+            // The copy takes the decision.
+            let mut route = route;
+            route.admit(self.method, &request, load, now).is_some()
         };
-        admitted.then_some(rank)
+        let admitted = (0..SHARE_STEPS).filter(is_admitted).count();
+        admitted as f64 / f64::from(SHARE_STEPS)
     }
 
     /// Records the end of an admitted request: the lowest level reported along
@@ -140,6 +149,26 @@
 }
 
 impl Route {
+    const fn new(now: Moment) -> Self {
+        Self {
+            level: ADMIT_ALL.0,
+            updated: now,
+            offered: 0.0,
+            accepted: 0.0,
+        }
+    }
+
+    /// Decides on a request of an account with this load relative to the mean.
+    fn admit(&mut self, method: Method, request: &Request, load: f64, now: Moment) -> Option<Rank> {
+        let rank = Rank::new(request.priority, load * request.draw);
+        let admitted = match method {
+            Method::None => true,
+            Method::AcceptRatio => self.admits_by_ratio(request.draw),
+            Method::Levels => self.level(now).admits(rank),
+        };
+        admitted.then_some(rank)
+    }
+
     fn level(&self, now: Moment) -> Level {
         let stale = now.since(self.updated).saturating_sub(STALE_AFTER);
         Level((self.level + RECOVERY_PER_S * stale.as_secs_f32()).min(ADMIT_ALL.0))
--- a/crates/policy/src/admission/usage.rs
+++ b/crates/policy/src/admission/usage.rs
@@ -12,7 +12,7 @@
 const MIN_LOAD: f64 = 0.05;
 
 /// Exponentially decaying request count of each account.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Usage {
     accounts: HashMap<AccountKey, f64>,
     /// Sum of `accounts`.
@@ -33,6 +33,11 @@
         *load * self.accounts.len() as f64 / self.total
     }
 
+    /// What [`Self::record`] would return, without a change.
+    pub fn preview(&self, account: AccountKey, now: Moment) -> f64 {
+        self.clone().record(account, now)
+    }
+
     fn decay(&mut self, now: Moment) {
         self.decayed_at = now;
         self.accounts.retain(|_, load| {
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod limit;
+mod preview;
 mod queue;
 mod reserve;
 mod slowdown;
@@ -17,6 +18,7 @@
 
 pub use config::Config;
 pub use limit::Limit;
+pub use preview::Preview;
 use queue::{Call, Queue};
 use reserve::Reserve;
 
@@ -129,7 +131,7 @@
 }
 
 /// Admission control for one target.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Gate {
     config: Config,
     limit: Limit,
--- a/crates/policy/src/gate/queue.rs
+++ b/crates/policy/src/gate/queue.rs
@@ -35,7 +35,7 @@
 }
 
 /// The queued calls of one account in one priority.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Flow {
     calls: BTreeMap<Position, Ticket>,
     /// Calls started. On joining, it is raised to the virtual time of the
@@ -44,7 +44,7 @@
 }
 
 /// The queued calls of one priority.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Class {
     /// Flows with queued calls, and empty ones that keep their virtual time.
     flows: HashMap<AccountKey, Flow>,
@@ -59,7 +59,7 @@
 }
 
 /// The queued calls of all priorities.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     classes: [Class; Priority::ALL.len()],
     entries: HashMap<Ticket, Entry>,
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -130,14 +130,29 @@
         let Some(entry) = self.accounts.get_mut(&account) else {
             return 0;
         };
-        if let Some((share, _)) = entry.pending_raise.take_if(|(_, due)| *due <= now) {
-            entry.set_share(share, now);
-        }
+        entry.apply_raise(now);
         entry.bucket.take(wanted, now)
     }
+
+    /// Tokens that could be granted now, without a change.
+    pub fn available(&self, account: AccountKey, now: Moment) -> f64 {
+        let entry = self.accounts.get(&account).copied();
+        let entry = entry.filter(|_| self.has_lease(now));
+        entry.map_or(0.0, |mut entry| {
+            entry.apply_raise(now);
+            entry.bucket.tokens(now)
+        })
+    }
 }
 
 impl Account {
+    /// Applies a larger share that is due.
+    fn apply_raise(&mut self, now: Moment) {
+        if let Some((share, _)) = self.pending_raise.take_if(|(_, due)| *due <= now) {
+            self.set_share(share, now);
+        }
+    }
+
     fn set_share(&mut self, share: Bound, now: Moment) {
         self.share = share;
         self.bucket.set_bound(bucket_bound(share), now);
--- a/crates/policy/src/quota/wallet.rs
+++ b/crates/policy/src/quota/wallet.rs
@@ -28,7 +28,7 @@
     until: Moment,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Account {
     /// Grants by time of expiry, none of them empty.
     grants: VecDeque<Grant>,
@@ -75,20 +75,16 @@
 
     /// Spends one token.
     pub fn spend(&mut self, account: AccountKey, now: Moment) -> Spend {
-        let entry = self.accounts.entry(account).or_default();
+        self.accounts.entry(account).or_default().spend(now)
+    }
+
+    /// Number of tokens that are held, and what [`Self::spend`] would return, without a
+    /// change.
+    pub fn preview(&self, account: AccountKey, now: Moment) -> (u32, Spend) {
+        let mut entry = self.accounts.get(&account).cloned().unwrap_or_default();
         entry.remove_expired(now);
-        let Some(grant) = entry.grants.front_mut() else {
-            return if now < entry.exhausted_until {
-                Spend::Exhausted
-            } else {
-                Spend::Wait
-            };
-        };
-        grant.tokens -= 1;
-        if grant.tokens == 0 {
-            entry.grants.pop_front();
-        }
-        Spend::Spent
+        let held = entry.grants.iter().map(|grant| grant.tokens).sum();
+        (held, entry.spend(now))
     }
 
     /// Number of tokens to request now. It is zero while enough are held, while
@@ -209,6 +205,22 @@
 }
 
 impl Account {
+    fn spend(&mut self, now: Moment) -> Spend {
+        self.remove_expired(now);
+        let Some(grant) = self.grants.front_mut() else {
+            return if now < self.exhausted_until {
+                Spend::Exhausted
+            } else {
+                Spend::Wait
+            };
+        };
+        grant.tokens -= 1;
+        if grant.tokens == 0 {
+            self.grants.pop_front();
+        }
+        Spend::Spent
+    }
+
     fn remove_expired(&mut self, now: Moment) {
         while self.grants.front().is_some_and(|grant| grant.until <= now) {
             self.grants.pop_front();
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -38,4 +38,11 @@
         self.credits[chosen] -= 1.0;
         Some(chosen)
     }
+
+    /// Index that [`Self::next`] would return, without a change. `None` as well if the
+    /// weights have changed, since the next entry then depends on the phase.
+    pub fn preview(&self, weights: &[f64]) -> Option<usize> {
+        let is_known = self.weights == weights;
+        is_known.then(|| self.clone().next(weights, 0.0)).flatten()
+    }
 }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -11,6 +11,7 @@
 mod estimate;
 mod health;
 mod link;
+mod preview;
 mod query;
 mod recent;
 mod spill;
@@ -22,6 +23,7 @@
 use estimate::Estimate;
 use health::Health;
 pub use link::ByteBudget;
+pub use preview::{Availability, Candidate, Exclusion, Preview};
 pub use query::Query;
 use recent::Recent;
 use spill::{Mean, Spill};
@@ -80,6 +82,8 @@
     estimate: Estimate,
     open: bool,
     health: Health,
+    /// Price of a call that it reported last.
+    price: f64,
 }
 
 /// Outcome of a call, as evidence of the target's health.
@@ -155,6 +159,7 @@
             estimate: Estimate::new(slots, now),
             open: true,
             health: Health::default(),
+            price: 0.0,
         };
         let key = self.free.pop().unwrap_or_else(|| {
             self.targets.push(None);
--- a/crates/policy/src/route/compare.rs
+++ b/crates/policy/src/route/compare.rs
@@ -33,9 +33,10 @@
     /// Records the price of a call on a target itself, without its outbound calls, as a
     /// reply reported it.
     pub fn record_price(&mut self, key: TargetKey, price: f64, now: Moment) {
-        let Some(target) = self.targets.get(key.0 as usize).and_then(Option::as_ref) else {
+        let Some(target) = self.get_mut(key) else {
             return;
         };
+        target.price = price;
         let tier = target.tier;
         self.means[tier as usize].observe_price(price, now);
         if tier != Tier::Remote {
--- a/crates/policy/src/route/link.rs
+++ b/crates/policy/src/route/link.rs
@@ -25,12 +25,21 @@
 
     /// Refills the budget and returns whether a call may use the link.
     pub fn has_room(&mut self, now: Moment) -> bool {
-        let elapsed = now.since(self.refilled_at).as_secs_f64();
-        self.available = (self.available + elapsed * self.rate).min(self.rate);
+        self.available = self.refilled(now);
         self.refilled_at = now;
         self.available > 0.0
     }
 
+    /// As [`Self::has_room`], without a change.
+    pub fn would_have_room(&self, now: Moment) -> bool {
+        self.refilled(now) > 0.0
+    }
+
+    fn refilled(&self, now: Moment) -> f64 {
+        let elapsed = now.since(self.refilled_at).as_secs_f64();
+        (self.available + elapsed * self.rate).min(self.rate)
+    }
+
     /// Subtracts bytes that were sent.
     pub const fn spend(&mut self, bytes: usize) {
         self.available -= bytes as f64;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -15,7 +15,7 @@
 
 use std::time::Duration;
 
-use crate::gate::{Change, Config, Decision, Gate, Offer, Ticket};
+use crate::gate::{Change, Config, Decision, Gate, Offer, Preview, Ticket};
 use crate::moment::Moment;
 
 /// Mean pressure above which the window is reduced. Calls queue downstream.
@@ -96,6 +96,11 @@
         decision
     }
 
+    /// Decides on a call without an effect; see [`Gate::preview`].
+    pub fn preview(&self, offer: Offer, now: Moment) -> Preview {
+        self.gate.preview(offer, now)
+    }
+
     /// Records that a call completed; see [`Gate::finish`].
     pub fn finish(&mut self, ticket: Ticket, now: Moment, changes: &mut Vec<Change>) {
         self.gate.finish(ticket, Some(Duration::ZERO), now, changes);
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_level;
 mod confirmation_reads;
+mod decision_preview;
 mod evacuation_state;
 mod even_load;
 mod gate_fairness;
@@ -26,6 +27,7 @@
 mod retry_tokens;
 mod rotation_weights;
 mod route_choice;
+mod route_preview;
 mod route_rejection;
 mod wallet_prefetch;
 mod warmup_limit;
