Answer GET /preview on the admin listener

Operators could ask what became of a request that was sent, but not where one would go. The preview runs the checks of the callers' listener in their order, with read-only access: route and account (http::access, moved out of the two listeners' handlers), state of the daemon, allowed regions, load shedding, tokens, body limit and memory, and then the choice of a target and the windows and the gate beside the local one. It reports the refusal with the status and the range of Retry-After that the caller would get.

Tests compare refusals with those of requests that are sent, and the state of balancer, wallet, rotation, usage and target before and after previews.

--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -46,6 +46,83 @@
     Unanswered,
 }
 
+/// Where a request would get its token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This daemon holds one.
+    Held,
+    /// A lender on this daemon has one.
+    Lent,
+    /// This daemon would be asked.
+    Asked(Arc<str>),
+    /// Nowhere.
+    Denied(Denied),
+}
+
+/// What [`take`] would find.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Preview {
+    /// Tokens that this daemon holds for its requests.
+    pub held: u32,
+    /// Tokens that the lender slots held here have; `None` without a slot.
+    pub lendable: Option<f64>,
+    /// Where a request would get its token.
+    pub source: Source,
+}
+
+/// Previews [`take`]. Takes and requests no token.
+pub fn preview(node: &Node, name: &Arc<str>, account: AccountKey) -> Preview {
+    let now = node.clock.now();
+    let (held, spend) = lock(&node.quota.wallet).preview(account, now);
+    let lendable = {
+        let lenders = lock(&node.quota.lenders);
+        let tokens = lenders
+            .values()
+            .map(|lender| lender.available(account, now));
+        (!lenders.is_empty()).then(|| tokens.sum())
+    };
+    let source = match spend {
+        Spend::Spent => Source::Held,
+        Spend::Exhausted => Source::Denied(Denied::Dry),
+        Spend::Wait => preview_request(node, name, account, lendable, now),
+    };
+    Preview {
+        held,
+        lendable,
+        source,
+    }
+}
+
+/// Which lender [`send_request`] would turn to, and what comes of it.
+fn preview_request(
+    node: &Node,
+    name: &Arc<str>,
+    account: AccountKey,
+    lendable: Option<f64>,
+    now: Moment,
+) -> Source {
+    let is_sidecar = node.settings.sidecar.is_some();
+    let Some(bound) = bound_of(node, name) else {
+        return Source::Denied(Denied::Unanswered);
+    };
+    let mut request = new_request(node, name, account, bound, now);
+    loop {
+        let lender = select_lender(node, &request);
+        request.lenders_tried += 1;
+        match lender {
+            None if is_sidecar => return Source::Denied(Denied::Unanswered),
+            None => return Source::Denied(Denied::Dry),
+            Some(peer) if peer.node != node.name => return Source::Asked(peer.node),
+            Some(_) if lendable.is_some_and(|tokens| tokens >= 1.0) => return Source::Lent,
+            Some(_) if !is_sidecar => {}
+            Some(_) if lendable.is_some() && request.lenders_tried <= 1 => {
+                return Source::Denied(Denied::Dry);
+            }
+            Some(_) => return Source::Denied(Denied::Unanswered),
+        }
+    }
+}
+
 /// Takes one token for a request. Waits a limited time for a lender's answer, and
 /// longer if no lender is known.
 ///
@@ -123,26 +200,41 @@
         let Some(bound) = bound_of(node, name) else {
             return;
         };
-        let lenders_tried = match node.settings.sidecar {
-            Some(_) => lock(&node.quota.wallet).unresponsive_lenders(account, now),
-            None => 0,
-        };
-        if lenders_tried > 0 {
+        let request = new_request(node, name, account, bound, now);
+        if request.lenders_tried > 0 {
             verify_lender(node, name);
         }
         let request = Grant {
-            account: Arc::clone(name),
             requested: wanted,
-            tokens: 0,
-            requested_us: now.as_micros(),
-            validity_us: validity(bound).as_micros() as u64,
-            lenders_tried,
-            is_lender: false,
+            ..request
         };
         send_request(node, request);
     }
 }
 
+/// Request for one token, to the first lender that has answered lately.
+fn new_request(
+    node: &Node,
+    name: &Arc<str>,
+    account: AccountKey,
+    bound: Bound,
+    now: Moment,
+) -> Grant {
+    let lenders_tried = match node.settings.sidecar {
+        Some(_) => lock(&node.quota.wallet).unresponsive_lenders(account, now),
+        None => 0,
+    };
+    Grant {
+        account: Arc::clone(name),
+        requested: 1,
+        tokens: 0,
+        requested_us: now.as_micros(),
+        validity_us: validity(bound).as_micros() as u64,
+        lenders_tried,
+        is_lender: false,
+    }
+}
+
 /// Probes the account's first lender, which did not answer in time. The sooner it
 /// fails, the sooner another daemon lends in its place.
 fn verify_lender(node: &Node, account: &str) {
--- a/crates/daemon/src/backpressure.rs
+++ b/crates/daemon/src/backpressure.rs
@@ -8,7 +8,7 @@
 
 use cardamomshed_code::Code;
 use cardamomshed_policy::RouteKey;
-use cardamomshed_policy::gate::{Change, Decision, Offer, Shed, Ticket};
+use cardamomshed_policy::gate::{Change, Decision, Offer, Preview, Shed, Ticket};
 use cardamomshed_policy::window::Window;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -130,6 +130,25 @@
         }
     }
 
+    /// What would become of a call at the windows of these routes; see
+    /// [`Window::preview`]. Waits add up, and the first refusal counts.
+    pub fn preview(&self, offer: Offer, routes: &[RouteKey]) -> Preview {
+        let now = self.clock.now();
+        let entries = lock(&self.entries);
+        let mut waited = Duration::ZERO;
+        for entry in routes.iter().filter_map(|route| entries.get(route)) {
+            match entry.window.preview(offer, now) {
+                Preview::Run => {}
+                Preview::Wait(wait) => waited += wait,
+                Preview::Shed(shed) => return Preview::Shed(shed),
+            }
+        }
+        if waited.is_zero() {
+            return Preview::Run;
+        }
+        Preview::Wait(waited)
+    }
+
     /// Records what the reply to a downstream call reported; see
     /// [`Window::observe`]. Returns the change of the window's limit, if any. Calls
     /// on routes without a window are ignored.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -114,16 +114,12 @@
     route: &Route,
     regions: Option<&[Name]>,
 ) -> Result<(), Failure> {
-    let Some(regions) = regions else {
-        return Ok(());
-    };
-    if node.routing.services.has_target_in(&route.service, regions) {
-        return Ok(());
+    let checked = node.routing.services.check_regions(&route.service, regions);
+    if let Err(failure) = &checked {
+        let detail = &failure.detail;
+        node.log_decision(Event::TargetUnavailable, request, format_args!("{detail}"));
     }
-    let names = regions.iter().map(|region| &**region).collect::<Vec<_>>();
-    let detail = format!("service {} regions {names:?}", route.service);
-    node.log_decision(Event::TargetUnavailable, request, format_args!("{detail}"));
-    Err(Failure::new(Code::RegionUnavailable, detail))
+    checked
 }
 
 /// Sends a call made in `context` to the service of a route, to targets in `regions`
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners and handlers for callers, the local target, the platform and
 //! operators.
 
+mod access;
 pub mod admin;
 pub mod announce;
 pub mod closing;
@@ -11,6 +12,7 @@
 pub mod ingress;
 mod open;
 pub mod outbound;
+pub mod preview;
 pub mod problem;
 mod receive;
 pub mod server;
--- a/crates/daemon/src/http/admin.rs
+++ b/crates/daemon/src/http/admin.rs
@@ -1,14 +1,14 @@
-//! Handlers of the admin listener: metrics, status and request traces.
+//! Handlers of the admin listener: metrics, status, request traces and previews.
 
 use std::sync::Arc;
 
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use cardamomshed_code::{Code, Failure};
 use cardamomshed_policy::member::Record;
 use cardamomshed_wire::{Load, Request};
 use serde::Serialize;
 
-use super::problem;
+use super::{preview, problem};
 use crate::node::Node;
 use crate::reply::Refused;
 use crate::service::Summary;
@@ -79,6 +79,17 @@
     }
 }
 
+/// What would become of the request that the query string describes.
+pub async fn preview(node: web::Data<Node>, request: HttpRequest) -> HttpResponse {
+    match preview::preview(&node, request.query_string()) {
+        Ok(document) => HttpResponse::Ok().json(document),
+        Err(Failure { code, detail }) => {
+            let refused = Refused::not_run(code, detail, 0);
+            problem::response(Request::random(), &refused, None)
+        }
+    }
+}
+
 /// Response to all other paths.
 pub async fn not_found() -> HttpResponse {
     let refused = Refused::not_run(
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -65,10 +65,20 @@
     if headers.contains_key(header::UPGRADE) || request.method() == Method::CONNECT {
         return bad("upgrades and tunnels are not supported");
     }
-    if !is_unambiguous(request.path()) {
-        return bad("the path has dot segments, empty segments or encoded separators");
+    check_path(request.path())
+}
+
+/// Checks that all parsers interpret a path in the same way.
+///
+/// # Errors
+///
+/// [`Code::BadRequest`].
+pub fn check_path(path: &str) -> Result<(), Failure> {
+    if is_unambiguous(path) {
+        return Ok(());
     }
-    Ok(())
+    let detail = "the path has dot segments, empty segments or encoded separators";
+    Err(Failure::new(Code::BadRequest, detail))
 }
 
 /// Whether all parsers interpret a path in the same way.
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -8,13 +8,13 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{HttpRequest, HttpResponse, web};
 use cardamomshed_code::{Code, Event, Failure};
-use cardamomshed_note::{Digest, Lookup, Match, Name, Unconfirmed};
+use cardamomshed_note::{Digest, Lookup, Match, Name};
 use cardamomshed_policy::admission::{self, Rank};
-use cardamomshed_policy::{AccountKey, Moment, Priority};
+use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
 use cardamomshed_wire::Request;
 
 use super::receive::{before, read_request};
-use super::{head, open, problem};
+use super::{access, head, open, problem};
 use crate::actor::quota;
 use crate::claim;
 use crate::context::{self, Context};
@@ -42,11 +42,6 @@
     Code::ClaimUnavailable,
 ];
 
-/// Fraction of the time within which a withdrawn key must stop working for which
-/// a confirmation of the configuration is valid. The rest covers the transit time
-/// of a request and differences between clocks.
-const LEASE_FRACTION: f64 = 0.85;
-
 /// Route, client account and deadline of an identified root request.
 struct Origin {
     access: Match,
@@ -260,57 +255,20 @@
 fn identify(node: &Node, lookup: &Lookup, request: &HttpRequest) -> Result<Origin, Failure> {
     let path = head::path_and_query(request);
     let key = head::presented_key(request.headers())?;
-    check_confirmed(node, lookup)?;
-    let (account, account_key) = lookup
-        .account_by_digest(&Digest::of(key))
-        .ok_or_else(|| Failure::new(Code::KeyUnknown, ""))?;
-    let access = lookup
-        .route(&path)
-        .ok_or_else(|| Failure::new(Code::RouteUnknown, ""))?;
-    Lookup::authorize(&access.route, account)
-        .map_err(|code| Failure::new(code, access.route.name.to_string()))?;
+    let holder = lookup.account_by_digest(&Digest::of(key));
+    let holder = holder.map(|(account, key)| (Arc::clone(account), key));
+    let access = access::check_own(node, lookup, &path, holder)?;
     let headers = head::end_to_end(request.headers());
     head::check_exposure(key, &path, &headers)?;
     Ok(Origin {
-        deadline: deadline(node, request, access.route.timeout.get()),
-        access: access.clone(),
-        account: Arc::clone(account),
-        account_key,
+        deadline: deadline(node, request, access.matched.route.timeout.get()),
+        access: access.matched,
+        account: access.account,
+        account_key: access.account_key,
         headers,
     })
 }
 
-/// Refuses all keys before the first configuration arrives. If unconfirmed keys
-/// are to be refused, also refuses them before the first confirmation of the
-/// configuration and once it has not been confirmed for the configured time.
-///
-/// # Errors
-///
-/// [`Code::KeyUnconfirmed`].
-pub(super) fn check_confirmed(node: &Node, lookup: &Lookup) -> Result<(), Failure> {
-    let (refuse, after) = if let Some(sidecar) = &node.current_settings().sidecar {
-        let lease = sidecar.withdraw_within.get().mul_f64(LEASE_FRACTION);
-        (sidecar.strict_keys, lease)
-    } else {
-        let limits = &lookup.config.limits;
-        let refuse = limits.unconfirmed_keys == Unconfirmed::Refuse;
-        (refuse, limits.unconfirmed_after.get())
-    };
-    if lookup.config.revision == 0 {
-        let detail = "no release note has been received yet";
-        return Err(Failure::new(Code::KeyUnconfirmed, detail));
-    }
-    if !refuse {
-        return Ok(());
-    }
-    let detail = match node.configuration.unconfirmed_for() {
-        Some(age) if age <= after => return Ok(()),
-        Some(age) => format!("configuration not confirmed for {} s", age.as_secs()),
-        None => "configuration not confirmed since the start".to_owned(),
-    };
-    Err(Failure::new(Code::KeyUnconfirmed, detail))
-}
-
 /// Applies load shedding before any hop does work, then takes quota. A request
 /// that is shed thus consumes no quota of its client account.
 async fn admit(node: &Arc<Node>, origin: &Origin) -> Result<Rank, Failure> {
@@ -390,16 +348,25 @@
             refused.detail
         ),
     );
-    let retry_after = RETRY_AFTER_CODES.contains(&refused.code).then(|| {
-        let draw = rand::random::<f64>();
-        origin.map_or_else(
+    let route = origin.map(|origin| origin.access.key);
+    let retry_after = retry_after(node, route, refused.code, rand::random());
+    problem::response(id, refused, retry_after)
+}
+
+/// `Retry-After` of a refused request, `None` if its response carries none. `route` is
+/// that of an identified request; `draw`, uniform in 0..1, spreads the retries.
+pub(super) fn retry_after(
+    node: &Node,
+    route: Option<RouteKey>,
+    code: Code,
+    draw: f64,
+) -> Option<Duration> {
+    RETRY_AFTER_CODES.contains(&code).then(|| {
+        route.map_or_else(
             || Duration::from_secs_f64(1.0 + draw),
-            |origin| {
-                lock(&node.routing.admission).retry_after(origin.access.key, draw, node.clock.now())
-            },
+            |route| lock(&node.routing.admission).retry_after(route, draw, node.clock.now()),
         )
-    });
-    problem::response(id, refused, retry_after)
+    })
 }
 
 pub(super) fn count(node: &Node, account: &str, outcome: &str) {
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::http::header::{self as http_header, HeaderMap};
+use actix_web::http::header as http_header;
 use actix_web::{HttpRequest, HttpResponse, web};
 use cardamomshed_code::{Code, Event, Failure, Ran};
-use cardamomshed_note::{Digest, Lookup, Match, Route};
+use cardamomshed_note::{Digest, Match, Route};
 use cardamomshed_platform::header;
+use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::Rank;
-use cardamomshed_policy::{AccountKey, Moment, Priority};
 use cardamomshed_wire::Request;
 
+use super::access::{self, Access};
 use super::{head, ingress, open, problem, receive};
 use crate::actor::quota;
 use crate::backpressure::Adjustment;
@@ -39,13 +40,7 @@
 
 /// Route, client account and deadlines of an identified request.
 struct Origin {
-    access: Match,
-    /// Empty for a request on an open route.
-    account: Arc<str>,
-    account_key: AccountKey,
-    /// Whether the account has a rate and burst.
-    limited: bool,
-    priority: Priority,
+    access: Access,
     /// Time at which the client stops waiting for the response.
     client_deadline: Moment,
     /// The earlier of the client's deadline and the end of the route's timeout.
@@ -83,64 +78,47 @@
     guard.attach(add_common_headers(&node, attempt, response))
 }
 
-/// Identifies route and client account. The checks run in the order that the
-/// platform requires: 503 while no configuration is known, then 404, then 401.
+/// Identifies route and client account.
 fn identify(node: &Node, request: &HttpRequest, started: Moment) -> Result<Origin, Failure> {
     head::check(request)?;
     let lookup = node.lookup();
-    if lookup.config.revision == 0 {
-        let detail = "no configuration has been received yet";
-        return Err(Failure::new(Code::KeyUnconfirmed, detail));
-    }
     let path = head::path_and_query(request);
-    let access = lookup
-        .host_route(&host(request.headers()), &path)
-        .ok_or_else(|| Failure::new(Code::RouteUnknown, ""))?;
-    let route = &access.route;
-    let (account, account_key) = if route.open || !lookup.config.keyed {
-        let anonymous: Arc<str> = Arc::default();
-        let key = node.names.account(&anonymous);
-        (anonymous, key)
-    } else {
-        account(node, &lookup, request)?
+    let present = || {
+        let key = head::presented_key(request.headers())?;
+        let holder = lookup.account_by_digest(&Digest::of(key));
+        Ok(holder.map(|(account, key)| (Arc::clone(account), key)))
     };
-    let configured = lookup.config.accounts.get(&account);
+    let host = head::text(request.headers(), http_header::HOST.as_str()).unwrap_or_default();
+    let access = access::check_platform(node, &lookup, &without_port(host), &path, present)?;
+    let timeout = access.matched.route.timeout.get();
     let requested = head::text(request.headers(), header::DEADLINE)
         .and_then(|millis| millis.parse().ok())
-        .map_or(route.timeout.get(), Duration::from_millis);
+        .map_or(timeout, Duration::from_millis);
     Ok(Origin {
-        limited: configured.is_some_and(|account| !account.unlimited),
-        priority: configured
-            .and_then(|account| account.priority)
-            .unwrap_or(route.priority),
-        account,
-        account_key,
         client_deadline: started + requested,
-        deadline: started + requested.min(route.timeout.get()),
-        access: access.clone(),
+        deadline: started + requested.min(timeout),
+        access,
     })
 }
 
-/// Client account of the presented key.
-fn account(
-    node: &Node,
-    lookup: &Lookup,
-    request: &HttpRequest,
-) -> Result<(Arc<str>, AccountKey), Failure> {
-    let key = head::presented_key(request.headers())?;
-    let holder = lookup.account_by_digest(&Digest::of(key));
-    ingress::check_confirmed(node, lookup)?;
-    let (account, account_key) = holder.ok_or_else(|| Failure::new(Code::KeyUnknown, ""))?;
-    Ok((Arc::clone(account), account_key))
-}
-
-/// Host of a request, in lower case and without a port.
-fn host(headers: &HeaderMap) -> String {
-    let host = head::text(headers, http_header::HOST.as_str()).unwrap_or_default();
+/// A host in lower case and without a port.
+pub(super) fn without_port(host: &str) -> String {
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
     host.to_ascii_lowercase()
 }
 
+/// Refuses requests with a key while the daemon is closing.
+///
+/// # Errors
+///
+/// [`Code::Leaving`].
+pub(super) fn check_open(node: &Node, access: &Access) -> Result<(), Failure> {
+    if node.lifecycle.is_closing() && !access.account.is_empty() {
+        return Err(Failure::new(Code::Leaving, ""));
+    }
+    Ok(())
+}
+
 async fn run(
     node: &Arc<Node>,
     id: Request,
@@ -148,12 +126,12 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<Reply, Failure> {
-    if node.lifecycle.is_closing() && !origin.account.is_empty() {
-        return Err(Failure::new(Code::Leaving, ""));
-    }
+    check_open(node, &origin.access)?;
     let lookup = node.lookup();
-    let route = select_route(node, &origin.access);
-    let regions = lookup.config.allowed_regions(&route, &origin.account);
+    let route = select_route(node, &origin.access.matched);
+    let regions = lookup
+        .config
+        .allowed_regions(&route, &origin.access.account);
     check_regions(node, id, &route, regions.as_deref())?;
     admit(node, origin).await?;
     let mut headers = head::platform_headers(request.headers());
@@ -165,20 +143,20 @@
     let (parts, _reservation) = receive::before(node, origin.deadline, received).await?;
     let root = context::Root {
         request: id,
-        account: Arc::clone(&origin.account),
-        priority: origin.priority,
+        account: Arc::clone(&origin.access.account),
+        priority: origin.access.priority,
         rank: Rank::MOST_IMPORTANT,
     };
     let context = Context::new(root, origin.deadline, 0, route.retries);
     let sent_at = node.clock.now();
-    if origin.account.is_empty() {
-        let repeats = lock(&node.routing.prices).take_repeat(origin.access.key);
+    if origin.access.account.is_empty() {
+        let repeats = lock(&node.routing.prices).take_repeat(origin.access.matched.key);
         let services = &node.routing.services;
         services.charge_retries(&route.service, repeats, sent_at);
     }
     let reply = dispatch(node, &context, &route, regions.as_deref(), &parts).await;
     record_price(node, origin, &reply);
-    if origin.account.is_empty() {
+    if origin.access.account.is_empty() {
         let latency = node.clock.now().since(sent_at);
         record_pressure(node, origin, &reply, latency);
     }
@@ -195,7 +173,12 @@
         return;
     };
     let windows = &node.routing.windows;
-    let adjusted = windows.observe(origin.access.key, f64::from(pressure), refused, latency);
+    let adjusted = windows.observe(
+        origin.access.matched.key,
+        f64::from(pressure),
+        refused,
+        latency,
+    );
     let Some(Adjustment { before, after }) = adjusted else {
         return;
     };
@@ -204,7 +187,7 @@
             Event::WindowChanged,
             format_args!(
                 "route={} before={before:?} after={after:?} pressure={pressure:.2}",
-                origin.access.route.name
+                origin.access.matched.route.name
             ),
         );
     }
@@ -221,38 +204,38 @@
         let mut prices = lock(&node.routing.prices);
         prices
             .table
-            .observe(origin.access.key, f64::from(price), now);
+            .observe(origin.access.matched.key, f64::from(price), now);
     }
 }
 
 /// Applies load shedding and takes quota. Calls on open routes belong to requests
 /// that were admitted before, so they are neither shed nor charged here.
 async fn admit(node: &Arc<Node>, origin: &Origin) -> Result<(), Failure> {
-    let route = &origin.access.route;
-    if origin.account.is_empty() {
+    let route = &origin.access.matched.route;
+    if origin.access.account.is_empty() {
         lock(&node.routing.prices)
             .fanout
-            .record_outbound(origin.access.key);
+            .record_outbound(origin.access.matched.key);
         return Ok(());
     }
     let now = node.clock.now();
     let share = {
         let mut prices = lock(&node.routing.prices);
-        let load = prices.usage.record(origin.account_key, now);
-        let key = origin.access.key;
-        prices.table.share(key, origin.priority, load, now)
+        let load = prices.usage.record(origin.access.account_key, now);
+        let key = origin.access.matched.key;
+        prices.table.share(key, origin.access.priority, load, now)
     };
     if rand::random::<f64>() >= share {
         let detail = format!(
             "account {} route {} share {share:.2}",
-            origin.account, route.name
+            origin.access.account, route.name
         );
         return Err(Failure::new(Code::AdmissionShed, detail));
     }
-    if origin.limited {
-        let taken = quota::take(node, &origin.account, origin.account_key).await;
+    if origin.access.limited {
+        let taken = quota::take(node, &origin.access.account, origin.access.account_key).await;
         taken.map_err(|error| {
-            let detail = format!("account {} tokens {error:?}", origin.account);
+            let detail = format!("account {} tokens {error:?}", origin.access.account);
             Failure::new(Code::QuotaExceeded, detail)
         })?;
     }
@@ -287,14 +270,14 @@
         Reply::Answer(answer) => {
             let took = node.clock.now().since(started);
             node.metrics.latency.observe(took.as_secs_f64());
-            ingress::count(node, &origin.account, "answered");
+            ingress::count(node, &origin.access.account, "answered");
             node.log_decision(
                 Event::RequestAnswered,
                 id,
                 format_args!(
                     "account={} route={} status={} took_us={}",
-                    origin.account,
-                    origin.access.route.name,
+                    origin.access.account,
+                    origin.access.matched.route.name,
                     answer.status,
                     took.as_micros()
                 ),
@@ -306,27 +289,28 @@
 }
 
 fn refuse(node: &Node, id: Request, origin: Option<&Origin>, refused: &Refused) -> HttpResponse {
-    let account = origin.map_or("", |origin| &origin.account);
+    let account = origin.map_or("", |origin| &origin.access.account);
     ingress::count(node, account, &refused.code.number().to_string());
     node.log_decision(
         Event::RequestRefused,
         id,
         format_args!(
             "account={account} route={} code={} ran={} {}",
-            origin.map_or("", |origin| &origin.access.route.name),
+            origin.map_or("", |origin| &origin.access.matched.route.name),
             refused.code.number(),
             refused.ran.as_str(),
             refused.detail
         ),
     );
     let status = status(refused);
-    let retry_after = matches!(status, 429 | 503).then(|| retry_after(node, origin, refused.code));
+    let caller = origin.map(|origin| (&origin.access, origin.client_deadline));
+    let retry_after = retry_after(node, caller, refused, rand::random());
     problem::platform_response(id, refused, status, retry_after)
 }
 
 /// HTTP status of a refusal. 429 and 503 guarantee that the request has not run
 /// and will not run.
-fn status(refused: &Refused) -> u16 {
+pub(super) fn status(refused: &Refused) -> u16 {
     let mapped = refused.code.status();
     match (refused.ran, mapped) {
         (Ran::No, 400..500) => mapped,
@@ -336,26 +320,32 @@
     }
 }
 
-/// `Retry-After` of a refused request. After load shedding it is the time at
-/// which capacity is expected, otherwise a part of the time that the client waits
-/// at most. The random part spreads the retries.
-fn retry_after(node: &Node, origin: Option<&Origin>, code: Code) -> Duration {
-    let draw = rand::random::<f64>();
-    let Some(origin) = origin else {
-        return UNIDENTIFIED_RETRY_AFTER.mul_f64(0.5 + draw);
+/// `Retry-After` of a refused request, `None` if its response carries none. After load
+/// shedding it is the time at which capacity is expected, otherwise a part of the time
+/// that the client waits at most. `caller` is an identified request with the time at
+/// which its client stops waiting; `draw`, uniform in 0..1, spreads the retries.
+pub(super) fn retry_after(
+    node: &Node,
+    caller: Option<(&Access, Moment)>,
+    refused: &Refused,
+    draw: f64,
+) -> Option<Duration> {
+    if !matches!(status(refused), 429 | 503) {
+        return None;
+    }
+    let Some((access, client_deadline)) = caller else {
+        return Some(UNIDENTIFIED_RETRY_AFTER.mul_f64(0.5 + draw));
     };
     let now = node.clock.now();
-    if code == Code::AdmissionShed {
-        let key = origin.access.key;
-        return lock(&node.routing.prices)
-            .table
-            .retry_after(key, origin.priority, draw, now);
+    if refused.code == Code::AdmissionShed {
+        let prices = lock(&node.routing.prices);
+        let (route, priority) = (access.matched.key, access.priority);
+        return Some(prices.table.retry_after(route, priority, draw, now));
     }
-    let wait = origin.client_deadline.since(now).mul_f64(MAX_WAIT_FRACTION);
+    let wait = client_deadline.since(now).mul_f64(MAX_WAIT_FRACTION);
     let spread = 0.5 + 0.5 * draw;
-    MAX_RETRY_AFTER
-        .min(wait.mul_f64(USED_WAIT_FRACTION))
-        .mul_f64(spread)
+    let longest = MAX_RETRY_AFTER.min(wait.mul_f64(USED_WAIT_FRACTION));
+    Some(longest.mul_f64(spread))
 }
 
 /// Adds the headers that every response carries, and closes the connection of a
--- a/crates/daemon/src/http/problem.rs
+++ b/crates/daemon/src/http/problem.rs
@@ -53,12 +53,17 @@
     let mut response = builder(refused, status);
     response.insert_header((REQUEST_HEADER, request.to_string()));
     if let Some(delay) = retry_after {
-        let seconds = delay.as_secs_f64().ceil().max(1.0) as u64;
+        let seconds = whole_seconds(delay);
         response.insert_header((header::RETRY_AFTER, seconds.to_string()));
     }
     response.json(problem(request, refused, status))
 }
 
+/// A delay as it is sent in `Retry-After` on this project's own interface.
+pub fn whole_seconds(delay: Duration) -> u64 {
+    delay.as_secs_f64().ceil().max(1.0) as u64
+}
+
 fn problem(request: Request, refused: &Refused, status: u16) -> Problem<'_> {
     let code = refused.code;
     Problem {
--- a/crates/daemon/src/http/receive.rs
+++ b/crates/daemon/src/http/receive.rs
@@ -57,9 +57,7 @@
     let limit = lookup.config.limits.body.get();
     let declared = head::text(request.headers(), "content-length")
         .and_then(|length| length.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        return Err(too_large(limit));
-    }
+    check_length(declared.unwrap_or(0), limit)?;
     let chunked = request.headers().contains_key("transfer-encoding");
     let expected = declared.unwrap_or(if chunked { limit } else { 0 });
     let shed = || {
@@ -67,13 +65,9 @@
         Failure::new(Code::MemoryShed, "")
     };
     let path = head::path_and_query(request);
-    let fields = headers.iter();
-    let head = fields.fold(path.len(), |sum, (name, value)| {
-        sum + name.len() + value.len()
-    });
     let reservation = node
         .memory
-        .reserve(Kind::Request, head * HEAD_COPIES + REQUEST_BYTES)
+        .reserve(Kind::Request, head_bytes(&path, &headers))
         .ok_or_else(shed)?;
     let connection = node.connections.get(request.peer_addr());
     let receiving = connection
@@ -91,6 +85,27 @@
     Ok((parts, reservation))
 }
 
+/// Checks the length of a body against its limit.
+///
+/// # Errors
+///
+/// [`Code::BodyTooLarge`].
+pub(super) fn check_length(length: usize, limit: usize) -> Result<(), Failure> {
+    if length > limit {
+        return Err(too_large(limit));
+    }
+    Ok(())
+}
+
+/// Memory that an open request takes beside its body.
+pub(super) fn head_bytes(path: &str, headers: &[(String, String)]) -> usize {
+    let fields = headers.iter();
+    let head = fields.fold(path.len(), |sum, (name, value)| {
+        sum + name.len() + value.len()
+    });
+    head * HEAD_COPIES + REQUEST_BYTES
+}
+
 /// Reads a body of at most `limit` bytes. While there is no memory, reading stops for up
 /// to [`BODY_WAIT`].
 async fn read_body(
@@ -104,9 +119,7 @@
     }
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| Failure::new(Code::BadRequest, error.to_string()))?;
-        if body.len() + chunk.len() > limit {
-            return Err(too_large(limit));
-        }
+        check_length(body.len() + chunk.len(), limit)?;
         if !body.extend_within(&chunk, BODY_WAIT).await {
             return Err(shed());
         }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -169,6 +169,7 @@
         .route("/metrics", web::get().to(admin::metrics))
         .route("/status", web::get().to(admin::status))
         .route("/explain/{request}", web::get().to(admin::explain))
+        .route("/preview", web::get().to(admin::preview))
         .default_service(web::to(admin::not_found));
     servers.push(serve_local(
         node,
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -58,6 +58,12 @@
         self.with(|account| account.is_full())
     }
 
+    /// Whether [`Self::reserve`] would find room for so many bytes. Reserves nothing.
+    pub fn would_fit(&self, kind: Kind, bytes: usize) -> bool {
+        // The copy takes the reservation.
+        self.with(|account| account.clone().reserve(kind, bytes))
+    }
+
     /// Reserves bytes, or returns `None` if there is no room for them.
     pub fn reserve(&self, kind: Kind, bytes: usize) -> Option<Reservation> {
         let mut reservation = Reservation {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -11,6 +11,11 @@
 
 use crate::backpressure::Windows;
 use crate::service::Services;
+use crate::sync::lock;
+
+/// Calls on a downstream route, per call on the target, from which that route's
+/// window applies.
+const MIN_DOWNSTREAM_CALLS: f64 = 0.5;
 
 /// Targets, budgets and prices by which calls are routed and shed.
 #[derive(Debug)]
@@ -43,6 +48,14 @@
     repeats: HashMap<RouteKey, f64>,
 }
 
+impl Routing {
+    /// Downstream routes whose windows apply to calls on this route.
+    pub fn downstream(&self, route: RouteKey) -> Vec<RouteKey> {
+        let prices = lock(&self.prices);
+        prices.fanout.outbound(route, MIN_DOWNSTREAM_CALLS)
+    }
+}
+
 impl Prices {
     /// Records that the local target runs a call on `route` again.
     pub fn record_repeat(&mut self, route: RouteKey) {
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -12,7 +12,7 @@
 use cardamomshed_code::{Code, Event};
 use cardamomshed_platform::{answer, header, load};
 use cardamomshed_policy::admission::{ADMIT_ALL, Level};
-use cardamomshed_policy::gate::{Offer, Ticket};
+use cardamomshed_policy::gate::{Preview, Ticket};
 use cardamomshed_policy::{Moment, RouteKey};
 use cardamomshed_wire::{Call, Load};
 use tokio::sync::mpsc;
@@ -37,10 +37,6 @@
 /// to this daemon and from it to the target.
 pub const TIMEOUT_HEADER: &str = "x-shed-timeout-ms";
 
-/// Calls on a downstream route, per call on the target, from which that route's
-/// window applies.
-const MIN_DOWNSTREAM_CALLS: f64 = 0.5;
-
 /// Runs queued calls concurrently until all senders of `jobs` are dropped.
 pub async fn run(node: Arc<Node>, jobs: &mut mpsc::UnboundedReceiver<Job>) {
     let pool = Rc::new(Pool::new(node.memory.clone()));
@@ -87,14 +83,15 @@
         rank: call.rank,
         deadline,
     };
-    let downstream = lock(&node.routing.prices)
-        .fanout
-        .outbound(attributes.route, MIN_DOWNSTREAM_CALLS);
+    let downstream = node.routing.downstream(attributes.route);
     if node.memory.is_full() {
         return shed_reply(node, call, &downstream, Code::MemoryShed);
     }
     let admission = async {
-        let entered = node.routing.windows.enter(offer(&attributes), &downstream);
+        let entered = node
+            .routing
+            .windows
+            .enter(attributes.offer(Ticket(0)), &downstream);
         let pass = entered.await?;
         Ok((pass, node.local_target.acquire(attributes).await?))
     };
@@ -191,16 +188,21 @@
     }
 }
 
-/// The call as it is offered to a window.
-const fn offer(attributes: &Attributes<'_>) -> Offer {
-    Offer {
-        ticket: Ticket(0),
-        account: attributes.account,
-        route: attributes.route,
-        priority: attributes.priority,
-        depth: attributes.depth,
-        deadline: attributes.deadline,
+/// What would become of a call here: at the windows, and at the gate of the local target.
+/// Changes nothing.
+///
+/// # Errors
+///
+/// The code for which the call would be shed before it reaches them.
+pub fn preview(node: &Node, attributes: Attributes<'_>) -> Result<[Preview; 2], Code> {
+    if node.memory.is_full() {
+        return Err(Code::MemoryShed);
     }
+    let downstream = node.routing.downstream(attributes.route);
+    let offer = attributes.offer(Ticket(u64::MAX));
+    let at_windows = node.routing.windows.preview(offer, &downstream);
+    let at_gate = node.local_target.preview(attributes);
+    Ok([at_windows, at_gate.ok_or(Code::NoTarget)?])
 }
 
 /// Pressure at the tightest limit that a call with these downstream routes passes.
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use cardamomshed_code::{Code, Failure};
 use cardamomshed_note::Name;
 use cardamomshed_policy::member::Record;
 use cardamomshed_policy::retry::Budget;
-use cardamomshed_policy::route::{self, Balancer, Choice, Outcome, Tier, Transition};
+use cardamomshed_policy::route::{self, Availability, Balancer, Choice, Outcome, Tier, Transition};
 use cardamomshed_policy::{Moment, RegionKey, TargetKey};
 use cardamomshed_wire::Load;
 use indexmap::{IndexMap, IndexSet};
+use rand::Rng;
 use serde::Serialize;
 
 use crate::sync::lock;
@@ -88,6 +90,33 @@
     pub rejected: Option<Arc<str>>,
 }
 
+/// How the selection of a target would be made.
+#[derive(Debug, Default)]
+pub struct Preview {
+    /// Candidates, exclusions and the most likely choice.
+    pub route: route::Preview,
+    /// The targets by name.
+    pub places: HashMap<TargetKey, Place>,
+}
+
+/// Daemon and location of a target.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Name of its daemon.
+    pub node: Arc<str>,
+    /// Failure domain of the daemon.
+    pub domain: Arc<str>,
+    /// Region of the failure domain.
+    pub region: Arc<str>,
+}
+
+/// Availability of a target whose daemon is not known.
+const UNKNOWN: Availability = Availability {
+    open: false,
+    linked: false,
+    evacuated: false,
+};
+
 /// All services that members of the fleet advertise, with their targets.
 #[derive(Debug)]
 pub struct Services {
@@ -184,11 +213,23 @@
         beside.map(|(key, _)| *key).collect()
     }
 
-    /// Whether a service has a target, available or not, in one of these regions.
-    pub fn has_target_in(&self, service: &str, regions: &[Name]) -> bool {
+    /// Checks whether a service has a target, available or not, in one of these regions.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::RegionUnavailable`].
+    pub fn check_regions(&self, service: &str, regions: Option<&[Name]>) -> Result<(), Failure> {
+        let Some(regions) = regions else {
+            return Ok(());
+        };
         let table = lock(&self.table);
         let entry = table.services.get(service);
-        entry.is_some_and(|entry| entry.balancer.has_target_in(&table.region_keys(regions)))
+        if entry.is_some_and(|entry| entry.balancer.has_target_in(&table.region_keys(regions))) {
+            return Ok(());
+        }
+        let names = regions.iter().map(|region| &**region).collect::<Vec<_>>();
+        let detail = format!("service {service} regions {names:?}");
+        Err(Failure::new(Code::RegionUnavailable, detail))
     }
 
     /// Selects a target that the query permits and counts a call to it as in
@@ -199,18 +240,12 @@
     pub fn select(&self, query: &Query<'_>, now: Moment) -> Option<Selection> {
         let mut table = lock(&self.table);
         let regions = query.regions.map(|regions| table.region_keys(regions));
-        let is_local = |region: &Name| **region == *self.region;
-        let is_allowed = query
-            .regions
-            .is_none_or(|regions| regions.iter().any(is_local));
-        let is_calm = table.evacuated.is_empty();
-        let entry = table.services.get_mut(query.service)?;
-        let may_stay = is_allowed && (is_calm || entry.near > 0);
         let restrictions = route::Query {
             exclude: query.exclude,
             regions: regions.as_deref(),
-            remote: query.remote || !may_stay,
+            remote: query.remote || !self.may_stay(&table, query),
         };
+        let entry = table.services.get_mut(query.service)?;
         let choice = entry
             .balancer
             .choose(&restrictions, &mut rand::rng(), now)?;
@@ -225,6 +260,53 @@
         })
     }
 
+    /// Whether a call may run in the local region: that is allowed, and not all targets
+    /// there are evacuated.
+    fn may_stay(&self, table: &Table, query: &Query<'_>) -> bool {
+        let is_local = |region: &Name| **region == *self.region;
+        let is_allowed = query
+            .regions
+            .is_none_or(|regions| regions.iter().any(is_local));
+        let near = table
+            .services
+            .get(query.service)
+            .map_or(0, |entry| entry.near);
+        is_allowed && (table.evacuated.is_empty() || near > 0)
+    }
+
+    /// Previews the selection that [`Self::select`] makes. Changes nothing; `random` is
+    /// not the source of selections. Empty if the service is unknown.
+    pub fn preview(&self, query: &Query<'_>, random: &mut impl Rng, now: Moment) -> Preview {
+        let table = lock(&self.table);
+        let regions = query.regions.map(|regions| table.region_keys(regions));
+        let restrictions = route::Query {
+            exclude: query.exclude,
+            regions: regions.as_deref(),
+            remote: query.remote || !self.may_stay(&table, query),
+        };
+        let Some(entry) = table.services.get(query.service) else {
+            return Preview::default();
+        };
+        let endpoint = |peer: &Peer| table.endpoints.get(&peer.node);
+        let known = |key| {
+            let endpoint = entry.peers.get(&key).and_then(endpoint);
+            endpoint.map_or(UNKNOWN, |known| availability(known, &table.evacuated))
+        };
+        let places = entry.peers.iter().filter_map(|(key, peer)| {
+            let endpoint = endpoint(peer)?;
+            let place = Place {
+                node: Arc::clone(&peer.node),
+                domain: Arc::clone(&endpoint.domain),
+                region: Arc::clone(&endpoint.region),
+            };
+            Some((*key, place))
+        });
+        Preview {
+            places: places.collect(),
+            route: entry.balancer.preview(&restrictions, known, random, now),
+        }
+    }
+
     /// Records the end of a call, its outcome and the load that the reply
     /// reported. Returns the change in the target's ejection state, if any.
     pub fn record_end(
@@ -373,10 +455,18 @@
         };
         endpoint.open = open.unwrap_or(endpoint.open);
         endpoint.linked = linked.unwrap_or(endpoint.linked);
+        let availability = availability(endpoint, &self.evacuated);
         if let Some(entry) = self.services.get_mut(&endpoint.service) {
-            let evacuated = self.evacuated.contains(&endpoint.domain);
-            let available = endpoint.open && endpoint.linked && !evacuated;
-            entry.balancer.set_open(endpoint.target, available);
+            let is_open = availability.exclusion().is_none();
+            entry.balancer.set_open(endpoint.target, is_open);
         }
     }
 }
+
+fn availability(endpoint: &Endpoint, evacuated: &BTreeSet<Arc<str>>) -> Availability {
+    Availability {
+        open: endpoint.open,
+        linked: endpoint.linked,
+        evacuated: evacuated.contains(&endpoint.domain),
+    }
+}
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -9,7 +9,7 @@
 use cardamomshed_code::Code;
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::admission::{ADMIT_ALL, Controller, Level};
-use cardamomshed_policy::gate::{self, Decision, Gate, Offer, Shed, Ticket};
+use cardamomshed_policy::gate::{self, Decision, Gate, Preview, Shed, Ticket};
 use cardamomshed_policy::price::Pricer;
 use cardamomshed_policy::warmup::{Report, Warmup};
 use cardamomshed_wire::Load;
@@ -340,6 +340,16 @@
         Err(shed::code(shed))
     }
 
+    /// What would become of a call at the gate; see [`Gate::preview`]. `None` if no
+    /// target of the service is registered.
+    pub fn preview(&self, attributes: Attributes<'_>) -> Option<Preview> {
+        let now = self.clock.now();
+        let target = lock(&self.state);
+        let target = target.as_ref()?;
+        let is_served = *target.announcement.service == *attributes.service;
+        is_served.then(|| target.gate.preview(attributes.offer(Ticket(u64::MAX)), now))
+    }
+
     /// Offers a call to the gate. Returns a receiver of the gate's later decision
     /// if the call was queued.
     #[expect(clippy::type_complexity, reason = "used in one place")]
@@ -354,14 +364,7 @@
             .filter(|target| &*target.announcement.service == attributes.service)
             .ok_or(Code::NoTarget)?;
         let ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
-        let offer = Offer {
-            ticket,
-            route: attributes.route,
-            account: attributes.account,
-            priority: attributes.priority,
-            depth: attributes.depth,
-            deadline: attributes.deadline,
-        };
+        let offer = attributes.offer(ticket);
         let mut changes = Vec::new();
         target.controller.record_arrival(attributes.rank);
         target.controller.tick(now);
--- a/crates/daemon/src/target/call.rs
+++ b/crates/daemon/src/target/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::admission::Rank;
+use cardamomshed_policy::gate::{Offer, Ticket};
 use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
 
 /// End of a call to which the target responded.
@@ -39,6 +40,20 @@
     pub deadline: Moment,
 }
 
+impl Attributes<'_> {
+    /// The call as it is offered to a gate or a window.
+    pub const fn offer(&self, ticket: Ticket) -> Offer {
+        Offer {
+            ticket,
+            account: self.account,
+            route: self.route,
+            priority: self.priority,
+            depth: self.depth,
+            deadline: self.deadline,
+        }
+    }
+}
+
 /// How an exchange with the target ended for its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Connection {
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -31,6 +31,7 @@
 mod quota_fleet;
 mod refused_calls;
 mod request_heads;
+mod request_preview;
 mod retry_outcomes;
 mod signed_target;
 mod store_return;
--- a/crates/policy/src/route/preview.rs
+++ b/crates/policy/src/route/preview.rs
@@ -112,7 +112,7 @@
         random: &mut impl Rng,
         now: Moment,
     ) -> Preview {
-        let (shares, choice) = self.count_choices(query, random, now);
+        let (counts, choice) = self.count_choices(query, random, now);
         let mut preview = Preview {
             choice,
             ..Preview::default()
@@ -127,7 +127,8 @@
             }
             let is_considered = target.tier != Tier::Remote || query.remote;
             if is_considered && self.is_eligible(key, query, now) {
-                let share = shares.get(&key).copied().unwrap_or(0.0);
+                let count = counts.get(&key).copied().unwrap_or(0);
+                let share = f64::from(count) / f64::from(DRAWS);
                 let candidate = self.candidate(key, target, share, now);
                 preview.candidates.push(candidate);
             } else {
@@ -143,33 +144,31 @@
         preview
     }
 
-    /// Share of the choices for each target, and the most likely choice.
+    /// Number of choices for each target, and the most likely choice.
     fn count_choices(
         &self,
         query: &Query<'_>,
         random: &mut impl Rng,
         now: Moment,
-    ) -> (IndexMap<TargetKey, f64>, Option<Choice>) {
-        let mut shares = IndexMap::<TargetKey, f64>::new();
+    ) -> (IndexMap<TargetKey, u32>, Option<Choice>) {
+        let mut counts = IndexMap::<TargetKey, u32>::new();
         let mut pairs = IndexMap::<_, (u32, Choice)>::new();
         for _ in 0..DRAWS {
             let Some(choice) = self.choose(query, random, now) else {
                 continue;
             };
-            *shares.entry(choice.target).or_default() += 1.0 / f64::from(DRAWS);
+            *counts.entry(choice.target).or_default() += 1;
             let alternative = choice.rejected.map(|(key, _)| key);
             let pair = pairs.entry((choice.target, alternative));
             pair.or_insert((0, choice)).0 += 1;
         }
-        let likeliest = shares
-            .iter()
-            .max_by(|one, other| one.1.total_cmp(other.1))
-            .map(|(key, _)| *key);
+        let likeliest = counts.iter().max_by_key(|(_, count)| **count);
+        let likeliest = likeliest.map(|(key, _)| *key);
         let of_likeliest = pairs
             .into_values()
             .filter(|(_, choice)| Some(choice.target) == likeliest);
         let choice = of_likeliest.max_by_key(|(count, _)| *count);
-        (shares, choice.map(|(_, choice)| choice))
+        (counts, choice.map(|(_, choice)| choice))
     }
 
     fn candidate(&self, key: TargetKey, target: &Target, share: f64, now: Moment) -> Candidate {
