--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -103,30 +103,58 @@
     pub ejected: usize,
 }
 
+/// Refusal of a request by a daemon.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+struct Problem {
+    code: Code,
+    detail: String,
+}
+
 /// Sends a `GET` request to a daemon's admin listener and parses the JSON
 /// response.
 ///
 /// # Errors
 ///
-/// [`Code::DaemonUnreachable`] if the request fails, the status is not a
-/// success or the body does not parse.
+/// The code of a daemon's refusal, or [`Code::DaemonUnreachable`] if the request fails
+/// or the body does not parse.
 pub async fn get<T: DeserializeOwned>(daemon: SocketAddr, path: &str) -> Result<T, Failure> {
+    get_with(daemon, path, &[]).await
+}
+
+/// As [`get`], with a query string of these parameters.
+///
+/// # Errors
+///
+/// As [`get`].
+pub async fn get_with<T: DeserializeOwned>(
+    daemon: SocketAddr,
+    path: &str,
+    query: &[(&str, String)],
+) -> Result<T, Failure> {
     let unreachable =
         |error: String| Failure::new(Code::DaemonUnreachable, format!("{daemon}: {error}"));
     let client = awc::Client::builder().timeout(TIMEOUT).finish();
     let mut response = client
         .get(format!("http://{daemon}{path}"))
+        .query(&query)
+        .map_err(|error| unreachable(error.to_string()))?
         .send()
         .await
         .map_err(|error| unreachable(error.to_string()))?;
-    if !response.status().is_success() {
-        return Err(unreachable(format!("status {}", response.status())));
-    }
+    let status = response.status();
     let body = response
         .body()
         .limit(MAX_RESPONSE_BYTES)
         .await
         .map_err(|error| unreachable(error.to_string()))?;
+    if !status.is_success() {
+        let problem = serde_json::from_slice::<Problem>(&body);
+        return Err(problem.map_or_else(
+            |_| unreachable(format!("status {status}")),
+            |problem| Failure::new(problem.code, problem.detail),
+        ));
+    }
     serde_json::from_slice(&body).map_err(|error| unreachable(error.to_string()))
 }
 
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -4,5 +4,6 @@
 pub mod key;
 pub mod load;
 pub mod note;
+pub mod preview;
 pub mod report;
 pub mod status;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -23,6 +23,7 @@
   key new             make a key, shown once, and its digest
   status              show failure domains, services, targets and accounts
   explain REQUEST-ID  tell what became of a request, from several daemons
+  preview PATH        tell where a request would go now, without sending it
   load                drive HTTP load and report what came of it
   report FILE...      turn experiment results into a page with plots
 
@@ -54,6 +55,7 @@
         ["key", "new", ..] => command::key::new(&arguments[2..]),
         ["status", ..] => command::status::show(&arguments[1..]).await,
         ["explain", ..] => command::explain::show(&arguments[1..]).await,
+        ["preview", ..] => command::preview::show(&arguments[1..]).await,
         ["load", ..] => command::load::run(&arguments[1..]).await,
         ["report", ..] => command::report::write(&arguments[1..]),
         [first, ..] => {
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod load_report;
 mod note_commands;
+mod request_preview;
 mod status_explain;
 
 use std::path::{Path, PathBuf};
--- a/crates/daemon/tests/all/request_preview.rs
+++ b/crates/daemon/tests/all/request_preview.rs
@@ -121,8 +121,8 @@
         let document = preview(node, "path=/once/&host=h.example");
         nodes(&document["services"][0]["excluded"], "cause")
             == [
-                ("n-a".to_owned(), json!("region")),
-                ("n-b".to_owned(), json!("region")),
+                ("n-a".to_owned(), json!("region-not-allowed")),
+                ("n-b".to_owned(), json!("region-not-allowed")),
                 ("n-c".to_owned(), json!("evacuated")),
             ]
     });
--- a/crates/policy/src/route/preview.rs
+++ b/crates/policy/src/route/preview.rs
@@ -30,10 +30,12 @@
     /// Its daemon has failed or cannot be reached over its link.
     Unreachable,
     /// It is in a region that is not allowed.
+    #[serde(rename = "region-not-allowed")]
     Region,
     /// It is ejected for its failures.
     Ejected,
     /// It is behind the slow link, whose budget is spent.
+    #[serde(rename = "slow-link-without-budget")]
     SlowLink,
 }
 
@@ -112,11 +114,7 @@
         random: &mut impl Rng,
         now: Moment,
     ) -> Preview {
-        let (counts, choice) = self.count_choices(query, random, now);
-        let mut preview = Preview {
-            choice,
-            ..Preview::default()
-        };
+        let mut preview = Preview::default();
         for (index, target) in self.targets.iter().enumerate() {
             let key = TargetKey(index as u32);
             let Some(target) = target else {
@@ -127,15 +125,21 @@
             }
             let is_considered = target.tier != Tier::Remote || query.remote;
             if is_considered && self.is_eligible(key, query, now) {
-                let count = counts.get(&key).copied().unwrap_or(0);
-                let share = f64::from(count) / f64::from(DRAWS);
-                let candidate = self.candidate(key, target, share, now);
-                preview.candidates.push(candidate);
+                preview.candidates.push(self.candidate(key, target, now));
             } else {
                 let exclusion = exclusion(key, target, query, availability(key), now);
                 preview.excluded.push((key, exclusion));
             }
         }
+        if preview.candidates.is_empty() {
+            return preview;
+        }
+        let (counts, choice) = self.count_choices(query, random, now);
+        preview.choice = choice;
+        for candidate in &mut preview.candidates {
+            let count = counts.get(&candidate.target).copied().unwrap_or(0);
+            candidate.share = f64::from(count) / f64::from(DRAWS);
+        }
         preview.candidates.sort_by(|one, other| {
             let by_share = other.share.total_cmp(&one.share);
             let by_tier = one.tier.cmp(&other.tier);
@@ -171,7 +175,8 @@
         (counts, choice.map(|(_, choice)| choice))
     }
 
-    fn candidate(&self, key: TargetKey, target: &Target, share: f64, now: Moment) -> Candidate {
+    /// A candidate whose share is not known yet.
+    fn candidate(&self, key: TargetKey, target: &Target, now: Moment) -> Candidate {
         let load = self.load(key, now);
         let service_time = target.estimate.service_time(now);
         let unknown = self.means[target.tier as usize].used();
@@ -190,7 +195,7 @@
             price: target.price,
             wait: wait.unwrap_or(Duration::MAX),
             rank: self.rank(key, load, now).0,
-            share,
+            share: 0.0,
         }
     }
 }
