Test previews of queued, priced and unconfigured requests

The daemon test reached a queued request only if the full local target stayed the first choice, which it rarely did. With one candidate left it always does. Prices, a closed gate and a daemon without a configuration are covered as well.

--- a/crates/daemon/src/http/access.rs
+++ b/crates/daemon/src/http/access.rs
@@ -1,5 +1,5 @@
 //! Route and client account of a request, and whether the one may be used by the other.
-//! Nothing here changes with a request, so that previews use the same checks.
+//! The checks change nothing, so that previews make them as well.
 
 use std::sync::Arc;
 
--- a/crates/daemon/tests/all/request_preview.rs
+++ b/crates/daemon/tests/all/request_preview.rs
@@ -1,15 +1,19 @@
 //! `GET /preview` tells where a request would go, or how it would be refused.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cardamomshed_code::Code;
+use cardamomshed_daemon::Options;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_standin::client::{Reply, Request, eventually};
+use cardamomshed_standin::fleet::Member;
+use cardamomshed_standin::platform::{Capacity, Platform};
 use serde_json::{Value, json};
 
 use crate::chain;
 use crate::placed_fleet::Fleet;
-use crate::platform_sidecar::eventually_status;
+use crate::platform_sidecar::{eventually_status, sidecar};
 
 fn ask(node: &Node, query: &str) -> Reply {
     Request::get(node.settings.admin, &format!("/preview?{query}")).send()
@@ -50,6 +54,7 @@
 fn admitted_and_queued() {
     let fleet = Fleet::start(None);
     fleet.configure(3, |value| {
+        value["routes"]["r-open"]["allowed-regions"] = json!(["r"]);
         value["routes"]["r-a"]["priority"] = json!(2);
         value["routes"]["r-a"]["weighted-clusters"] = json!([
             {"service": "s-two", "weight": 3}, {"service": "s-none", "weight": 1}
@@ -90,20 +95,48 @@
     assert_eq!(service["local"]["gate"], "run");
     assert_eq!(service["outcome"]["verdict"], "admitted", "{document:#}");
 
+    let key = node.lookup().host_route("h.example", "/a/").unwrap().key;
+    let now = node.clock.now();
+    node.routing
+        .prices
+        .lock()
+        .unwrap()
+        .table
+        .observe(key, 24.0, now);
+    let document = preview(node, query);
+    let priced = &document["services"][0]["outcome"];
+    let share = priced["share"].as_f64().unwrap();
+    assert!(share > 0.1 && share < 0.9, "{document:#}");
+    assert_eq!(priced["refusal"]["code"], Code::AdmissionShed.number());
+
+    fleet.platform.write("op", "evacuate/b", &json!({}));
+    let only = || preview(node, "path=/open/&host=h.example");
+    eventually("the evacuation is known", || {
+        only()["services"][0]["candidates_total"] == 1
+    });
     fleet.hold(true);
     std::thread::scope(|scope| {
         scope.spawn(|| fleet.get(0, "/open/").send());
         eventually("the request runs", || node.local_target.load().running == 1);
         let before = state(node);
-        let document = preview(node, "path=/open/&host=h.example");
+        let document = only();
         assert_eq!(state(node), before);
-        let local = &document["services"][0]["local"];
-        if document["services"][0]["choice"]["node"] == "n-a" {
-            assert_eq!(local["gate"], "wait", "{document:#}");
-            assert_eq!(document["outcome"]["verdict"], "queued");
-        }
+        assert_eq!(
+            document["services"][0]["local"]["gate"], "wait",
+            "{document:#}"
+        );
+        assert_eq!(document["outcome"]["verdict"], "queued");
+        assert!(
+            document["outcome"]["wait_ms"]
+                .as_f64()
+                .is_some_and(|wait| wait > 0.0)
+        );
         fleet.hold(false);
     });
+    node.local_target.close();
+    let closed = only();
+    assert_eq!(closed["services"][0]["local"]["gate"], "shed", "{closed:#}");
+    assert_eq!(closed["outcome"]["refusal"]["code"], Code::Leaving.number());
 }
 
 /// Guards against a refusal that differs from that of the real request, and against
@@ -199,3 +232,19 @@
     assert_eq!(refusal["code"], Code::Leaving.number());
     assert_eq!(refusal["retry_after_s"], json!([1.0, 2.0]));
 }
+
+/// Guards against a daemon without a configuration that answers "unknown route" instead
+/// of the refusal that its clients get.
+#[test]
+fn unconfigured() {
+    let platform = Platform::start(Capacity::default());
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = sidecar("n-1", "s-one", nowhere, &platform);
+    let member = Member::start(settings, Options::default());
+    let document = preview(&member.node, "path=/a/&host=h.example&account=t-1");
+    assert_eq!(document["route"], Value::Null);
+    let refusal = &document["outcome"]["refusal"];
+    let expected = Code::KeyUnconfirmed;
+    assert_eq!(refusal["code"], expected.number());
+    assert_eq!(refusal["status"], expected.status());
+}
