Serve callers' connections with TLS by the project's dispatcher

The HTTP library served them, so they were neither in the memory account nor in the table of connections: a client that sent 16 requests ahead for responses of 8 MiB and read nothing kept its connection and the memory of a response.

http::connection is generic over a Transport (Tcp, Tls). Tls moves records between rustls and the socket, as no stream for that is among the declared libraries. Bytes count as written once the kernel has them. The close sends close_notify, ends the write side and drains input for 0.5 s. The listener keeps a thread of its own. With the section sidecar, it serves the platform's protocol like the one without TLS; before, it served the project's own.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -254,7 +254,7 @@
         let output = lock(&node.members.fleet).leave(&mut rand::rng());
         apply_output(&node, output);
         tokio::time::sleep(GOSSIP_DELAY).await;
-        for server in std::mem::take(&mut self.servers) {
+        for server in &mut self.servers {
             server.stop().await;
         }
         // Requests may have arrived over kept or new connections in the meantime.
--- a/crates/daemon/src/http/closing.rs
+++ b/crates/daemon/src/http/closing.rs
@@ -13,17 +13,19 @@
 use crate::node::Node;
 
 /// Memory that the buffers of one connection take, in bytes.
-const CONNECTION_BYTES: usize = 16 * 1024;
+pub const CONNECTION_BYTES: usize = 16 * 1024;
+/// Memory that one with TLS takes, in bytes.
+pub const TLS_CONNECTION_BYTES: usize = 24 * 1024;
 /// Send buffer that the kernel is asked for, in bytes; it takes twice as much. It bounds
 /// the kernel's memory, and shows soon that a client does not read.
 const SEND_BUFFER: usize = 128 * 1024;
 
 /// Takes a caller's connection, or closes it if the limit of connections is reached and
-/// none can be closed in its place.
-pub fn admit(node: &Node, tcp: TcpStream, peer: SocketAddr) -> Option<Stream> {
+/// none can be closed in its place. `bytes` is the memory that its buffers take.
+pub fn admit(node: &Node, tcp: TcpStream, peer: SocketAddr, bytes: usize) -> Option<Stream> {
     let limit = node.current_settings().max_connections() as usize;
     let connections = &node.connections;
-    let mut reservation = node.memory.reserve(Kind::Connection, CONNECTION_BYTES);
+    let mut reservation = node.memory.reserve(Kind::Connection, bytes);
     if connections.len() >= limit || reservation.is_none() {
         let replaced = replaceable(connections.activities(), node.clock.now());
         let Some(key) = replaced else {
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -8,6 +8,8 @@
 mod exchange;
 mod host;
 mod monitor;
+mod tls;
+mod transport;
 mod upload;
 
 use std::collections::VecDeque;
@@ -39,6 +41,8 @@
 use self::host::Count;
 pub use self::host::{Application, Host, Timeouts};
 pub use self::monitor::Monitor;
+pub use self::tls::Tls;
+pub use self::transport::{Tcp, Transport};
 use self::upload::Upload;
 
 /// Limits on the requests of one connection: 16 open requests, and 256 KiB of responses
@@ -63,9 +67,9 @@
 const DRAIN_TIME: Duration = Duration::from_millis(500);
 
 /// How a connection ended.
-#[derive(Clone, Copy, PartialEq, Eq)]
 enum End {
-    /// The last response has been written, or no further request came in time.
+    /// The last response has been written, or no further request came in time. Also if
+    /// the handshake failed.
     Answered,
     /// The client has closed its side, or failed to read or write.
     Gone,
@@ -75,28 +79,46 @@
 
 /// Serves a connection until it ends or is closed through the monitor. Dropping the
 /// future cancels its open requests.
-pub async fn serve(host: Rc<Host>, stream: TcpStream, peer: SocketAddr, monitor: Arc<Monitor>) {
+pub async fn serve<T: Transport>(
+    host: Rc<Host>,
+    transport: T,
+    peer: SocketAddr,
+    monitor: Arc<Monitor>,
+) {
     let _count = Count::new(&host);
+    let socket = Rc::clone(transport.socket());
     // Responses are small; Nagle's algorithm would only delay them.
-    let _ = stream.set_nodelay(true);
-    let stream = Rc::new(stream);
-    let mut connection = Connection::new(host, Rc::clone(&stream), peer, Arc::clone(&monitor));
+    let _ = socket.set_nodelay(true);
+    let close_time = host.timeouts.head;
+    let mut connection = Connection::new(host, transport, peer, Arc::clone(&monitor));
     let end = tokio::select! {
         () = monitor.closed() => End::Closed,
-        end = poll_fn(|cx| connection.poll(cx)) => end,
+        end = connection.run() => end,
     };
-    drop(connection);
-    if end == End::Closed {
+    let mut transport = connection.into_transport();
+    match end {
         // Without the option, the kernel sends the rest for as long as it is read.
-        let _ = stream.set_zero_linger();
-    }
-    if end == End::Answered {
-        let _ = SockRef::from(&*stream).shutdown(Shutdown::Write);
-        // The client is expected to close its side; the connection ends anyway.
-        let _ = tokio::time::timeout(DRAIN_TIME, discard_input(&stream)).await;
+        End::Closed => drop(socket.set_zero_linger()),
+        // The client may still read the end.
+        End::Gone => drop(poll_fn(|cx| transport.poll_close(cx)).now_or_never()),
+        // The kernel has the last response, and sends it in any case.
+        End::Answered => tokio::select! {
+            () = monitor.closed() => {}
+            () = close(&mut transport, close_time) => {}
+        },
     }
 }
 
+/// Closes a connection in a way that does not destroy the last response.
+async fn close(transport: &mut impl Transport, time: Duration) {
+    // The message needs room in the send buffer, which may be full of the response.
+    let _ = tokio::time::timeout(time, poll_fn(|cx| transport.poll_close(cx))).await;
+    let socket = transport.socket();
+    let _ = SockRef::from(&**socket).shutdown(Shutdown::Write);
+    // The client is expected to close its side; the connection ends anyway.
+    let _ = tokio::time::timeout(DRAIN_TIME, discard_input(socket)).await;
+}
+
 /// Reads until the client closes its side.
 async fn discard_input(stream: &TcpStream) {
     let mut discarded = vec![0; BODY_BYTES];
@@ -109,9 +131,9 @@
     }
 }
 
-struct Connection {
+struct Connection<T> {
     host: Rc<Host>,
-    stream: Rc<TcpStream>,
+    transport: T,
     peer: SocketAddr,
     monitor: Arc<Monitor>,
     pipeline: Pipeline<Exchange>,
@@ -145,9 +167,9 @@
     sleep: Pin<Box<Sleep>>,
 }
 
-impl Connection {
-    fn new(host: Rc<Host>, stream: Rc<TcpStream>, peer: SocketAddr, monitor: Arc<Monitor>) -> Self {
-        let watched = Rc::clone(&stream);
+impl<T: Transport> Connection<T> {
+    fn new(host: Rc<Host>, transport: T, peer: SocketAddr, monitor: Arc<Monitor>) -> Self {
+        let watched = Rc::clone(transport.socket());
         // On Linux, this interest includes the end of the input and no other input.
         let hangup = async move { drop(watched.ready(Interest::PRIORITY).await) };
         Self {
@@ -157,7 +179,7 @@
                 sleep: Box::pin(tokio::time::sleep(host.timeouts.head)),
             },
             host,
-            stream,
+            transport,
             peer,
             monitor,
             pipeline: Pipeline::new(LIMITS),
@@ -173,6 +195,20 @@
         }
     }
 
+    /// Serves the connection until it ends by itself.
+    async fn run(&mut self) -> End {
+        let handshake = poll_fn(|cx| self.transport.poll_handshake(cx));
+        match tokio::time::timeout(self.host.timeouts.head, handshake).await {
+            Ok(Ok(())) => poll_fn(|cx| self.poll(cx)).await,
+            Ok(Err(_)) | Err(_) => End::Answered,
+        }
+    }
+
+    /// The stream of the connection, whose open requests are cancelled.
+    fn into_transport(self) -> T {
+        self.transport
+    }
+
     /// Bytes of responses that wait to be written: the encoded ones, and bodies of
     /// known length that have not been encoded.
     fn waiting_bytes(&self) -> usize {
@@ -228,7 +264,7 @@
             return self.is_gone;
         }
         loop {
-            match self.stream.poll_read_ready(cx) {
+            match self.transport.poll_readable(cx) {
                 Poll::Pending => return false,
                 Poll::Ready(Err(_)) => break,
                 Poll::Ready(Ok(())) => {}
@@ -238,7 +274,7 @@
                 self.received
                     .reserve(if has_body { BODY_BYTES } else { HEAD_BYTES });
             }
-            match self.stream.try_read_buf(&mut self.received) {
+            match self.transport.try_read(&mut self.received) {
                 Ok(0) => break,
                 Ok(_) => return true,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -398,20 +434,16 @@
     fn poll_write(&mut self, cx: &mut Context<'_>) -> bool {
         let mut progress = false;
         while !self.output.is_empty() {
-            match self.stream.poll_write_ready(cx) {
+            match self.transport.poll_write(cx, &self.output) {
                 Poll::Pending => return progress,
                 Poll::Ready(Err(_)) => self.is_gone = true,
-                Poll::Ready(Ok(())) => match self.stream.try_write(&self.output) {
-                    Ok(length) => {
-                        self.output.advance(length);
-                        self.drop_written();
-                        let now = self.host.clock.now();
-                        self.monitor.record_write(length, now);
-                        progress = true;
-                    }
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-                    Err(_) => self.is_gone = true,
-                },
+                Poll::Ready(Ok(length)) => {
+                    self.output.advance(length);
+                    self.drop_written();
+                    let now = self.host.clock.now();
+                    self.monitor.record_write(length, now);
+                    progress = true;
+                }
             }
             if self.is_gone {
                 return true;
--- a/crates/daemon/src/http/open.rs
+++ b/crates/daemon/src/http/open.rs
@@ -1,8 +1,7 @@
 //! Open requests of callers: their count, for which a stopping daemon waits, and the
 //! memory that their responses keep in use.
 //!
-//! A request is open until its response has been handed to the connection, or, without
-//! TLS, has been written. Long bodies are handed over in parts, because the connection
+//! A request is open until its response has been written. Long bodies are handed over in parts, because the connection
 //! takes one of any size at once and writes it as fast as the caller reads.
 
 use std::convert::Infallible;
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,7 +1,8 @@
 //! The HTTP listeners.
 //!
 //! Connections without TLS are served on the daemon's own thread, so that a
-//! request is processed without a thread switch. TLS has a thread of its own.
+//! request is processed without a thread switch. TLS has a thread of its own, so that
+//! many handshakes do not delay what the daemon does for its peers.
 
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -9,21 +10,22 @@
 use std::time::Duration;
 
 use actix_http::{HttpService, Response};
+use actix_rt::Arbiter;
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
 use actix_web::body::BoxBody;
 use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
-use actix_web::{App, HttpServer, web};
+use actix_web::{App, web};
 use anyhow::{Context as _, Result};
 use cardamomshed_code::{Code, Event, Failure};
 use cardamomshed_platform::registration;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use rustls::ServerConfig;
 use socket2::{SockFilter, SockRef};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::task::JoinHandle;
+use tokio::sync::{Notify, oneshot};
 
-use super::connection::{self, Application, Host, Monitor, Timeouts};
+use super::connection::{self, Application, Host, Monitor, Tcp, Timeouts, Tls};
 use super::connection_table::{Counted, Stream};
 use super::{admin, announce, closing, control, ingress, outbound};
 use crate::node::Node;
@@ -31,10 +33,8 @@
 
 /// Time after which an idle connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
-/// Time limit for the receipt of a request head.
+/// Time limit for the receipt of a request head, and for a TLS handshake.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time limit for open connections once a TLS listener stops, in seconds.
-const SHUTDOWN_TIMEOUT_S: u64 = 2;
 /// Delay after a failed accept, which avoids a busy loop while the cause persists.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -69,33 +69,31 @@
     pub ready: Option<TcpListener>,
 }
 
-/// A running listener.
+/// A running listener. Its connections are served until it is dropped if it has a thread
+/// of its own, and otherwise for as long as the daemon's thread runs.
 #[derive(Debug)]
-pub enum Server {
-    /// Task on the daemon's thread.
-    Local(Local),
-    /// TLS server on a thread of its own.
-    Threaded(actix_web::dev::ServerHandle),
-}
-
-/// A task that accepts connections.
-#[derive(Debug)]
-pub struct Local {
+pub struct Server {
     stop: Arc<Notify>,
-    task: JoinHandle<()>,
+    /// Completes when no more connections are accepted.
+    ended: oneshot::Receiver<()>,
+    /// Thread of its own.
+    thread: Option<Arbiter>,
 }
 
 impl Server {
     /// Stops accepting connections, after those that the kernel has established.
-    /// Open connections may finish, up to 2 s with TLS.
-    pub async fn stop(self) {
-        match self {
-            Self::Local(local) => {
-                local.stop.notify_one();
-                // A task that failed accepts no connections either.
-                let _ = local.task.await;
-            }
-            Self::Threaded(server) => server.stop(true).await,
+    /// Open connections are served on.
+    pub async fn stop(&mut self) {
+        self.stop.notify_one();
+        // A task that failed accepts no connections either.
+        let _ = (&mut self.ended).await;
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        if let Some(thread) = &self.thread {
+            thread.stop();
         }
     }
 }
@@ -121,20 +119,13 @@
 pub fn start(node: &Arc<Node>, listeners: Listeners) -> Result<Vec<Server>> {
     let data = web::Data::from(Arc::clone(node));
     let mut servers = Vec::new();
-    let callers = App::new().app_data(data.clone());
-    servers.push(match (&node.settings.tls, &node.settings.sidecar) {
-        (Some(files), _) => serve_tls(node, files, listeners.callers)?,
-        (None, Some(_)) => {
-            let app = callers.default_service(web::to(outbound::serve));
-            let building = pipelined(node, app);
-            serve_local(node, Admission::Counted, listeners.callers, building)?
-        }
-        (None, None) => {
-            let app = callers.default_service(web::to(ingress::from_caller));
-            let building = pipelined(node, app);
-            serve_local(node, Admission::Counted, listeners.callers, building)?
-        }
-    });
+    let config = node.settings.tls.as_ref();
+    let config = config.map(|files| tls::config(node, files)).transpose()?;
+    servers.push(serve_callers(
+        node,
+        listeners.callers,
+        config.map(Arc::new),
+    )?);
     let target = App::new().app_data(data.clone());
     servers.push(if node.settings.sidecar.is_some() {
         let app = target
@@ -146,23 +137,18 @@
                 registration::DEREGISTER_PATH,
                 web::post().to(control::deregister),
             );
-        serve_local(node, Admission::Uncounted, listeners.target, handler(app))?
+        serve_local(node, listeners.target, handler(app))?
     } else {
         let app = target
             .route(announce::PATH, web::put().to(announce::put))
             .default_service(web::to(ingress::from_target));
-        serve_local(node, Admission::Uncounted, listeners.target, handler(app))?
+        serve_local(node, listeners.target, handler(app))?
     });
     if let Some(listener) = listeners.ready {
         let app = App::new()
             .app_data(data.clone())
             .route(registration::READY_PATH, web::get().to(control::ready));
-        servers.push(serve_local(
-            node,
-            Admission::Uncounted,
-            listener,
-            handler(app),
-        )?);
+        servers.push(serve_local(node, listener, handler(app))?);
     }
     let app = App::new()
         .app_data(data)
@@ -170,51 +156,77 @@
         .route("/status", web::get().to(admin::status))
         .route("/explain/{request}", web::get().to(admin::explain))
         .default_service(web::to(admin::not_found));
-    servers.push(serve_local(
-        node,
-        Admission::Uncounted,
-        listeners.admin,
-        handler(app),
-    )?);
+    servers.push(serve_local(node, listeners.admin, handler(app))?);
     Ok(servers)
 }
 
-fn serve_tls(
+/// Serves the listener for callers, on a thread of its own if it has TLS.
+fn serve_callers(
     node: &Arc<Node>,
-    files: &cardamomshed_note::Tls,
     listener: TcpListener,
+    config: Option<Arc<ServerConfig>>,
 ) -> Result<Server> {
-    let data = web::Data::from(Arc::clone(node));
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(data.clone())
-            .default_service(web::to(ingress::from_caller))
+    let thread = config.is_some().then(Arbiter::new);
+    let stop = Arc::new(Notify::new());
+    let (end, ended) = oneshot::channel();
+    let (log_node, node, stopped) = (Arc::clone(node), Arc::clone(node), Arc::clone(&stop));
+    let admission = match &config {
+        Some(_) => Admission::Encrypted,
+        None => Admission::Plain,
+    };
+    let start = move || {
+        let listener = register(listener)?;
+        let app = App::new().app_data(web::Data::from(Arc::clone(&node)));
+        let app = if node.settings.sidecar.is_some() {
+            app.default_service(web::to(outbound::serve))
+        } else {
+            app.default_service(web::to(ingress::from_caller))
+        };
+        let building = pipelined(&node, app, config);
+        actix_rt::spawn(accept(node, admission, listener, building, stopped, end));
+        Ok(())
+    };
+    let Some(thread) = thread else {
+        start()?;
+        return Ok(Server {
+            stop,
+            ended,
+            thread: None,
+        });
+    };
+    // The thread exists until the server is dropped.
+    thread.spawn_fn(move || {
+        if let Err(error) = start() {
+            log_failure(&log_node, &error);
+        }
     });
-    let server = server
-        .workers(1)
-        .max_connections(node.settings.max_connections() as usize)
-        // The request of a caller that closes its side is cancelled.
-        .h1_allow_half_closed(false)
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(HEAD_TIMEOUT)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-        .disable_signals()
-        .listen_rustls_0_23(listener, tls::config(node, files)?)
-        .context("cannot start the callers' listener")?
-        .run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(Server::Threaded(handle))
+    Ok(Server {
+        stop,
+        ended,
+        thread: Some(thread),
+    })
+}
+
+/// Registers a listener with the runtime of the thread.
+fn register(listener: TcpListener) -> Result<tokio::net::TcpListener> {
+    tokio::net::TcpListener::from_std(listener)
+        .context("cannot register a listener with the runtime")
+}
+
+fn log_failure(node: &Node, error: &anyhow::Error) {
+    node.log_event(Event::ListenerFailed, format_args!("{error:#}"));
 }
 
 /// Handler that serves one connection until it ends.
 type Handler = Rc<dyn Fn(Stream, SocketAddr) -> LocalBoxFuture<'static, ()>>;
 
-/// Whether the connections of a listener are counted and limited.
+/// How the connections of a listener are counted and limited.
 #[derive(Clone, Copy, Debug)]
 enum Admission {
-    /// They are those of callers.
-    Counted,
+    /// They are those of callers, without TLS.
+    Plain,
+    /// They are those of callers, with TLS.
+    Encrypted,
     /// They are not limited.
     Uncounted,
 }
@@ -258,8 +270,8 @@
 }
 
 /// Builds the connection handler of an application whose clients may send requests
-/// before earlier ones are answered.
-fn pipelined<T>(node: &Arc<Node>, app: App<T>) -> Building
+/// before earlier ones are answered. With a configuration, they use TLS.
+fn pipelined<T>(node: &Arc<Node>, app: App<T>, config: Option<Arc<ServerConfig>>) -> Building
 where
     T: ServiceFactory<
             ServiceRequest,
@@ -289,54 +301,68 @@
             let (tcp, counted) = stream.into_parts();
             let entry = counted.as_ref().map(Counted::connection);
             let monitor = Monitor::new(node.clock.now(), entry);
-            let served = connection::serve(Rc::clone(&host), tcp, peer, monitor);
+            let (host, config) = (Rc::clone(&host), config.clone());
             Box::pin(async move {
                 let _counted = counted;
-                served.await;
+                let Some(config) = config else {
+                    return connection::serve(host, Tcp::new(tcp), peer, monitor).await;
+                };
+                // The configuration was accepted for all connections or for none.
+                if let Ok(stream) = Tls::new(config, tcp) {
+                    connection::serve(host, stream, peer, monitor).await;
+                }
             })
         });
         Ok(handler)
     })
 }
 
-/// Serves a listener on the daemon's thread.
-fn serve_local(
-    node: &Arc<Node>,
+/// Serves a listener, whose connections are not limited, on the daemon's thread.
+fn serve_local(node: &Arc<Node>, listener: TcpListener, building: Building) -> Result<Server> {
+    let listener = register(listener)?;
+    let stop = Arc::new(Notify::new());
+    let (end, ended) = oneshot::channel();
+    let (node, stopped) = (Arc::clone(node), Arc::clone(&stop));
+    let admission = Admission::Uncounted;
+    actix_rt::spawn(accept(node, admission, listener, building, stopped, end));
+    Ok(Server {
+        stop,
+        ended,
+        thread: None,
+    })
+}
+
+/// Accepts connections until `stopped`. Drops `end` after that.
+async fn accept(
+    node: Arc<Node>,
     admission: Admission,
-    listener: TcpListener,
+    listener: tokio::net::TcpListener,
     building: Building,
-) -> Result<Server> {
-    let listener = tokio::net::TcpListener::from_std(listener)
-        .context("cannot register a listener with the runtime")?;
-    let node = Arc::clone(node);
-    let stop = Arc::new(Notify::new());
-    let stopped = Arc::clone(&stop);
-    let task = actix_rt::spawn(async move {
-        let handler = match building.await {
-            Ok(handler) => handler,
-            Err(error) => {
-                node.log_event(Event::ListenerFailed, format_args!("{error:#}"));
-                return;
-            }
+    stopped: Arc<Notify>,
+    end: oneshot::Sender<()>,
+) {
+    let handler = match building.await {
+        Ok(handler) => handler,
+        Err(error) => return log_failure(&node, &error),
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped.notified() => break,
         };
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = stopped.notified() => break,
-            };
-            match accepted {
-                Ok((stream, peer)) => {
-                    serve_stream(&node, admission, &handler, stream, peer);
-                }
-                Err(error) => {
-                    node.log_event(Event::ListenerFailed, format_args!("{error}"));
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
-                }
+        match accepted {
+            Ok((stream, peer)) => {
+                serve_stream(&node, admission, &handler, stream, peer);
+            }
+            Err(error) => {
+                node.log_event(Event::ListenerFailed, format_args!("{error}"));
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
-        accept_established(&node, admission, &listener, &handler).await;
-    });
-    Ok(Server::Local(Local { stop, task }))
+    }
+    accept_established(&node, admission, &listener, &handler).await;
+    drop(listener);
+    drop(end);
 }
 
 /// Accepts the connections that the kernel has established or is establishing. Their
@@ -364,7 +390,8 @@
     peer: SocketAddr,
 ) {
     let stream = match admission {
-        Admission::Counted => closing::admit(node, tcp, peer),
+        Admission::Plain => closing::admit(node, tcp, peer, closing::CONNECTION_BYTES),
+        Admission::Encrypted => closing::admit(node, tcp, peer, closing::TLS_CONNECTION_BYTES),
         Admission::Uncounted => Some(Stream::uncounted(tcp)),
     };
     if let Some(stream) = stream {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -44,7 +44,7 @@
     pub closed: IntCounterVec,
     /// Open root requests.
     pub open: IntGauge,
-    /// Open connections of callers, without TLS.
+    /// Open connections of callers.
     pub connections: IntGauge,
     /// Revision of the release note in force.
     pub revision: IntGauge,
@@ -123,7 +123,7 @@
             open: IntGauge::new("cardamomshed_open_requests", "Requests that are open")?,
             connections: IntGauge::new(
                 "cardamomshed_open_connections",
-                "Connections of callers that are open, without TLS",
+                "Connections of callers that are open",
             )?,
             revision: IntGauge::new(
                 "cardamomshed_revision",
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -18,6 +18,9 @@
 /// Interval at which the modification times of the files are checked.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Protocol that the listener offers to clients which negotiate one.
+const HTTP: &[u8] = b"http/1.1";
+
 /// Resolver that returns the certificate in use.
 #[derive(Debug)]
 struct Resolver(RwLock<Arc<CertifiedKey>>);
@@ -77,11 +80,12 @@
 pub fn config(node: &Arc<Node>, files: &Tls) -> Result<ServerConfig, Failure> {
     let current = Arc::new(Resolver(RwLock::new(Arc::new(load(files)?))));
     let provider = Arc::new(ring::default_provider());
-    let config = ServerConfig::builder_with_provider(provider)
+    let mut config = ServerConfig::builder_with_provider(provider)
         .with_safe_default_protocol_versions()
         .map_err(|error| Failure::new(Code::TlsInvalid, error.to_string()))?
         .with_no_client_auth()
         .with_cert_resolver(Arc::clone(&current) as Arc<dyn ResolvesServerCert>);
+    config.alpn_protocols = vec![HTTP.to_vec()];
     actix_rt::spawn(watch(Arc::clone(node), files.clone(), current));
     Ok(config)
 }
--- a/crates/daemon/tests/all/caller_tls.rs
+++ b/crates/daemon/tests/all/caller_tls.rs
@@ -1,5 +1,5 @@
-//! Callers connect with TLS, and changed certificate files are reloaded without
-//! a restart.
+//! Callers connect with TLS under the limits of connections without it, and changed
+//! certificate files are reloaded without a restart.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -9,13 +9,19 @@
 
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::tls;
-use cardamomshed_note::Tls;
+use cardamomshed_note::{Limits, Size, Timespan, Tls};
+use cardamomshed_policy::memory::Kind as Held;
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Fleet, Kind};
 use cardamomshed_standin::shape::Shape;
+use cardamomshed_standin::target::Behaviour;
 use rcgen::{CertifiedKey, KeyPair, generate_simple_self_signed};
 use rustls::pki_types::{CertificateDer, ServerName};
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
+use socket2::SockRef;
+
+use crate::chain;
+use crate::process_signals::Process;
 
 fn certificate_paths(name: &str) -> Tls {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -34,9 +40,13 @@
     std::fs::write(&files.certificate, certified.cert.pem()).expect("a file");
 }
 
-/// HTTP status that a caller receives which trusts only this certificate; `None`
-/// if the TLS handshake or the connection fails.
-fn status(to: SocketAddr, trusted: &CertificateDer<'static>) -> Option<String> {
+/// Connection of a caller that trusts only this certificate. The handshake takes place
+/// with the first request. The receive buffer is small, so that the kernel does not take
+/// whole responses.
+fn connect(
+    to: SocketAddr,
+    trusted: &CertificateDer<'static>,
+) -> Option<StreamOwned<ClientConnection, TcpStream>> {
     let mut roots = RootCertStore::empty();
     roots.add(trusted.clone()).expect("a certificate");
     let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -51,10 +61,21 @@
     socket
         .set_read_timeout(Some(Duration::from_secs(5)))
         .expect("a non-zero timeout");
-    let mut stream = StreamOwned::new(connection, socket);
-    stream
-        .write_all(b"GET /hop-0 HTTP/1.1\r\nhost: daemon.test\r\n\r\n")
-        .ok()?;
+    SockRef::from(&socket)
+        .set_recv_buffer_size(64 << 10)
+        .expect("a socket");
+    Some(StreamOwned::new(connection, socket))
+}
+
+fn request(key: &str) -> String {
+    format!("GET /hop-0 HTTP/1.1\r\nhost: daemon.test\r\nauthorization: Bearer {key}\r\n\r\n")
+}
+
+/// HTTP status that a caller with this key receives; `None` if the TLS handshake or the
+/// connection fails.
+fn status(to: SocketAddr, trusted: &CertificateDer<'static>, key: &str) -> Option<String> {
+    let mut stream = connect(to, trusted)?;
+    stream.write_all(request(key).as_bytes()).ok()?;
     let mut response = [0; 16];
     stream.read_exact(&mut response).ok()?;
     Some(String::from_utf8_lossy(&response[9..12]).into_owned())
@@ -70,17 +91,17 @@
         settings.tls = Some(files.clone());
     });
     let to = fleet.callers()[0];
-    assert_eq!(status(to, first.cert.der()).as_deref(), Some("401"));
+    assert_eq!(status(to, first.cert.der(), "").as_deref(), Some("401"));
     // An invalid file leaves the loaded certificate in use.
     std::fs::write(&files.certificate, "nothing").expect("a file");
     std::thread::sleep(Duration::from_millis(2_500));
-    assert_eq!(status(to, first.cert.der()).as_deref(), Some("401"));
+    assert_eq!(status(to, first.cert.der(), "").as_deref(), Some("401"));
     let second = generate_certificate();
     write(&files, &second);
     eventually("the new certificate is in use", || {
-        status(to, second.cert.der()).as_deref() == Some("401")
+        status(to, second.cert.der(), "").as_deref() == Some("401")
     });
-    assert_eq!(status(to, first.cert.der()), None);
+    assert_eq!(status(to, first.cert.der(), ""), None);
 }
 
 #[test]
@@ -95,3 +116,117 @@
     std::fs::remove_file(&files.certificate).expect("the file");
     assert!(tls::load(&files).is_err());
 }
+
+/// Raises the limit on bodies, and waits until it is in force.
+fn allow_bodies(fleet: &Fleet, length: usize) {
+    let mut note = fleet.blank_note("long-bodies");
+    note.limits = Some(Limits {
+        body: Size::from_bytes(length as u64),
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    let nodes = fleet.daemons.iter().map(|daemon| &daemon.node);
+    eventually("the note is in force", || {
+        nodes
+            .clone()
+            .all(|node| node.lookup().config.limits.body.get() == length)
+    });
+}
+
+/// Guards against responses that are held without limit, because the connections of
+/// callers with TLS are not in the table of those that may be closed.
+#[test]
+fn unread_responses_released() {
+    /// Length of a response body, and the requests that a client sends ahead.
+    const LENGTH: usize = 8 << 20;
+    const REQUESTS: usize = 16;
+    let files = certificate_paths("unread");
+    let certified = generate_certificate();
+    write(&files, &certified);
+    let shape = Shape::chain(1, 2, 8, Duration::from_millis(1));
+    let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
+        settings.tls = Some(files.clone());
+        settings.memory = Size::from_bytes(96 << 20);
+        settings.timing.write = Timespan::from_millis(500);
+    });
+    allow_bodies(&fleet, LENGTH);
+    let (node, key) = (&fleet.daemons[0].node, &fleet.keys[0]);
+    for target in &fleet.targets {
+        target.change(|behaviour| behaviour.body_len = LENGTH);
+    }
+    let mut client = connect(fleet.callers()[0], certified.cert.der()).expect("a connection");
+    client
+        .write_all(request(key).repeat(REQUESTS).as_bytes())
+        .expect("the requests are sent");
+    let held = || node.memory.with(|account| account.held(Held::Response));
+    eventually("responses are held", || held() >= LENGTH);
+    eventually("the connection is closed and its memory released", || {
+        assert!(held() < 96 << 20);
+        held() == 0 && node.connections.is_empty()
+    });
+    let open = node.metrics.open.get();
+    assert_eq!(open, 0, "requests of the closed connection are open");
+    for target in &fleet.targets {
+        target.change(|behaviour| behaviour.body_len = 2);
+    }
+    let ordinary = status(fleet.callers()[0], certified.cert.der(), key);
+    assert_eq!(ordinary.as_deref(), Some("200"));
+}
+
+/// Guards against a response whose end is lost: a request did not count as open although
+/// up to 64 KiB of its response had not been passed to the kernel when the daemon ended.
+#[test]
+fn stop_awaits_written() {
+    /// Length that exceeds what the kernel buffers, and steps of a search for that.
+    const LONGEST: usize = 12 << 20;
+    const STEPS: usize = 10;
+    /// Time after which a response has been written as far as the client permits.
+    const SETTLED: Duration = Duration::from_millis(400);
+    let files = certificate_paths("stop");
+    let certified = generate_certificate();
+    write(&files, &certified);
+    let fleet = chain(1);
+    allow_bodies(&fleet, LONGEST);
+    let settings = format!(
+        "tls: {{certificate: {:?}, private_key: {:?}}}\n",
+        files.certificate, files.private_key
+    );
+    let mut process = Process::start_with(&fleet, Behaviour::default(), &settings);
+    let (trusted, key) = (certified.cert.der(), &fleet.keys[0]);
+    eventually("the process serves", || {
+        status(process.callers, trusted, key).as_deref() == Some("200")
+    });
+    // Finds the longest response that a client need not read for its request to end.
+    let (mut written, mut stuck) = (0, LONGEST);
+    let mut unread = Vec::new();
+    for _ in 0..STEPS {
+        let length = usize::midpoint(written, stuck);
+        for target in fleet.targets.iter().chain([&process.target]) {
+            target.change(|behaviour| behaviour.body_len = length);
+        }
+        let mut client = connect(process.callers, trusted).expect("a connection");
+        client
+            .write_all(request(key).as_bytes())
+            .expect("the request is sent");
+        client.read_exact(&mut [0]).expect("a response");
+        std::thread::sleep(SETTLED);
+        if process.open_requests() == 0 {
+            written = length;
+            unread.push((length, client));
+        } else {
+            stuck = length;
+            drop(client);
+            eventually("no request is open", || process.open_requests() == 0);
+        }
+    }
+    process.signal("TERM");
+    assert!(process.child.wait().expect("the daemon exits").success());
+    assert!(!unread.is_empty());
+    for (length, mut client) in unread {
+        let mut response = Vec::new();
+        // A missing end of the TLS session shows in the length only if data is missing.
+        let _ = client.read_to_end(&mut response);
+        let received = response.len();
+        assert!(received > length, "{received} bytes of a body of {length}");
+    }
+}
--- a/crates/daemon/tests/all/connection_rules.rs
+++ b/crates/daemon/tests/all/connection_rules.rs
@@ -10,7 +10,7 @@
 use actix_web::http::StatusCode;
 use bytes::Bytes;
 use cardamomshed_daemon::clock::Clock;
-use cardamomshed_daemon::http::connection::{self, Host, Monitor, Timeouts};
+use cardamomshed_daemon::http::connection::{self, Host, Monitor, Tcp, Timeouts};
 use futures_util::{StreamExt as _, stream};
 use prometheus::IntGauge;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -109,7 +109,7 @@
         client.set_nodelay(true).expect("a socket");
         let (stream, peer) = listener.accept().await.expect("a connection");
         let monitor = Monitor::new(clock.now(), None);
-        let served = connection::serve(host, stream, peer, Arc::clone(&monitor));
+        let served = connection::serve(host, Tcp::new(stream), peer, Arc::clone(&monitor));
         Self {
             client,
             state,
--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -20,11 +20,11 @@
 
 /// A daemon in a process of its own, with a target of service `hop-0` of the
 /// fleet. Dropping it kills the process.
-struct Process {
-    child: Child,
-    callers: SocketAddr,
+pub(crate) struct Process {
+    pub(crate) child: Child,
+    pub(crate) callers: SocketAddr,
     admin: SocketAddr,
-    target: Target,
+    pub(crate) target: Target,
 }
 
 pub(crate) fn free_port() -> u16 {
@@ -34,6 +34,11 @@
 
 impl Process {
     fn start(fleet: &Fleet, behaviour: Behaviour) -> Self {
+        Self::start_with(fleet, behaviour, "")
+    }
+
+    /// Like [`Self::start`], with further lines of settings.
+    pub(crate) fn start_with(fleet: &Fleet, behaviour: Behaviour, settings: &str) -> Self {
         let number = NEXT_PROCESS.fetch_add(1, Ordering::Relaxed);
         let ports = [free_port(), free_port(), free_port(), free_port()];
         let settings = format!(
@@ -41,7 +46,7 @@
              fleet_secret: a secret for loopback only\n\
              callers: 127.0.0.1:{}\ntarget: 127.0.0.1:{}\npeers: 127.0.0.1:{}\n\
              admin: 127.0.0.1:{}\nplatform: {}\ndomains: [here]\nlog: off\n\
-             timing: {{poll: 200ms, drain: 5s}}\n",
+             timing: {{poll: 200ms, drain: 5s}}\n{settings}",
             std::process::id(),
             ports[0],
             ports[1],
@@ -76,7 +81,7 @@
 
     /// Number of open root requests that the daemon's status reports, -1 if the
     /// status cannot be read.
-    fn open_requests(&self) -> i64 {
+    pub(crate) fn open_requests(&self) -> i64 {
         let status = Request::get(self.admin, "/status").send();
         let status = serde_json::from_slice::<serde_json::Value>(&status.body);
         let open = status
@@ -85,7 +90,7 @@
         open.unwrap_or(-1)
     }
 
-    fn signal(&self, name: &str) {
+    pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(format!("-{name}"))
             .arg(self.child.id().to_string())
