End a request whose body's end is known after its last write

The end of a body with a full last part of 32 KiB is encoded when the output is empty already. Requests were taken off the list of unwritten ones after a write only, so such a request stayed open until the next event on its connection, and a stopping daemon waited for it up to its deadline.

The list is checked before each write as well.

--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -433,6 +433,8 @@
 
     fn poll_write(&mut self, cx: &mut Context<'_>) -> bool {
         let mut progress = false;
+        // The end of a body may be known only once all of it has been written.
+        self.drop_written();
         while !self.output.is_empty() {
             match self.transport.poll_write(cx, &self.output) {
                 Poll::Pending => return progress,
--- a/crates/daemon/tests/all/connection_rules.rs
+++ b/crates/daemon/tests/all/connection_rules.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use actix_http::body::{BoxBody, SizedStream};
@@ -23,6 +24,8 @@
 const LIMIT: Duration = Duration::from_secs(10);
 /// Length of a response that exceeds what the kernel buffers.
 const LARGE: usize = 16 << 20;
+/// Length of a part of a response after which no further one is encoded at once.
+const FULL: usize = 32 << 10;
 /// Time limits that no test reaches.
 const LONG: Timeouts = Timeouts {
     head: LIMIT,
@@ -59,6 +62,15 @@
         "/wait" => running.0.released.notified().await,
         "/release" => running.0.released.notify_one(),
         "/large" => body = BoxBody::new(vec![b'.'; LARGE]),
+        "/full" => {
+            let part = async { Ok::<_, std::io::Error>(Bytes::from(vec![b'.'; FULL])) };
+            let end = stream::poll_fn(move |_| {
+                let _running = &running;
+                Poll::Ready(None)
+            });
+            let parts = stream::once(part).chain(end);
+            body = BoxBody::new(SizedStream::new(FULL as u64, Box::pin(parts)));
+        }
         "/empty" => status = StatusCode::NO_CONTENT,
         "/short" => {
             let part = async { Ok::<_, std::io::Error>(Bytes::from("part")) };
@@ -385,6 +397,23 @@
     assert_eq!(session.read_all().await, [ok("/a", false)]);
 }
 
+/// Guards against a request that stays open, and delays a stop, after all of its response
+/// has been written: the end of the body was known only after the last write.
+#[actix_web::test]
+async fn written_request_ended() {
+    let mut session = Session::start(LONG).await;
+    session.send(&get("/full")).await;
+    let mut body = vec![0; FULL];
+    let read = session.client.read_exact(&mut body).await;
+    read.expect("a response");
+    let ended = async {
+        while session.state.ended.get() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(LIMIT / 2, ended).await.expect("the request ends");
+}
+
 /// Guards against work for a client that does not read, and against responses that are
 /// lost once it does.
 #[actix_web::test]
