Test the order of responses and handshakes that do not end, with TLS

Responses to requests sent ahead come in order and before the end of the TLS session; a silent connection and a handshake without end are counted and closed. endless_handshake_closed cannot pass on the code before, where no such connection was counted; pipelined_in_order was not run on it.

--- a/crates/daemon/tests/all/caller_tls.rs
+++ b/crates/daemon/tests/all/caller_tls.rs
@@ -173,6 +173,65 @@
     assert_eq!(ordinary.as_deref(), Some("200"));
 }
 
+/// Guards against responses in another order than the requests, and against a connection
+/// that ends without the end of the TLS session, which a client takes for a cut response.
+#[test]
+fn pipelined_in_order() {
+    let files = certificate_paths("order");
+    let certified = generate_certificate();
+    write(&files, &certified);
+    let shape = Shape::chain(1, 1, 4, Duration::from_millis(1));
+    let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
+        settings.tls = Some(files.clone());
+    });
+    let mut client = connect(fleet.callers()[0], certified.cert.der()).expect("a connection");
+    let first = request(&fleet.keys[0]);
+    let unknown = first.replace("/hop-0", "/unknown");
+    let last = unknown.replace("host:", "connection: close\r\nhost:");
+    let requests = [first, request(""), last].concat();
+    client
+        .write_all(requests.as_bytes())
+        .expect("the requests are sent");
+    let mut text = String::new();
+    client.read_to_string(&mut text).expect("an orderly end");
+    let statuses = text.match_indices("HTTP/1.1 ");
+    let statuses = statuses.map(|(start, _)| &text[start + 9..start + 12]);
+    assert_eq!(
+        statuses.collect::<Vec<_>>(),
+        ["200", "401", "404"],
+        "{text}"
+    );
+}
+
+/// Guards against connections that are held, or take memory, by a handshake that does
+/// not end.
+#[test]
+fn endless_handshake_closed() {
+    let files = certificate_paths("handshake");
+    write(&files, &generate_certificate());
+    let shape = Shape::chain(1, 1, 4, Duration::from_millis(1));
+    let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
+        settings.tls = Some(files.clone());
+    });
+    let node = &fleet.daemons[0].node;
+    let open = || TcpStream::connect(fleet.callers()[0]).expect("a connection");
+    let (_silent, mut endless) = (open(), open());
+    eventually("the connections are counted", || {
+        node.connections.len() == 2
+    });
+    // A handshake message of 60,000 bytes, in records of 8 KiB.
+    let record = [&[22, 3, 1, 0x20, 0, 1, 0, 0xea, 0x60][..], &[0; 0x1ffc]].concat();
+    for _ in 0..4 {
+        // The daemon may have closed the connection.
+        let _ = endless.write_all(&record);
+    }
+    eventually("the connections are closed", || node.connections.is_empty());
+    assert_eq!(
+        node.memory.with(|account| account.held(Held::Connection)),
+        0
+    );
+}
+
 /// Guards against a response whose end is lost: a request did not count as open although
 /// up to 64 KiB of its response had not been passed to the kernel when the daemon ended.
 #[test]
