Remove the stream that wrapped counted connections

Callers' connections are served by http::connection, which records what is written and notices their close by its monitor. The wrapper's own reads and writes were used for connections that are not counted only, and did nothing for them.

--- a/crates/daemon/src/http/closing.rs
+++ b/crates/daemon/src/http/closing.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use super::connection_table::Stream;
+use super::connection_table::Counted;
 use crate::node::Node;
 
 /// Memory that the buffers of one connection take, in bytes.
@@ -20,9 +20,9 @@
 /// the kernel's memory, and shows soon that a client does not read.
 const SEND_BUFFER: usize = 128 * 1024;
 
-/// Takes a caller's connection, or closes it if the limit of connections is reached and
+/// Counts a caller's connection, or returns `None` if the limit of connections is reached and
 /// none can be closed in its place. `bytes` is the memory that its buffers take.
-pub fn admit(node: &Node, tcp: TcpStream, peer: SocketAddr, bytes: usize) -> Option<Stream> {
+pub fn admit(node: &Node, tcp: &TcpStream, peer: SocketAddr, bytes: usize) -> Option<Counted> {
     let limit = node.current_settings().max_connections() as usize;
     let connections = &node.connections;
     let mut reservation = node.memory.reserve(Kind::Connection, bytes);
@@ -37,10 +37,8 @@
         reservation = reservation.or_else(|| node.memory.reserve(Kind::Connection, 0));
     }
     // Without the option, the kernel chooses the size.
-    let _ = SockRef::from(&tcp).set_send_buffer_size(SEND_BUFFER);
-    let reservation = reservation?;
-    let stream = Stream::counted(tcp, peer, connections, node.clock, reservation);
-    Some(stream)
+    let _ = SockRef::from(tcp).set_send_buffer_size(SEND_BUFFER);
+    Some(Counted::new(connections, peer, node.clock, reservation?))
 }
 
 fn close_event(node: &Node, event: Event, cause: &str) {
--- a/crates/daemon/src/http/connection_table.rs
+++ b/crates/daemon/src/http/connection_table.rs
@@ -3,18 +3,14 @@
 
 use std::collections::HashMap;
 use std::future::poll_fn;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::Poll;
 
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::memory::{Activity, ConnectionKey, Reader};
 use futures_util::task::AtomicWaker;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use crate::clock::Clock;
 use crate::memory::Reservation;
@@ -249,13 +245,6 @@
     }
 }
 
-/// A connection of a caller, or one of another listener, which is not counted.
-#[derive(Debug)]
-pub struct Stream {
-    tcp: TcpStream,
-    counted: Option<Counted>,
-}
-
 /// A counted connection, which leaves the table on drop.
 #[derive(Debug)]
 pub struct Counted {
@@ -266,6 +255,21 @@
 }
 
 impl Counted {
+    /// Adds a connection to the table.
+    pub fn new(
+        table: &Arc<Table>,
+        peer: SocketAddr,
+        clock: Clock,
+        reservation: Reservation,
+    ) -> Self {
+        Self {
+            table: Arc::clone(table),
+            peer,
+            connection: table.insert(peer, clock),
+            _reservation: reservation,
+        }
+    }
+
     /// State of the connection.
     pub fn connection(&self) -> Arc<Entry> {
         Arc::clone(&self.connection)
@@ -284,109 +288,3 @@
         }
     }
 }
-
-impl Stream {
-    /// A connection that is not counted.
-    pub const fn uncounted(tcp: TcpStream) -> Self {
-        Self { tcp, counted: None }
-    }
-
-    /// Adds a connection to the table.
-    pub fn counted(
-        tcp: TcpStream,
-        peer: SocketAddr,
-        table: &Arc<Table>,
-        clock: Clock,
-        reservation: Reservation,
-    ) -> Self {
-        let counted = Counted {
-            table: Arc::clone(table),
-            peer,
-            connection: table.insert(peer, clock),
-            _reservation: reservation,
-        };
-        Self {
-            tcp,
-            counted: Some(counted),
-        }
-    }
-
-    /// The socket, and the place in the table for as long as the connection is open.
-    pub fn into_parts(self) -> (TcpStream, Option<Counted>) {
-        (self.tcp, self.counted)
-    }
-
-    /// Turns off Nagle's algorithm, which would delay responses.
-    pub fn set_nodelay(&self) {
-        // Without the option, responses are delayed.
-        let _ = self.tcp.set_nodelay(true);
-    }
-
-    /// Registers the task, and fails if the connection is to be closed. The other end
-    /// then gets a reset instead of what the kernel has not sent.
-    fn check(&self, context: &Context<'_>) -> io::Result<()> {
-        let Some(counted) = &self.counted else {
-            return Ok(());
-        };
-        counted.connection.waker.register(context.waker());
-        if counted.connection.is_closed() {
-            // Without the option, the kernel sends the rest for as long as it is read.
-            let _ = self.tcp.set_zero_linger();
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
-        Ok(())
-    }
-
-    fn record(&self, written: &Poll<io::Result<usize>>) {
-        if let (Some(counted), Poll::Ready(Ok(bytes))) = (&self.counted, written) {
-            counted.connection.record_written(*bytes);
-        }
-    }
-}
-
-impl AsyncRead for Stream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        self.check(context)?;
-        Pin::new(&mut self.tcp).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for Stream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.check(context)?;
-        let written = Pin::new(&mut self.tcp).poll_write(context, buffer);
-        self.record(&written);
-        written
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.check(context)?;
-        let written = Pin::new(&mut self.tcp).poll_write_vectored(context, buffers);
-        self.record(&written);
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.tcp.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(context)
-    }
-}
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::connection::{self, Application, Host, Monitor, Tcp, Timeouts, Tls};
-use super::connection_table::{Counted, Stream};
+use super::connection_table::Counted;
 use super::{admin, announce, closing, control, ingress, outbound};
 use crate::node::Node;
 use crate::tls;
@@ -217,8 +217,9 @@
     node.log_event(Event::ListenerFailed, format_args!("{error:#}"));
 }
 
-/// Handler that serves one connection until it ends.
-type Handler = Rc<dyn Fn(Stream, SocketAddr) -> LocalBoxFuture<'static, ()>>;
+/// Handler that serves one connection until it ends, with its place in the table of
+/// callers' connections, if it has one.
+type Handler = Rc<dyn Fn(TcpStream, SocketAddr, Option<Counted>) -> LocalBoxFuture<'static, ()>>;
 
 /// How the connections of a listener are counted and limited.
 #[derive(Clone, Copy, Debug)]
@@ -257,10 +258,11 @@
             .await
             .map_err(|()| anyhow::anyhow!("the HTTP application failed to start"))?;
         let service = Rc::new(service);
-        let handler: Handler = Rc::new(move |stream: Stream, peer| {
+        let handler: Handler = Rc::new(move |stream: TcpStream, peer, _| {
             let service = Rc::clone(&service);
             Box::pin(async move {
-                stream.set_nodelay();
+                // Responses are small; Nagle's algorithm would only delay them.
+                let _ = stream.set_nodelay(true);
                 // An error closes the connection, which the caller observes.
                 let _ = service.call((stream, Some(peer))).await;
             })
@@ -297,8 +299,7 @@
             idle: KEEP_ALIVE,
         };
         let host = Host::new(application, timeouts, node.clock, &node.metrics.connections);
-        let handler: Handler = Rc::new(move |stream: Stream, peer| {
-            let (tcp, counted) = stream.into_parts();
+        let handler: Handler = Rc::new(move |tcp, peer, counted: Option<Counted>| {
             let entry = counted.as_ref().map(Counted::connection);
             let monitor = Monitor::new(node.clock.now(), entry);
             let (host, config) = (Rc::clone(&host), config.clone());
@@ -389,12 +390,15 @@
     tcp: TcpStream,
     peer: SocketAddr,
 ) {
-    let stream = match admission {
-        Admission::Plain => closing::admit(node, tcp, peer, closing::CONNECTION_BYTES),
-        Admission::Encrypted => closing::admit(node, tcp, peer, closing::TLS_CONNECTION_BYTES),
-        Admission::Uncounted => Some(Stream::uncounted(tcp)),
+    let bytes = match admission {
+        Admission::Plain => closing::CONNECTION_BYTES,
+        Admission::Encrypted => closing::TLS_CONNECTION_BYTES,
+        Admission::Uncounted => {
+            actix_rt::spawn(handler(tcp, peer, None));
+            return;
+        }
     };
-    if let Some(stream) = stream {
-        actix_rt::spawn(handler(stream, peer));
+    if let Some(counted) = closing::admit(node, &tcp, peer, bytes) {
+        actix_rt::spawn(handler(tcp, peer, Some(counted)));
     }
 }
