Wait for the memory of a closed connection in its test

The table drops a connection before its reservation, on another thread, so the test could read the account in between. It waits for both; caller_tls passes.

--- a/crates/daemon/tests/all/caller_tls.rs
+++ b/crates/daemon/tests/all/caller_tls.rs
@@ -225,11 +225,10 @@
         // The daemon may have closed the connection.
         let _ = endless.write_all(&record);
     }
-    eventually("the connections are closed", || node.connections.is_empty());
-    assert_eq!(
-        node.memory.with(|account| account.held(Held::Connection)),
-        0
-    );
+    let held = || node.memory.with(|account| account.held(Held::Connection));
+    eventually("the connections are closed", || {
+        node.connections.is_empty() && held() == 0
+    });
 }
 
 /// Guards against a response whose end is lost: a request did not count as open although
