--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -21,15 +21,20 @@
 
 /// A daemon in a process of its own, with a target of service `hop-0` of the
 /// fleet. Dropping it kills the process.
-struct Process {
-    child: Child,
-    callers: SocketAddr,
+pub(crate) struct Process {
+    pub(crate) child: Child,
+    pub(crate) callers: SocketAddr,
     admin: SocketAddr,
-    target: Target,
+    pub(crate) target: Target,
 }
 
 impl Process {
     fn start(fleet: &Fleet, behaviour: Behaviour) -> Self {
+        Self::start_with(fleet, behaviour, "")
+    }
+
+    /// Like [`Self::start`], with further lines of settings.
+    pub(crate) fn start_with(fleet: &Fleet, behaviour: Behaviour, settings: &str) -> Self {
         let number = NEXT_PROCESS.fetch_add(1, Ordering::Relaxed);
         // A port of those that the kernel gives out may be taken by another test before
         // the process binds it.
@@ -39,7 +44,7 @@
              fleet_secret: a secret for loopback only\n\
              callers: {callers}\ntarget: {control}\npeers: {peers}\n\
              admin: {admin}\nplatform: {}\ndomains: [here]\nlog: off\n\
-             timing: {{poll: 200ms, drain: 5s}}\n",
+             timing: {{poll: 200ms, drain: 5s}}\n{settings}",
             std::process::id(),
             fleet.platform.base()
         );
@@ -70,7 +75,7 @@
 
     /// Number of open root requests that the daemon's status reports, -1 if the
     /// status cannot be read.
-    fn open_requests(&self) -> i64 {
+    pub(crate) fn open_requests(&self) -> i64 {
         let status = Request::get(self.admin, "/status").send();
         let status = serde_json::from_slice::<serde_json::Value>(&status.body);
         let open = status
@@ -79,7 +84,7 @@
         open.unwrap_or(-1)
     }
 
-    fn signal(&self, name: &str) {
+    pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(format!("-{name}"))
             .arg(self.child.id().to_string())
