Spread the era of the store with gossip packets

Only pollers and lenders call the store regularly, so most daemons learned of its return from a copy late or never, and did not write their rows again. The era is a new optional field of the packets, absent before the first return and 3 bytes afterwards. A rise is broadcast to the failure domain once, by whoever learned of it from the store or from another domain.

Tests: store_era::era_broadcast, gossip_seal::store_era_optional.

--- a/crates/daemon/src/actor/rewrite.rs
+++ b/crates/daemon/src/actor/rewrite.rs
@@ -2,12 +2,14 @@
 //! copy, which may lack the last writes that it had acknowledged.
 //!
 //! Rows that other actors own are rewritten there: the seed row and the size of the
-//! failure domain by [`super::seeds`], leases on lender slots by the quota actor.
+//! failure domain by [`super::seeds`], leases on lender slots by the quota actor, claims
+//! by the claim task.
 
 use std::sync::Arc;
 
 use cardamomshed_code::Event;
 
+use crate::members::record_store_era;
 use crate::node::Node;
 use crate::sync::lock;
 
@@ -17,6 +19,7 @@
     loop {
         let era = returns.next().await;
         node.log_event(Event::StoreReturned, format_args!("era={era}"));
+        record_store_era(&node, era);
         rewrite_departure(&node);
     }
 }
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -47,6 +47,9 @@
     if output.evacuations_changed {
         apply_evacuations(node);
     }
+    if let Some(era) = output.store_era {
+        node.store_era.observe(era);
+    }
     if let Some(name) = output.newer_note {
         *lock(&node.configuration.newer_member) = Some(name);
         node.configuration.wake.notify_one();
@@ -88,6 +91,13 @@
     apply_output(node, output);
 }
 
+/// Tells the members of the local failure domain of a return of the store from a copy,
+/// unless a member reported it.
+pub fn record_store_era(node: &Node, era: u64) {
+    let output = lock(&node.members.fleet).record_store_era(era);
+    apply_output(node, output);
+}
+
 /// Whether a failure domain is in the settings or has a known member.
 pub fn is_known_domain(node: &Node, domain: &str) -> bool {
     let mut configured = node.settings.domains.iter();
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -19,10 +19,12 @@
 mod packet;
 mod probe;
 mod record;
+mod store_era;
 mod updates;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -139,6 +141,8 @@
     census: Census,
     /// Evacuations of failure domains.
     evacuations: Evacuations,
+    /// Highest known era of the store; `None` until it first returns from an old copy.
+    store_era: Option<NonZeroU64>,
 }
 
 impl Fleet {
@@ -177,6 +181,7 @@
             exchanged_at: Moment::ZERO,
             census: Census::default(),
             evacuations: Evacuations::default(),
+            store_era: None,
         }
     }
 
@@ -267,6 +272,7 @@
         let mut output = Output::default();
         self.compare(&packet, now, &mut output);
         self.merge_evacuations(&packet, now, &mut output);
+        self.merge_store_era(&packet, now, &mut output);
         for record in &packet.records {
             self.merge(record.clone(), Source::Gossip, now, &mut output);
         }
@@ -462,6 +468,7 @@
                 .map_or(0, Moment::as_micros),
             digest: self.full_digest(),
             evacuations: self.evacuations.state().cloned(),
+            store_era: self.store_era,
             payload,
             records: Vec::new(),
         }
--- a/crates/policy/src/member/evacuation.rs
+++ b/crates/policy/src/member/evacuation.rs
@@ -39,13 +39,18 @@
             return;
         };
         output.evacuations_changed = self.evacuations.merge(state);
+        if output.evacuations_changed && self.is_foreign_news(packet, now) {
+            output.sends.extend(self.domain_sends(Vec::new()));
+        }
+    }
+
+    /// Whether a change in a packet is to be broadcast: it comes from another failure
+    /// domain, and this process is not so young that everything is a change to it.
+    pub(super) fn is_foreign_news(&self, packet: &Packet, now: Moment) -> bool {
         let is_foreign = packet.payload != Payload::Broadcast
             && self
                 .get(&packet.sender)
                 .is_some_and(|sender| !self.is_local(sender));
-        let is_old = now.since(Moment::ZERO) >= MIN_BROADCAST_AGE;
-        if output.evacuations_changed && is_foreign && is_old {
-            output.sends.extend(self.domain_sends(Vec::new()));
-        }
+        is_foreign && now.since(Moment::ZERO) >= MIN_BROADCAST_AGE
     }
 }
--- a/crates/policy/src/member/output.rs
+++ b/crates/policy/src/member/output.rs
@@ -39,6 +39,8 @@
     pub diverged: Option<Arc<str>>,
     /// Whether the set of evacuated failure domains changed.
     pub evacuations_changed: bool,
+    /// Era of the store that another member reports, if it is higher than the known one.
+    pub store_era: Option<u64>,
     /// Departure of the local target that another member holds.
     pub held_departure: Option<Departure>,
 }
--- a/crates/policy/src/member/packet.rs
+++ b/crates/policy/src/member/packet.rs
@@ -1,5 +1,6 @@
 //! Wire format of gossip packets.
 
+use std::num::NonZeroU64;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,10 @@
     /// Evacuations of failure domains; absent until the first one.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<State>,
+    /// Era of the store, as far as the sender knows; absent until the store first returns
+    /// from an old copy.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub store_era: Option<NonZeroU64>,
     /// Request or response.
     #[serde(rename = "p")]
     pub payload: Payload,
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod rotation_weights;
 mod route_choice;
 mod route_rejection;
+mod store_era;
 mod wallet_prefetch;
 mod warmup_limit;
 mod window_backpressure;
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -139,6 +139,7 @@
         confirmed_us: 500_000,
         digest: u64::MAX,
         evacuations: None,
+        store_era: None,
         payload: member::Payload::Ping { sequence: 100_000 },
         records: (0..records).map(record).collect(),
     }
--- a/crates/wire/tests/all/gossip_seal.rs
+++ b/crates/wire/tests/all/gossip_seal.rs
@@ -2,6 +2,7 @@
 //! accepted.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 
 use cardamomshed_code::Code;
 use cardamomshed_policy::Moment;
@@ -17,6 +18,7 @@
         confirmed_us: 10_000,
         digest: 9,
         evacuations: None,
+        store_era: None,
         payload: Payload::Ping { sequence: 8 },
         records: Vec::new(),
     }
@@ -114,3 +116,17 @@
     assert_eq!(new.departure, None);
     assert_eq!(with.len() - without.len(), 27, "bytes of a departure");
 }
+
+/// Guards against packets that grow before the store first returns from a copy.
+#[test]
+fn store_era_optional() {
+    let secret = Secret::new("a long enough secret").expect("a long secret");
+    let plain = seal(&secret, &packet());
+    let returned = Packet {
+        store_era: NonZeroU64::new(1),
+        ..packet()
+    };
+    let datagram = seal(&secret, &returned);
+    assert_eq!(open(&secret, &datagram), Ok(returned));
+    assert_eq!(datagram.len() - plain.len(), 3);
+}
