Write claims of idempotency keys again after a return of the store

A store that returns from an old copy lacks claims and answers of the last seconds, so a repeated request ran again (lost_answer_rewritten and lost_open_claim_rewritten: 2 executions instead of 1). Versions of an earlier era are no longer used as conditions, since the store gives them out again.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -54,6 +54,8 @@
     ClaimMade = 230, "idempotency key claimed";
     ClaimReplayed = 231, "idempotency key already claimed; the first response is replayed";
     ClaimRefused = 232, "idempotency key could not be claimed";
+    ClaimsRewritten = 233, "claims that the store lost by returning from a copy are written again";
+    ClaimReplaced = 234, "lost claim not written again; another daemon has claimed the key";
     LinkOpened = 300, "peer link opened";
     LinkClosed = 301, "peer link closed";
     LinkTimedOut = 302, "peer link timed out and is replaced";
--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -7,6 +7,7 @@
 //! the platform cannot record a claim, the request is refused as not run.
 
 pub mod command;
+mod keeper;
 mod row;
 pub mod store;
 
@@ -78,7 +79,7 @@
         );
     };
     match decision {
-        Decision::Granted(version) => {
+        Decision::Granted(stamp) => {
             log(Event::ClaimMade, "");
             Ok(Claim {
                 commands: node.claims.clone(),
@@ -86,7 +87,7 @@
                     key: row_key,
                     claim,
                     fingerprint,
-                    version,
+                    stamp: Some(stamp),
                     outcome: Outcome::Unknown,
                 }),
             })
--- a/crates/daemon/src/claim/command.rs
+++ b/crates/daemon/src/claim/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the request path to the claim task.
 
+use cardamomshed_policy::evacuation::Stamp;
 use tokio::sync::oneshot;
 
 use super::row::{Proposal, Settlement, Snapshot};
@@ -7,9 +8,9 @@
 /// Result of a claim.
 #[derive(Debug)]
 pub enum Decision {
-    /// The claim is recorded and the request may run. Carries the version of the
-    /// row.
-    Granted(u64),
+    /// The claim is recorded and the request may run. Carries the era and
+    /// version of the row.
+    Granted(Stamp),
     /// An earlier request with the key was answered.
     Answered(Snapshot),
     /// An earlier request with the key is in progress.
--- a/crates/daemon/src/claim/row.rs
+++ b/crates/daemon/src/claim/row.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use cardamomshed_note::Digest;
 use cardamomshed_policy::admission::ADMIT_ALL;
+use cardamomshed_policy::claim::{Stage, Written};
+use cardamomshed_policy::evacuation::Stamp;
 use cardamomshed_wire::Load;
 use serde::{Deserialize, Serialize};
 
@@ -11,12 +13,16 @@
 use crate::reply::Answer;
 use crate::request::Parts;
 
+/// Name of the table.
+pub(super) const TABLE: &str = "claims";
 /// Largest answer body that is stored, in bytes. An answer whose body is not stored is
 /// replayed with an empty one.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Time after its deadline at which an open claim is treated as an unknown
 /// outcome, in milliseconds. It covers the clock skew between two VMs.
 const EXPIRY_MARGIN_MS: u64 = 30_000;
+/// Memory that a kept row takes beside its text and body, in bytes.
+const ROW_BYTES: usize = 320;
 
 /// A claim that is to be recorded.
 #[derive(Clone, Debug)]
@@ -38,8 +44,8 @@
     pub(crate) key: String,
     pub(crate) claim: u64,
     pub(crate) fingerprint: String,
-    /// Version of the row when it was claimed; zero if unknown.
-    pub(crate) version: u64,
+    /// Era and version of the row when it was claimed; `None` if unknown.
+    pub(crate) stamp: Option<Stamp>,
     pub(crate) outcome: Outcome,
 }
 
@@ -106,9 +112,71 @@
             state: State::Open,
         }
     }
+
+    /// The row as written by a request that was sent in `era`, the era now.
+    pub(crate) fn written(&self, era: u64) -> Written<Row> {
+        Written {
+            key: self.key.as_str().into(),
+            claim: self.claim,
+            stage: Stage::Open,
+            value: Some(self.row()),
+            bytes: ROW_BYTES,
+            era,
+            is_same_era: true,
+        }
+    }
+}
+
+impl Settlement {
+    /// Version of the row, `None` if it is unknown or of another era than `era`, in which
+    /// the store may have given it to another row.
+    pub(crate) fn version(&self, era: u64) -> Option<u64> {
+        let stamp = self.stamp.filter(|stamp| stamp.era == era);
+        stamp.map(|stamp| stamp.version)
+    }
+
+    /// Content of the row, `None` if it is to be removed.
+    pub(crate) fn into_row(self) -> Option<Row> {
+        let state = match self.outcome {
+            Outcome::NotRun => return None,
+            Outcome::Unknown => State::Unknown,
+            Outcome::Answered(answer) => State::Answered(answer),
+        };
+        Some(Row {
+            claim: self.claim,
+            fingerprint: self.fingerprint,
+            until_ms: 0,
+            state,
+        })
+    }
+
+    /// The row as written by a request that was sent in `era`.
+    pub(crate) fn written(self, era: u64, is_same_era: bool) -> Written<Row> {
+        let (key, claim) = (self.key.as_str().into(), self.claim);
+        let row = self.into_row();
+        Written {
+            key,
+            claim,
+            stage: row.as_ref().map_or(Stage::Removed, |_| Stage::Settled),
+            bytes: ROW_BYTES + row.as_ref().map_or(0, Row::body_bytes),
+            value: row,
+            era,
+            is_same_era,
+        }
+    }
 }
 
 impl Row {
+    /// Memory that the stored answer takes, in bytes.
+    fn body_bytes(&self) -> usize {
+        let State::Answered(snapshot) = &self.state else {
+            return 0;
+        };
+        let headers = snapshot.headers.iter();
+        let headers = headers.map(|(name, value)| name.len() + value.len() + 48);
+        snapshot.body.as_ref().map_or(0, Vec::len) + headers.sum::<usize>()
+    }
+
     /// Whether the claim is past its deadline by more than the clock skew, so
     /// that its request can no longer be running.
     pub(crate) fn is_expired(&self) -> bool {
--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -6,15 +6,15 @@
 
 use cardamomshed_code::{Code, Failure};
 use cardamomshed_platform::{Client, Condition, Operation};
+use cardamomshed_policy::evacuation::Stamp;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::command::{Command, Decision};
-use super::row::{Outcome, Proposal, Row, Settlement, State};
+use super::keeper::Keeper;
+use super::row::{Outcome, Proposal, Row, Settlement, State, TABLE};
 use crate::node::Node;
 
-/// Name of the table of claims.
-const TABLE: &str = "claims";
 /// Largest number of writes in one transaction.
 const MAX_BATCH: usize = 64;
 /// Largest number of settlements that are queued while the platform is
@@ -25,11 +25,15 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay after a failed transaction.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Detail of a refusal after a return of the store.
+const HELD: &str = "the store returned from an old copy; claims are being written again";
 
 struct Waiter {
     proposal: Proposal,
     reply: oneshot::Sender<Decision>,
     queued_at: Instant,
+    /// Whether a write of the claim was sent.
+    is_sent: bool,
 }
 
 #[derive(Default)]
@@ -45,6 +49,7 @@
                 proposal,
                 reply,
                 queued_at: Instant::now(),
+                is_sent: false,
             }),
             Command::Settle(settlement) => {
                 if self.settlements.len() == MAX_SETTLEMENTS {
@@ -55,104 +60,197 @@
         }
     }
 
+    /// Refuses a claim. A write of it may still have taken effect, which leaves a row whose
+    /// request has not run, so a settlement that deletes the row is queued.
+    fn refuse(&mut self, waiter: Waiter, cause: &str) {
+        if waiter.is_sent {
+            self.push(Command::Settle(Settlement {
+                key: waiter.proposal.key,
+                claim: waiter.proposal.claim,
+                fingerprint: waiter.proposal.fingerprint,
+                stamp: None,
+                outcome: Outcome::NotRun,
+            }));
+        }
+        let _ = waiter.reply.send(Decision::Unavailable(cause.to_owned()));
+    }
+
     fn is_empty(&self) -> bool {
         self.claims.is_empty() && self.settlements.is_empty()
     }
 }
 
+/// State of the task.
+struct Task {
+    client: Client,
+    queue: Queue,
+    keeper: Keeper,
+}
+
 /// Processes commands until every sender is dropped.
 pub async fn run(node: Arc<Node>, commands: &mut mpsc::UnboundedReceiver<Command>) {
-    let client = node.store_client();
-    let mut queue = Queue::default();
+    let mut eras = node.store_era.subscribe();
+    let mut task = Task {
+        client: node.store_client(),
+        queue: Queue::default(),
+        keeper: Keeper::new(node),
+    };
     loop {
-        if queue.is_empty() {
-            match commands.recv().await {
-                Some(command) => queue.push(command),
-                None => return,
+        if task.queue.is_empty() && !task.keeper.is_due() {
+            let retry_at = task.keeper.retry_at();
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => task.queue.push(command),
+                    None => return,
+                },
+                // The sender lives as long as the daemon.
+                _ = eras.changed() => {}
+                () = sleep_until(retry_at), if task.keeper.is_rewriting() => {}
             }
         }
         while let Ok(command) = commands.try_recv() {
-            queue.push(command);
+            task.queue.push(command);
         }
-        let failed = write_batch(&client, &mut queue).await.is_err();
-        expire_claims(&mut queue);
-        if failed {
+        if task.step().await.is_err() {
             sleep(RETRY_DELAY).await;
         }
     }
 }
 
-/// Refuses claims that were queued for longer than the claim timeout. Their
-/// write may still have taken effect, which leaves a row whose request has not
-/// run, so a settlement that deletes the row is queued.
-fn expire_claims(queue: &mut Queue) {
-    while let Some(first) = queue.claims.front() {
-        if first.queued_at.elapsed() < CLAIM_TIMEOUT {
-            return;
+impl Task {
+    /// Checks kept rows after a return of the store, and writes one batch.
+    async fn step(&mut self) -> Result<(), Failure> {
+        self.keeper.observe();
+        if !self.keeper.may_claim() {
+            while let Some(waiter) = self.queue.claims.pop_front() {
+                self.queue.refuse(waiter, HELD);
+            }
         }
-        let Some(waiter) = queue.claims.pop_front() else {
-            return;
-        };
-        queue.settlements.push_back(Settlement {
-            key: waiter.proposal.key.clone(),
-            claim: waiter.proposal.claim,
-            fingerprint: waiter.proposal.fingerprint.clone(),
-            version: 0,
-            outcome: Outcome::NotRun,
-        });
-        let unavailable =
-            Decision::Unavailable("platform did not record the claim in time".to_owned());
-        let _ = waiter.reply.send(unavailable);
+        if self.keeper.is_due() {
+            self.keeper.check(&self.client).await;
+        }
+        let written = self.write_batch().await;
+        self.expire_claims();
+        written
     }
-}
 
-/// Writes up to one batch of claims and settlements. On failure, those that were
-/// not written stay queued.
-async fn write_batch(client: &Client, queue: &mut Queue) -> Result<(), Failure> {
-    let claims = queue.claims.len().min(MAX_BATCH);
-    let settlements = queue.settlements.len().min(MAX_BATCH - claims);
-    let claim_writes = queue.claims.iter().take(claims).map(claim_operation);
-    let pending = queue.settlements.iter().take(settlements);
-    let settle_writes = pending.filter_map(settle_operation);
-    let operations = claim_writes.chain(settle_writes).collect::<Vec<_>>();
-    let unversioned = queue
-        .settlements
-        .iter()
-        .take(settlements)
-        .any(|settlement| settlement.version == 0);
-    if !unversioned && !has_duplicate_rows(&operations) {
-        match client.transact(&operations).await {
-            Ok(version) => {
-                for waiter in queue.claims.drain(..claims) {
-                    // If the caller no longer waits, its row stays open.
-                    let _ = waiter.reply.send(Decision::Granted(version));
-                }
-                queue.settlements.drain(..settlements);
+    /// Refuses claims that were queued for longer than the claim timeout.
+    fn expire_claims(&mut self) {
+        while let Some(first) = self.queue.claims.front() {
+            if first.queued_at.elapsed() < CLAIM_TIMEOUT {
+                return;
+            }
+            if let Some(waiter) = self.queue.claims.pop_front() {
+                self.queue
+                    .refuse(waiter, "platform did not record the claim in time");
+            }
+        }
+    }
+
+    /// Writes up to one batch of claims and settlements. On failure, those that were
+    /// not written stay queued.
+    async fn write_batch(&mut self) -> Result<(), Failure> {
+        self.amend_settlements();
+        self.keeper.observe();
+        let era = self.keeper.era();
+        let claims = self.queue.claims.len().min(MAX_BATCH);
+        let settlements = self.queue.settlements.len().min(MAX_BATCH - claims);
+        for waiter in self.queue.claims.iter_mut().take(claims) {
+            waiter.is_sent = true;
+        }
+        let claim_writes = self.queue.claims.iter().take(claims).map(claim_operation);
+        let pending = self.queue.settlements.iter().take(settlements);
+        let settle_writes = pending.filter_map(|settlement| {
+            let version = settlement.version(era)?;
+            Some(settle_operation(settlement, version))
+        });
+        let operations = claim_writes.chain(settle_writes).collect::<Vec<_>>();
+        if operations.len() == claims + settlements && !has_duplicate_rows(&operations) {
+            if operations.is_empty() {
                 return Ok(());
             }
-            Err(failure) if failure.code == Code::PlatformConflict => {}
-            Err(failure) => return Err(failure),
+            match self.client.transact(&operations).await {
+                Ok(version) => {
+                    let settled = self.queue.settlements.drain(..settlements);
+                    for settlement in settled.collect::<Vec<_>>() {
+                        self.record_settled(settlement, era);
+                    }
+                    let granted = self.queue.claims.drain(..claims);
+                    for waiter in granted.collect::<Vec<_>>() {
+                        self.grant(waiter, Stamp { era, version });
+                    }
+                    return Ok(());
+                }
+                Err(failure) if failure.code == Code::PlatformConflict => {}
+                Err(failure) => return Err(failure),
+            }
+        }
+        self.write_each(claims, settlements).await
+    }
+
+    /// Processes items separately. A batch cannot hold settlements without a version or
+    /// two writes to one row, and fails if a row has changed.
+    async fn write_each(&mut self, claims: usize, settlements: usize) -> Result<(), Failure> {
+        for _ in 0..claims {
+            self.keeper.observe();
+            let Some(waiter) = self.queue.claims.front() else {
+                break;
+            };
+            let decision = claim_one(&self.client, &waiter.proposal, self.keeper.era()).await?;
+            let Some(waiter) = self.queue.claims.pop_front() else {
+                break;
+            };
+            if let Decision::Granted(stamp) = decision {
+                self.grant(waiter, stamp);
+            } else {
+                let _ = waiter.reply.send(decision);
+            }
+        }
+        for _ in 0..settlements {
+            self.keeper.observe();
+            let Some(settlement) = self.queue.settlements.front() else {
+                break;
+            };
+            let era = self.keeper.era();
+            settle_one(&self.client, settlement).await?;
+            if let Some(settlement) = self.queue.settlements.pop_front() {
+                self.record_settled(settlement, era);
+            }
+        }
+        Ok(())
+    }
+
+    /// Leaves settlements to the check of the kept rows where it has not reached the row,
+    /// which the store may lack.
+    fn amend_settlements(&mut self) {
+        if !self.keeper.is_rewriting() {
+            return;
         }
+        let keeper = &mut self.keeper;
+        self.queue.settlements.retain(|settlement| {
+            let written = settlement.clone().written(keeper.era(), true);
+            keeper.amend(written).is_some()
+        });
     }
-    // A batch cannot hold settlements without a version or two writes to
-    // one row, and fails if a row has changed. Process each item separately.
-    for _ in 0..claims {
-        let Some(waiter) = queue.claims.front() else {
-            break;
-        };
-        let decision = claim_one(client, &waiter.proposal).await?;
-        if let Some(waiter) = queue.claims.pop_front() {
-            let _ = waiter.reply.send(decision);
+
+    /// Grants a claim that was written by a request sent in the era of `stamp`. It is
+    /// refused if the store has returned from a copy meanwhile, since another daemon's row
+    /// may have been lost, in whose place the claim was written.
+    fn grant(&mut self, waiter: Waiter, stamp: Stamp) {
+        self.keeper.observe();
+        if !self.keeper.may_claim() || !self.keeper.is_same_era(stamp.era) {
+            return self.queue.refuse(waiter, HELD);
         }
+        self.keeper.record(waiter.proposal.written(stamp.era));
+        // If the caller no longer waits, its row stays open.
+        let _ = waiter.reply.send(Decision::Granted(stamp));
     }
-    for _ in 0..settlements {
-        let Some(settlement) = queue.settlements.front() else {
-            break;
-        };
-        settle_one(client, settlement).await?;
-        queue.settlements.pop_front();
+
+    /// Keeps the row of a settlement that was written by a request sent in `era`.
+    fn record_settled(&mut self, settlement: Settlement, era: u64) {
+        let is_same_era = self.keeper.is_same_era(era);
+        self.keeper.record(settlement.written(era, is_same_era));
     }
-    Ok(())
 }
 
 /// Whether two operations write the same row, which a transaction does not allow.
@@ -174,39 +272,25 @@
     }
 }
 
-/// Write of a settlement; `None` if the version of the row is unknown.
-fn settle_operation(settlement: &Settlement) -> Option<Operation> {
-    let value = match &settlement.outcome {
-        Outcome::NotRun => None,
-        Outcome::Unknown => Some(final_row(settlement, State::Unknown)),
-        Outcome::Answered(answer) => Some(final_row(settlement, State::Answered(answer.clone()))),
-    };
-    (settlement.version > 0).then(|| Operation {
+/// Write of a settlement to a row of this version.
+fn settle_operation(settlement: &Settlement, version: u64) -> Operation {
+    let row = settlement.clone().into_row();
+    Operation {
         table: TABLE.to_owned(),
         key: settlement.key.clone(),
-        condition: Condition::Version(settlement.version),
-        value,
-    })
-}
-
-/// Value of the row of a settled claim.
-fn final_row(settlement: &Settlement, state: State) -> serde_json::Value {
-    let row = Row {
-        claim: settlement.claim,
-        fingerprint: settlement.fingerprint.clone(),
-        until_ms: 0,
-        state,
-    };
-    serde_json::to_value(row).unwrap_or_default()
+        condition: Condition::Version(version),
+        value: row.and_then(|row| serde_json::to_value(row).ok()),
+    }
 }
 
-/// Claims one key. If its row exists, reads the row to decide.
-async fn claim_one(client: &Client, proposal: &Proposal) -> Result<Decision, Failure> {
+/// Claims one key in the era that is known now. If its row exists, reads the row to
+/// decide.
+async fn claim_one(client: &Client, proposal: &Proposal, era: u64) -> Result<Decision, Failure> {
     let written = client
         .put(TABLE, &proposal.key, Condition::Absent, &proposal.row())
         .await;
     match written {
-        Ok(version) => return Ok(Decision::Granted(version)),
+        Ok(version) => return Ok(Decision::Granted(Stamp { era, version })),
         Err(failure) if failure.code == Code::PlatformConflict => {}
         Err(failure) => return Err(failure),
     }
@@ -222,7 +306,10 @@
     };
     Ok(match row.state {
         // An earlier write of this claim took effect but its response was lost.
-        _ if row.claim == proposal.claim => Decision::Granted(found.version),
+        _ if row.claim == proposal.claim => Decision::Granted(Stamp {
+            era,
+            version: found.version,
+        }),
         _ if row.fingerprint != proposal.fingerprint => Decision::KeyReused,
         State::Answered(snapshot) => Decision::Answered(snapshot),
         State::Open if !row.is_expired() => Decision::InProgress,
@@ -241,12 +328,8 @@
     if !is_own {
         return Ok(());
     }
-    let current = Settlement {
-        version: found.version,
-        ..settlement.clone()
-    };
-    let operation = settle_operation(&current);
-    match client.transact(operation.as_slice()).await {
+    let operation = settle_operation(settlement, found.version);
+    match client.transact(&[operation]).await {
         Err(failure) if failure.code != Code::PlatformConflict => Err(failure),
         _ => Ok(()),
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -50,6 +50,9 @@
     pub revision: IntGauge,
     /// Evacuated failure domains.
     pub evacuated: IntGauge,
+    /// Claims and answers dropped from memory for its bound, which could not be written
+    /// again after a return of the store.
+    pub dropped_claims: IntCounter,
 }
 
 fn histogram(name: &str, help: &str) -> prometheus::Result<Histogram> {
@@ -133,6 +136,10 @@
                 "cardamomshed_evacuated_domains",
                 "Failure domains that are evacuated",
             )?,
+            dropped_claims: IntCounter::new(
+                "cardamomshed_dropped_claims_total",
+                "Claims and answers that are no longer kept for a return of the store",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -156,7 +163,9 @@
         self.registry.register(Box::new(self.open.clone()))?;
         self.registry.register(Box::new(self.connections.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))?;
-        self.registry.register(Box::new(self.evacuated.clone()))
+        self.registry.register(Box::new(self.evacuated.clone()))?;
+        self.registry
+            .register(Box::new(self.dropped_claims.clone()))
     }
 
     /// Renders all metrics in the Prometheus text format, or a comment with the
--- a/crates/daemon/tests/all/idempotency_claims.rs
+++ b/crates/daemon/tests/all/idempotency_claims.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use cardamomshed_note::Digest;
 use cardamomshed_standin::client::{Reply, Request, eventually};
 use cardamomshed_standin::fleet::Fleet;
 use cardamomshed_standin::platform::Faults;
@@ -153,3 +154,76 @@
     assert!([1501, 1504].contains(&repeated.code()), "{repeated:?}");
     assert_eq!(executions(&fleet), 1);
 }
+
+/// Repeats a request through another daemon until it is answered. Until then it may only
+/// be refused as not run while claims are written again, or as in progress.
+fn repeat_until_answered(fleet: &Fleet, key: &str) -> Reply {
+    let mut answer = None;
+    eventually("the request is answered", || {
+        let repeated = keyed_request(fleet, 1, key).send();
+        let is_answered = repeated.status < 300;
+        let refusal = (repeated.code(), repeated.ran());
+        let allowed = [(1503, "no".to_owned()), (1501, "unknown".to_owned())];
+        assert!(is_answered || allowed.contains(&refusal), "{repeated:?}");
+        answer = Some(repeated);
+        is_answered
+    });
+    answer.expect("an answer")
+}
+
+/// Guards against a request that runs again because the store returned from a copy
+/// without its claim and answer.
+#[test]
+fn lost_answer_rewritten() {
+    let fleet = chain(1);
+    let copy = fleet.platform.copy();
+    let first = keyed_request(&fleet, 0, "d").send();
+    assert_eq!(first.status, 200);
+    repeat_until_answered(&fleet, "d");
+    fleet.platform.restore(copy);
+    assert_eq!(repeat_until_answered(&fleet, "d").body, first.body);
+    assert_eq!(executions(&fleet), 1);
+}
+
+/// Guards against a request that runs again while its first run goes on, and against an
+/// answer that is lost because the store lacked the claim when it was recorded.
+#[test]
+fn lost_open_claim_rewritten() {
+    let fleet = chain(1);
+    for target in &fleet.targets {
+        target.change(|behaviour| behaviour.service_time = Duration::from_millis(800));
+    }
+    let copy = fleet.platform.copy();
+    let request = keyed_request(&fleet, 0, "e");
+    let first = std::thread::spawn(move || request.send());
+    eventually("the request runs", || executions(&fleet) == 1);
+    fleet.platform.restore(copy);
+    let repeated = repeat_until_answered(&fleet, "e");
+    let first = first.join().expect("the request is sent");
+    assert_eq!((first.status, first.body), (200, repeated.body));
+    assert_eq!(executions(&fleet), 1);
+}
+
+/// Guards against a row of another daemon that is overwritten after the return.
+#[test]
+fn newer_row_wins() {
+    let fleet = chain(1);
+    let copy = fleet.platform.copy();
+    let account = &fleet.shape.accounts[0].name;
+    let digest = Digest::of(&format!("{account}\nf")).to_string();
+    let row = digest.replace("sha256:", "");
+    assert_eq!(keyed_request(&fleet, 0, "f").send().status, 200);
+    repeat_until_answered(&fleet, "f");
+    let mut other = fleet.platform.peek("claims", &row).expect("a row");
+    other["claim"] = 7.into();
+    other["state"]["answered"]["status"] = 201.into();
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    fleet.platform.restore(copy);
+    fleet.platform.write("claims", &row, &other);
+    fleet.platform.set_faults(Faults::default());
+    assert_eq!(repeat_until_answered(&fleet, "f").status, 201);
+    assert_eq!(fleet.platform.peek("claims", &row), Some(other));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! time.
 
 pub mod admission;
+pub mod claim;
 pub mod confirmation;
 pub mod evacuation;
 pub mod gate;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the policies, one file per feature.
 
 mod admission_level;
+mod claim_rewrite;
 mod confirmation_reads;
 mod evacuation_state;
 mod even_load;
