Keep outcomes of requests that are settled while the store returns

A settlement whose write or read was the first to show the new era found no row and was dropped, so the claim was written again as open. It now goes into the check of the kept rows. A settlement that conflicts is tried again instead of dropped, and one that found no row of its claim is not kept. Found by reading; the tests of idempotency_claims pass.

--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -208,12 +208,18 @@
         }
         for _ in 0..settlements {
             self.keeper.observe();
+            self.amend_settlements();
             let Some(settlement) = self.queue.settlements.front() else {
                 break;
             };
             let era = self.keeper.era();
-            settle_one(&self.client, settlement).await?;
-            if let Some(settlement) = self.queue.settlements.pop_front() {
+            let is_recorded = settle_one(&self.client, settlement).await?;
+            if !is_recorded && !self.keeper.is_same_era(era) {
+                // The row may be missing because the store has returned from a copy.
+                continue;
+            }
+            let settled = self.queue.settlements.pop_front();
+            if let Some(settlement) = settled.filter(|_| is_recorded) {
                 self.record_settled(settlement, era);
             }
         }
@@ -318,19 +324,20 @@
 }
 
 /// Writes one settlement. Does nothing if the row is missing, belongs to another
-/// claim or is already settled, so it can be retried after a lost response.
-async fn settle_one(client: &Client, settlement: &Settlement) -> Result<(), Failure> {
+/// claim or is already settled, so it can be retried after a lost response or a conflict.
+/// Returns whether the settlement is recorded, by this write or an earlier one.
+async fn settle_one(client: &Client, settlement: &Settlement) -> Result<bool, Failure> {
     let Some(found) = client.get(TABLE, &settlement.key).await? else {
-        return Ok(());
+        return Ok(matches!(settlement.outcome, Outcome::NotRun));
+    };
+    let row = serde_json::from_value::<Row>(found.value).ok();
+    let Some(row) = row.filter(|row| row.claim == settlement.claim) else {
+        return Ok(false);
     };
-    let is_own = serde_json::from_value::<Row>(found.value)
-        .is_ok_and(|row| row.claim == settlement.claim && matches!(row.state, State::Open));
-    if !is_own {
-        return Ok(());
+    if !matches!(row.state, State::Open) {
+        return Ok(true);
     }
     let operation = settle_operation(settlement, found.version);
-    match client.transact(&[operation]).await {
-        Err(failure) if failure.code != Code::PlatformConflict => Err(failure),
-        _ => Ok(()),
-    }
+    client.transact(&[operation]).await?;
+    Ok(true)
 }
