--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the policies, one file per feature.
 
 mod admission_level;
+mod claim_rewrite;
 mod confirmation_reads;
 mod decision_preview;
 mod evacuation_state;
@@ -29,6 +30,7 @@
 mod route_choice;
 mod route_preview;
 mod route_rejection;
+mod store_era;
 mod wallet_prefetch;
 mod warmup_limit;
 mod window_backpressure;
