Grant a start allowance of an account's quota after a loss of all daemons

Causes: the requests that waited for the first lender were refused at once, since its bucket was empty; buckets were empty for all accounts at the same time; and 0.75 of the share was lent for 4 s, although all members had met within 0.5 s.

Requests now wait for tokens up to 0.6 s during the first 1.5 s of a sidecar. The first lender of an account adds, over its first second, half of what the platform tolerates in excess. The reduced share applies only while members are missing.

--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -21,9 +21,13 @@
 
 /// Longest time for which a request waits for a token.
 const MAX_WAIT: Duration = Duration::from_millis(300);
-/// Longest wait while no lender is known, as after a start of the whole fleet,
-/// or after a daemon answered that it holds no slot.
+/// Longest wait while no lender is known, as after a start of the whole fleet, while
+/// lenders may just have started, or after a daemon answered that it holds no slot.
 const MAX_DISCOVERY_WAIT: Duration = Duration::from_millis(600);
+/// Time after the start of this process in which a request waits although the lender has
+/// no tokens. After a start of the whole fleet, the requests that wait for the first
+/// lender would otherwise all be refused at once, while its bucket is still empty.
+const START_GRACE: Duration = Duration::from_millis(1_500);
 /// Interval at which a waiting request checks the wallet and its lender request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which a token request counts as lost. A link to another region
@@ -140,11 +144,11 @@
         request_tokens(node, name, account, spend == Spend::Wait);
         match spend {
             Spend::Spent => return Ok(()),
-            Spend::Exhausted => return Err(Denied::Dry),
-            Spend::Wait => {}
+            Spend::Exhausted if !is_starting(node) => return Err(Denied::Dry),
+            Spend::Exhausted | Spend::Wait => {}
         }
         let is_refused = lock(&node.quota.wallet).is_refused(account);
-        let max_wait = if ranked::has_lender(node) && !is_refused {
+        let max_wait = if ranked::has_lender(node) && !is_refused && !is_starting(node) {
             MAX_WAIT
         } else {
             MAX_DISCOVERY_WAIT
@@ -152,11 +156,19 @@
         let deadline = arrived_at + max_wait;
         let next_check = deadline.min(Instant::now() + RETRY_INTERVAL);
         if timeout_at(next_check, arrived).await.is_err() && Instant::now() >= deadline {
-            return Err(Denied::Unanswered);
+            return Err(match spend {
+                Spend::Exhausted => Denied::Dry,
+                Spend::Spent | Spend::Wait => Denied::Unanswered,
+            });
         }
     }
 }
 
+/// Whether this sidecar has started so recently that requests wait for a lender's tokens.
+fn is_starting(node: &Node) -> bool {
+    node.settings.sidecar.is_some() && node.clock.now().since(Moment::ZERO) < START_GRACE
+}
+
 /// Drops all slots and tokens of a sidecar if its process or VM was paused for
 /// longer than [`MAX_POLL_GAP`]: the members then suspect this daemon, and another
 /// one lends in its place.
--- a/crates/daemon/src/actor/quota/ranked.rs
+++ b/crates/daemon/src/actor/quota/ranked.rs
@@ -29,7 +29,8 @@
 /// Time after the start during which two members of a failure domain may hold the
 /// same slot because neither has discovered the other.
 const STARTUP_OVERLAP: Duration = Duration::from_secs(4);
-/// Fraction of the primary share that is lent during [`STARTUP_OVERLAP`].
+/// Fraction of the primary share that is lent during [`STARTUP_OVERLAP`] while members
+/// are missing.
 const OVERLAP_SHARE: f64 = 0.75;
 /// Length of a slot's lease, which each evaluation renews.
 const LEASE_LENGTH: Duration = Duration::from_secs(3);
@@ -159,7 +160,9 @@
     let (live, known) = fleet_size(node);
     let now = node.clock.now();
     let mut primary_share = MILLION / known * live;
-    if now.since(Moment::ZERO) < STARTUP_OVERLAP {
+    let is_starting = now.since(Moment::ZERO) < STARTUP_OVERLAP;
+    // Members that have all met agree on the holder of each slot.
+    if is_starting && live < known {
         primary_share = (f64::from(primary_share) * OVERLAP_SHARE) as u32;
     }
     log_primary_share(node, primary_share, live, known);
@@ -179,8 +182,12 @@
             } else {
                 backup_share
             };
-            let share = bound(account).share(millionths);
-            lender.set_share(key, share, RAISE_AFTER, now);
+            let whole = bound(account);
+            lender.set_share(key, whole.share(millionths), RAISE_AFTER, now);
+            if is_primary && is_starting {
+                let part = f64::from(millionths) / f64::from(MILLION);
+                lender.add_allowance(key, whole.start_allowance() * part, now);
+            }
         }
         accounts.insert(key);
     }
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -40,6 +40,16 @@
             burst: self.burst * share,
         }
     }
+
+    /// Requests that the first lender of an account grants in excess of this bound after
+    /// a start. Its bucket is empty then, and after a start of the whole fleet an account
+    /// within its rate would be refused until the bucket has filled. The lender that was
+    /// lost may have granted everything just before, so this is half of what the platform
+    /// tolerates in excess: a tenth of the requests in a window, and 20.
+    pub fn start_allowance(self) -> f64 {
+        const WINDOW: Duration = Duration::from_secs(5);
+        0.05 * (self.rate * WINDOW.as_secs_f64() + self.burst) + 10.0
+    }
 }
 
 /// Longest validity of prepaid tokens.
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -1,8 +1,14 @@
 //! Token bucket.
 
+use std::time::Duration;
+
 use super::Bound;
 use crate::moment::Moment;
 
+/// Time over which an allowance is added. Lenders that do not know each other yet may
+/// give the same allowance; they find each other in a fraction of this time.
+const ALLOWANCE_PERIOD: Duration = Duration::from_secs(1);
+
 /// A token bucket that refills at a constant rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
@@ -10,6 +16,10 @@
     capacity: f64,
     /// Available tokens, within 0..=capacity.
     tokens: f64,
+    /// Further tokens, which are added in equal parts during [`ALLOWANCE_PERIOD`].
+    allowance: f64,
+    /// Part of them that has not been added yet.
+    allowance_left: f64,
     updated: Moment,
 }
 
@@ -20,13 +30,26 @@
             rate: bound.rate,
             capacity: bound.burst,
             tokens: tokens.min(bound.burst),
+            allowance: 0.0,
+            allowance_left: 0.0,
             updated: now,
         }
     }
 
-    /// Changes rate and capacity. Tokens above the new capacity are discarded.
+    /// Adds `tokens` during the next second, as far as the capacity allows.
+    pub fn add_allowance(&mut self, tokens: f64, now: Moment) {
+        self.refill(now);
+        self.allowance = tokens;
+        self.allowance_left = tokens;
+    }
+
+    /// Changes rate and capacity. Tokens above the new capacity are discarded, and with a
+    /// lower rate the rest of an allowance.
     pub fn set_bound(&mut self, bound: Bound, now: Moment) {
         self.refill(now);
+        if bound.rate < self.rate {
+            self.allowance_left = 0.0;
+        }
         self.rate = bound.rate;
         self.capacity = bound.burst;
         self.tokens = self.tokens.min(bound.burst);
@@ -47,8 +70,12 @@
     }
 
     fn refill(&mut self, now: Moment) {
-        let elapsed = now.since(self.updated).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * self.rate).min(self.capacity);
+        let elapsed = now.since(self.updated);
+        let part = elapsed.div_duration_f64(ALLOWANCE_PERIOD) * self.allowance;
+        let part = part.min(self.allowance_left);
+        self.allowance_left -= part;
+        let added = elapsed.as_secs_f64() * self.rate + part;
+        self.tokens = (self.tokens + added).min(self.capacity);
         self.updated = self.updated.max(now);
     }
 }
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -59,6 +59,8 @@
     /// holder uses the earlier division.
     pending_raise: Option<(Bound, Moment)>,
     bucket: Bucket,
+    /// Whether an allowance was added.
+    has_allowance: bool,
 }
 
 impl Lender {
@@ -96,6 +98,7 @@
             share,
             pending_raise: None,
             bucket: Bucket::new(bound, 0.0, now),
+            has_allowance: false,
         });
         let lowered = Bound {
             rate: share.rate.min(entry.share.rate),
@@ -116,6 +119,17 @@
         }
     }
 
+    /// Adds `tokens` to an account during the next second, once in the life of the
+    /// lender. They are in excess of its share, and the rest is dropped when that is
+    /// lowered.
+    pub fn add_allowance(&mut self, account: AccountKey, tokens: f64, now: Moment) {
+        let entry = self.accounts.get_mut(&account);
+        if let Some(entry) = entry.filter(|entry| !entry.has_allowance) {
+            entry.has_allowance = true;
+            entry.bucket.add_allowance(tokens, now);
+        }
+    }
+
     /// Removes the accounts for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(AccountKey) -> bool) {
         self.accounts.retain(|account, _| keep(*account));
--- a/crates/policy/tests/all/quota_bound.rs
+++ b/crates/policy/tests/all/quota_bound.rs
@@ -149,6 +149,38 @@
     assert!(now + Lease::takeover_after(LEASE) > resumed);
 }
 
+/// Guards against accounts within their rate that are refused for seconds after a start
+/// of the whole fleet, and against an excess beyond what the platform tolerates.
+#[test]
+fn start_allowance_bounded() {
+    let whole = Bound {
+        rate: 15.0,
+        burst: 30.0,
+    };
+    let start = Moment::from_millis(1);
+    let mut lender = Lender::default();
+    lender.set_lease(Lease::granted(start, Duration::from_mins(10)));
+    lender.set_share(ACCOUNT, whole, RAISE_AFTER, start);
+    lender.add_allowance(ACCOUNT, whole.start_allowance(), start);
+    let granted_by = |lender: &mut Lender, millis: u64| -> u32 {
+        let steps = (1..=millis / 10).map(|step| start + Duration::from_millis(10 * step));
+        steps.map(|now| lender.lend(ACCOUNT, 100, now)).sum()
+    };
+    let first = granted_by(&mut lender, 1_000);
+    assert!(f64::from(first) >= whole.rate + 10.0, "{first} in a second");
+    lender.add_allowance(ACCOUNT, whole.start_allowance(), start);
+    let all = first + granted_by(&mut lender, 5_000);
+    let most = whole.rate * 5.0 + 0.05 * (whole.rate * 5.0 + whole.burst) + 10.0;
+    assert!(f64::from(all) <= most, "{all} in five seconds");
+    // A lender that was not the first after all drops what it has not granted.
+    let mut other = Lender::default();
+    other.set_lease(Lease::granted(start, Duration::from_mins(10)));
+    other.set_share(ACCOUNT, whole, RAISE_AFTER, start);
+    other.add_allowance(ACCOUNT, whole.start_allowance(), start);
+    other.set_share(ACCOUNT, whole.share(1_000), RAISE_AFTER, start);
+    assert_eq!(granted_by(&mut other, 1_000), 0);
+}
+
 #[test]
 fn withdrawn_raise() {
     let mut lender = Lender::default();
