--- a/crates/daemon/tests/all/frozen_daemon.rs
+++ b/crates/daemon/tests/all/frozen_daemon.rs
@@ -12,7 +12,7 @@
 use cardamomshed_platform::header;
 use cardamomshed_policy::member::rank_key;
 use cardamomshed_standin::client::{Request, eventually};
-use cardamomshed_standin::fleet::Member;
+use cardamomshed_standin::fleet::{Member, secret};
 use cardamomshed_standin::platform::{Capacity, Platform};
 use cardamomshed_standin::soak::process::free_address;
 use cardamomshed_standin::thread::Thread;
@@ -38,12 +38,13 @@
         let [callers, control, peers, admin, ready] = [(); 5].map(|()| free_address());
         let settings = format!(
             "node: {name}\ndomain: a\nregion: r\ndomains: [a]\n\
-             fleet_secret: a secret for loopback only\n\
+             fleet_secret: {}\n\
              callers: {callers}\ntarget: {control}\npeers: {peers}\nadmin: {admin}\n\
              platform: {}\nlog: off\n\
              sidecar: {{service: s-one, address: 127.0.0.1:1, ready: {ready},\n\
              \x20 strict_keys: true, withdraw_within: {}ms, grace: 6s, retry_ratio: 0.2,\n\
              \x20 retry_slack: 48}}\n",
+            secret(&platform.base()),
             platform.base(),
             WITHDRAW_WITHIN.as_millis(),
         );
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -17,6 +17,7 @@
 use cardamomshed_policy::member::{Profile, Record, State};
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Fleet, Kind};
+use cardamomshed_standin::peer::SECRET;
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_standin::thread;
 use cardamomshed_wire::{
@@ -50,7 +51,7 @@
             panic!("expected a hello");
         };
         tokio::time::sleep(delay).await;
-        let secret = Secret::new("a secret for loopback only").expect("a long secret");
+        let secret = Secret::new(SECRET).expect("a long secret");
         let nonce = [9; 16];
         let code = secret.prove(Side::Acceptor, [&hello.nonce, &nonce], [&hello.node, NAME]);
         let welcome = Welcome {
@@ -119,6 +120,7 @@
 fn fleet() -> Fleet {
     let shape = Shape::chain(1, 1, 8, Duration::from_millis(1));
     Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
+        settings.fleet_secret = SECRET.into();
         settings.timing.heartbeat = Timespan::from_millis(100);
         settings.timing.silence = Timespan::from_millis(300);
     })
--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -11,7 +11,7 @@
 use cardamomshed_policy::admission::Rank;
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::Fleet;
-use cardamomshed_standin::peer::{Dialler, SECRET};
+use cardamomshed_standin::peer::Dialler;
 use cardamomshed_standin::thread;
 use cardamomshed_wire::{Call, Frame, Request};
 use futures_util::SinkExt;
@@ -79,12 +79,16 @@
     let fleet = chain(1);
     fleet.targets[0].change(|behaviour| behaviour.slowdown = 50.0);
     let body = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         fake.send(&Frame::Call(Box::new(call(1, 5))), b"hello")
             .await;
         tokio::time::sleep(Duration::from_millis(30)).await;
         drop(fake);
-        let mut fake = dial(&node, SECRET).await.expect("a second connection");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a second connection");
         let resume = Frame::Resume {
             id: 1,
             timeout_ms: 5_000,
@@ -104,12 +108,16 @@
 fn resume_lost_answer() {
     let fleet = chain(1);
     let resumed = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
         // The connection is lost after the answer and before its acknowledgement.
         fake.receive().await.expect("an answer");
         drop(fake);
-        let mut fake = dial(&node, SECRET).await.expect("a second connection");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a second connection");
         let resume = Frame::Resume {
             id: 1,
             timeout_ms: 5_000,
@@ -132,14 +140,18 @@
         behaviour.body_len = LENGTH;
     });
     let (heads, body) = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         let sent = (0..LENGTH).map(|index| (index / 1_000) as u8);
         let sent = sent.collect::<Vec<_>>();
         let call = Frame::Call(Box::new(call(1, LENGTH as u64)));
         fake.send(&call, &sent).await;
         tokio::time::sleep(Duration::from_millis(30)).await;
         drop(fake);
-        let mut fake = dial(&node, SECRET).await.expect("a second connection");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a second connection");
         let first = fake.receive().await.expect("an answer");
         // The answer has begun before the daemon reads this.
         let resume = Frame::Resume {
@@ -168,7 +180,9 @@
 fn resume_unknown_call() {
     let fleet = chain(1);
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         let resume = Frame::Resume {
             id: 9,
             timeout_ms: 5_000,
@@ -194,11 +208,15 @@
 fn truncated_body_refused() {
     let fleet = chain(1);
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         fake.send(&Frame::Call(Box::new(call(3, 100))), b"a part")
             .await;
         drop(fake);
-        let mut fake = dial(&node, SECRET).await.expect("a second connection");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a second connection");
         let resume = Frame::Resume {
             id: 3,
             timeout_ms: 5_000,
@@ -216,7 +234,9 @@
     let fleet = chain(1);
     fleet.targets[0].change(|behaviour| behaviour.hung = true);
     with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         fake.send(&Frame::Call(Box::new(call(4, 0))), &[]).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
         fake.send(&Frame::Cancel { id: 4 }, &[]).await;
@@ -231,7 +251,9 @@
 fn invalid_frame_closes() {
     let fleet = chain(1);
     let received = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         let message = Message::Binary(Bytes::from_static(b"\xff\xff\xff"));
         fake.socket.send(message).await.expect("an open link");
         fake.receive().await
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -11,7 +11,7 @@
 use cardamomshed_note::Settings;
 use cardamomshed_policy::member::{Profile, Record, State, rank_key};
 use cardamomshed_standin::client::eventually;
-use cardamomshed_standin::fleet::{Member, name};
+use cardamomshed_standin::fleet::{Member, name, secret};
 use cardamomshed_standin::platform::{Capacity, Faults, Platform};
 use serde_json::json;
 
@@ -164,8 +164,9 @@
 }
 
 /// Starts the only daemon of failure domain `domain`.
-fn start_in(domain: &str, platform: &Platform) -> Member {
+fn start_in(domain: &str, platform: &Platform, secret: &Arc<str>) -> Member {
     let mut settings = lone(&format!("n-{domain}"), platform);
+    settings.fleet_secret = Arc::clone(secret);
     settings.domain = name(domain);
     Member::start(settings, Options::default())
 }
@@ -176,8 +177,10 @@
 fn separate_groups_meet() {
     // Each pair meets by rows of its own.
     let platforms = [(); 2].map(|()| Platform::start(Capacity::default()));
+    let secret = secret(&platforms[0].base());
+    let start = |domain, platform| start_in(domain, platform, &secret);
     let pairs = [["a", "b"], ["c", "d"]];
-    let members = [0, 1].map(|pair| pairs[pair].map(|domain| start_in(domain, &platforms[pair])));
+    let members = [0, 1].map(|pair| pairs[pair].map(|domain| start(domain, &platforms[pair])));
     let nodes = members
         .iter()
         .flatten()
--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -10,7 +10,7 @@
 
 use cardamomshed_note::{Limits, Size};
 use cardamomshed_standin::client::{Request, eventually};
-use cardamomshed_standin::fleet::Fleet;
+use cardamomshed_standin::fleet::{Fleet, secret};
 use cardamomshed_standin::soak::process::free_address;
 use cardamomshed_standin::target::{Behaviour, Config, Target};
 use socket2::SockRef;
@@ -41,11 +41,12 @@
         let [callers, control, peers, admin] = [(); 4].map(|()| free_address());
         let settings = format!(
             "node: process-{}-{number}\ndomain: here\nregion: region\n\
-             fleet_secret: a secret for loopback only\n\
+             fleet_secret: {}\n\
              callers: {callers}\ntarget: {control}\npeers: {peers}\n\
              admin: {admin}\nplatform: {}\ndomains: [here]\nlog: off\n\
              timing: {{poll: 200ms, drain: 5s}}\n{settings}",
             std::process::id(),
+            secret(&fleet.platform.base()),
             fleet.platform.base()
         );
         let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
--- a/crates/daemon/tests/all/refused_calls.rs
+++ b/crates/daemon/tests/all/refused_calls.rs
@@ -7,7 +7,7 @@
 use cardamomshed_daemon::Options;
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Fleet, Kind};
-use cardamomshed_standin::peer::{Dialler, SECRET};
+use cardamomshed_standin::peer::Dialler;
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_wire::Frame;
 
@@ -45,7 +45,9 @@
     let fleet = hung_fleet();
     let target = &fleet.targets[0];
     with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         send(&mut fake, 1, 5_000).await;
         send(&mut fake, 2, 5_000).await;
         tokio::time::sleep(START_TIME).await;
@@ -62,7 +64,9 @@
 fn refused_in_queue() {
     let fleet = hung_fleet();
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         send(&mut fake, 1, 5_000).await;
         send(&mut fake, 2, 400).await;
         let refused = refusal(&mut fake).await;
@@ -80,7 +84,9 @@
     let fleet = hung_fleet();
     let refused = with_daemon(&fleet, |node| async move {
         node.local_target.set_leaving();
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         send(&mut fake, 1, 5_000).await;
         let refused = refusal(&mut fake).await;
         tokio::time::sleep(START_TIME).await;
@@ -95,7 +101,9 @@
 fn unanswered_call_unknown() {
     let fleet = hung_fleet();
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, SECRET).await.expect("a link");
+        let mut fake = dial(&node, &node.settings.fleet_secret)
+            .await
+            .expect("a link");
         send(&mut fake, 1, 400).await;
         refusal(&mut fake).await
     });
--- a/crates/standin/benches/slopes.rs
+++ b/crates/standin/benches/slopes.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
@@ -19,7 +20,7 @@
 use cardamomshed_policy::{AccountKey, Moment};
 use cardamomshed_standin::experiment::{Bound as Target, Experiment, cpu_time, resident_memory};
 use cardamomshed_standin::fleet::{Fleet, Kind, name};
-use cardamomshed_standin::peer::{Dialler, SECRET};
+use cardamomshed_standin::peer::Dialler;
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_standin::thread;
 use cardamomshed_wire::{Secret, seal};
@@ -272,6 +273,7 @@
         Kind::Daemon(Options::default()),
     );
     let to = fleet.daemons[0].node.settings.peers;
+    let secret = Arc::clone(&fleet.daemons[0].node.settings.fleet_secret);
     let points = thread::run(move || async move {
         let mut points = Points::new();
         let mut retained = Vec::new();
@@ -279,7 +281,7 @@
         for size in [250usize, 500, 1_000, 2_000] {
             while retained.len() < size {
                 let boot = retained.len() as u64 + 1;
-                let link = Dialler::dial(to, &format!("fake-{boot}"), boot, SECRET).await;
+                let link = Dialler::dial(to, &format!("fake-{boot}"), boot, &secret).await;
                 retained.push(link.expect("a link"));
             }
             points.push((size as f64, resident_memory() - before));
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -118,7 +118,7 @@
         node: name(&location.node),
         domain: name(&location.domain),
         region: name(&location.region),
-        fleet_secret: SECRET.into(),
+        fleet_secret: secret(platform),
         callers: any_port,
         target: any_port,
         peers: any_port,
@@ -143,6 +143,13 @@
     }
 }
 
+/// Fleet secret of the daemons on the platform with this base URL. Fleets have different
+/// ones: a port of a daemon that has ended may be bound by one of another fleet, and
+/// daemons with the same secret accept each other's members.
+pub fn secret(platform: &str) -> Arc<str> {
+    format!("{SECRET} {platform}").into()
+}
+
 /// Converts text into a name.
 ///
 /// # Panics
--- a/crates/standin/src/peer.rs
+++ b/crates/standin/src/peer.rs
@@ -13,7 +13,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-/// Fleet secret of every stand-in fleet.
+/// Fleet secret for tests whose fleet has a fake peer.
 pub const SECRET: &str = "a secret for loopback only";
 /// Read and write buffer of a connection in bytes; daemons use the same size.
 const BUFFER_BYTES: usize = 8 * 1024;
