Let calls leave a region whose targets stay full

Cause: the price of a short call hardly grows while a window at its callers keeps the load of the targets near 1.1 calls per slot. It stays below the bound of the spill by price, so callers wait and are refused while the other region idles.

Change: a share of the calls also leaves a region once nearly all slots are in use and calls wait for 500 ms, while under 0.8 of the other region's slots are in use. The share grows in proportion to the free part there, and declines once the region has slots to spare or the other one has no more room. Without recent replies from the other region at most 0.05 of the calls ask. Means of load start anew after a gap of 1 s. The plays get windows.

--- a/crates/policy/examples/balance.rs
+++ b/crates/policy/examples/balance.rs
@@ -191,27 +191,48 @@
     for demand in [&[1.3, 0.5], &[0.8, 0.5], &[0.9, 0.9], &[1.1, 1.1]] {
         let mut setup = Setup::new(seed, demand);
         setup.priced = true;
-        setup.warm_up = Duration::from_secs(10);
-        let figures = Play::<C>::run(setup);
-        let settled = setup.warm_up.div_duration_f64(play::WINDOW) as usize;
-        let windows = figures.windows[settled..].iter();
-        let shares = windows.map(|(calls, far)| f64::from(*far) / f64::from(*calls));
-        let shares = shares.collect::<Vec<_>>();
-        println!(
-            "| {name} | {:.1}, {:.1} | {:.3} | {:.4} | {:.1} | {:.1} | {:.3} | {:.3} to {:.3} |",
-            demand[0],
-            demand[1],
-            share(figures.priced_out, &figures),
-            share(figures.refused + figures.late, &figures),
-            millis(&figures, 0.5),
-            millis(&figures, 0.99),
-            shares.iter().sum::<f64>() / shares.len() as f64,
-            shares.iter().copied().fold(1.0, f64::min),
-            shares.iter().copied().fold(0.0, f64::max),
-        );
+        region::<C>(name, setup);
     }
 }
 
+/// Short calls behind windows: the price of a call is too low to move any.
+fn windows<C: Chooser>(name: &str, seed: u64) {
+    for demand in [
+        &[1.3, 0.5],
+        &[1.3, 0.7],
+        &[1.3, 0.0],
+        &[0.8, 0.5],
+        &[0.8, 0.8],
+        &[0.9, 0.5],
+        &[0.9, 0.9],
+        &[1.1, 1.1],
+        &[1.3, 1.3],
+    ] {
+        region::<C>(name, Setup::windowed(seed, demand));
+    }
+}
+
+fn region<C: Chooser>(name: &str, mut setup: Setup) {
+    setup.warm_up = setup.length / 2;
+    let figures = Play::<C>::run(setup);
+    let settled = setup.warm_up.div_duration_f64(play::WINDOW) as usize;
+    let windows = figures.windows[settled..].iter();
+    let shares = windows.map(|(calls, far)| f64::from(*far) / f64::from(*calls));
+    let shares = shares.collect::<Vec<_>>();
+    println!(
+        "| {name} | {:.1}, {:.1} | {:.3} | {:.4} | {:.1} | {:.1} | {:.3} | {:.3} to {:.3} |",
+        setup.demand[0],
+        setup.demand[1],
+        share(figures.priced_out, &figures),
+        share(figures.refused + figures.late, &figures),
+        millis(&figures, 0.5),
+        millis(&figures, 0.99),
+        shares.iter().sum::<f64>() / shares.len() as f64,
+        shares.iter().copied().fold(1.0, f64::min),
+        shares.iter().copied().fold(0.0, f64::max),
+    );
+}
+
 fn restart<C: Chooser>(name: &str, seed: u64) {
     let mut setup = Setup::new(seed, &[0.8]);
     setup.restart = Some(Duration::from_secs(10));
@@ -238,6 +259,9 @@
     println!("| choice | demand | by price | by gates or late | p50 | p99 | over the link |");
     regions::<Baseline>("f1c308d", seed);
     regions::<Balancer>("policy::route", seed);
+    println!("| choice | demand | by price | by gates or late | p50 | p99 | over the link |");
+    windows::<Baseline>("f1c308d", seed);
+    windows::<Balancer>("policy::route", seed);
     println!("| choice | most calls per slot in 1 s at a new target | mean from 2 s to 5 s |");
     restart::<Baseline>("f1c308d", seed);
     restart::<Balancer>("policy::route", seed);
--- a/crates/policy/src/route/compare.rs
+++ b/crates/policy/src/route/compare.rs
@@ -23,6 +23,10 @@
     pub(super) fn observe_load(&mut self, tier: Tier, key: TargetKey, load: Load, now: Moment) {
         self.recent[tier as usize].record(key);
         self.means[tier as usize].observe_load(load, now);
+        if tier != Tier::Remote {
+            self.region_mean.observe_load(load, now);
+        }
+        self.spills[1].update_load(self.region_mean, self.means[Tier::Remote as usize], now);
         let time = load.service_time.as_secs_f64();
         if self.mean_time == 0.0 {
             self.mean_time = time;
--- a/crates/policy/tests/all/region_spill.rs
+++ b/crates/policy/tests/all/region_spill.rs
@@ -6,56 +6,79 @@
 use cardamomshed_policy::route::{Balancer, Outcome, Tier};
 use cardamomshed_policy::{Moment, TargetKey};
 
-use crate::play::{Figures, Play, REGION, Setup, WINDOW, unrestricted};
+use crate::play::{Figures, Play, REGION, Setup, unrestricted};
 use crate::{random, seed};
 
-/// Time after which the share of the link has settled.
-const SETTLED: Duration = Duration::from_secs(10);
-
-fn run(demand: &'static [f64]) -> Figures {
-    let mut setup = Setup::new(seed(), demand);
+fn run(mut setup: Setup) -> Figures {
     setup.priced = true;
-    setup.warm_up = SETTLED;
+    setup.warm_up = setup.length / 2;
     Play::<Balancer>::run(setup)
 }
 
-/// Shares of the first region's calls that went over the link, by window.
+/// Shares of the first region's calls that went over the link in the second half, by window.
 fn shares(figures: &Figures) -> Vec<f64> {
-    let settled = SETTLED.div_duration_f64(WINDOW) as usize;
-    let windows = figures.windows[settled..].iter();
+    let windows = figures.windows[figures.windows.len() / 2..].iter();
     let shares = windows.map(|(calls, far)| f64::from(*far) / f64::from(*calls));
     shares.collect()
 }
 
+/// Checks that the share of the link does not alternate.
+fn check_steady(shares: &[f64]) {
+    let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+    let furthest = shares.iter().map(|share| (share - mean).abs());
+    let furthest = furthest.fold(0.0, f64::max);
+    assert!(furthest <= 0.15, "{furthest:.2} from the mean {mean:.2}");
+}
+
 /// Guards against callers that are refused while another region has half of its
 /// capacity free, and against a share of the link that alternates.
 #[test]
 fn full_region_helped() {
-    let figures = run(&[1.3, 0.5]);
+    let figures = run(Setup::new(seed(), &[1.3, 0.5]));
     let lost = figures.priced_out + figures.refused + figures.late;
     let lost = lost as f64 / figures.calls as f64;
     assert!(lost <= 0.1, "{lost:.3} were refused or waited too long");
-    let shares = shares(&figures);
-    let mean = shares.iter().sum::<f64>() / shares.len() as f64;
-    let furthest = shares.iter().map(|share| (share - mean).abs());
-    let furthest = furthest.fold(0.0, f64::max);
-    assert!(furthest <= 0.15, "{furthest:.2} from the mean {mean:.2}");
+    check_steady(&shares(&figures));
+}
+
+/// Guards against short calls that a window keeps waiting while another region has half
+/// of its capacity free, as their price is too low to move any.
+#[test]
+fn full_windows_helped() {
+    let figures = run(Setup::windowed(seed(), &[1.3, 0.5]));
+    let lost = figures.priced_out + figures.refused + figures.late;
+    let lost = lost as f64 / figures.calls as f64;
+    assert!(lost <= 0.14, "{lost:.3} were refused or waited too long");
+    check_steady(&shares(&figures));
+}
+
+/// Guards against calls that cross the link before windows because of a chance queue, or
+/// to a region that has no capacity either.
+#[test]
+fn sufficient_windows_kept() {
+    for (demand, most) in [(&[0.8, 0.8], 0.0), (&[0.9, 0.9], 0.0), (&[1.3, 1.3], 0.01)] {
+        let shares = shares(&run(Setup::windowed(seed(), demand)));
+        let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+        assert!(mean <= most, "{mean:.3} of the calls crossed at {demand:?}");
+    }
 }
 
 /// Guards against use of the billed link where the region has capacity.
 #[test]
 fn sufficient_region_kept() {
-    let crossed = shares(&run(&[0.8, 0.5]));
-    assert!(
-        crossed.iter().all(|share| *share == 0.0),
-        "calls crossed the link"
-    );
+    for demand in [&[0.8, 0.5], &[0.9, 0.9]] {
+        let crossed = shares(&run(Setup::new(seed(), demand)));
+        assert!(
+            crossed.iter().all(|share| *share == 0.0),
+            "calls crossed the link at {demand:?}"
+        );
+    }
 }
 
 /// Guards against two full regions that send each other calls.
 #[test]
 fn full_regions_kept() {
-    let shares = shares(&run(&[1.1, 1.1]));
+    let shares = shares(&run(Setup::new(seed(), &[1.1, 1.1])));
     let mean = shares.iter().sum::<f64>() / shares.len() as f64;
     assert!(mean <= 0.05, "{mean:.3} of the calls crossed the link");
 }
@@ -142,3 +165,32 @@
     balancer.record_end(near, Outcome::Answered, Some(load), now);
     assert_eq!(count_remote(&balancer, now), 0);
 }
+
+/// Guards against calls that leave a region for a short queue, and against a share that
+/// stays once the region has slots to spare or the other region has none.
+#[test]
+fn standing_queue_required() {
+    let (mut balancer, near, far) = two_regions();
+    let mut counts = Vec::new();
+    for millis in (0..=12_000).step_by(10) {
+        let now = Moment::from_millis(millis);
+        let is_full = millis >= 1_000 && millis % 6_000 < 3_000;
+        let report = |running, waiting| Load {
+            running,
+            waiting,
+            limit: 10,
+            ..Load::default()
+        };
+        let here = if is_full { report(10, 1) } else { report(5, 0) };
+        let there = report(if millis >= 8_000 { 10 } else { 5 }, 0);
+        for (key, load) in [(near, here), (far, there)] {
+            balancer.record_end(key, Outcome::Answered, Some(load), now);
+        }
+        counts.push(count_remote(&balancer, now));
+    }
+    assert!(counts[..=150].iter().all(|count| *count == 0), "a burst");
+    assert!(counts[280] > 10, "the region has been full for 1.8 s");
+    assert_eq!(counts[500], 0, "the region has slots to spare");
+    assert!(counts[790] > 10, "the region is full again");
+    assert_eq!(counts[890], 0, "the other region is full as well");
+}
--- a/crates/policy/tests/play/mod.rs
+++ b/crates/policy/tests/play/mod.rs
@@ -4,18 +4,24 @@
 //! target only in the replies to its own calls. Shared by the tests and the example
 //! `balance`.
 
+mod chooser;
+mod window;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Load, Offer, Ticket};
 use cardamomshed_policy::price::{Pricer, Table};
-use cardamomshed_policy::route::{Balancer, Outcome, Query, Tier};
+use cardamomshed_policy::route::{Outcome, Query, Tier};
+use cardamomshed_policy::window::Window;
 use cardamomshed_policy::{AccountKey, Moment, Priority, RegionKey, RouteKey, TargetKey};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+pub use chooser::Chooser;
+
 /// One way between daemons of a region.
 const NEAR_DELAY: Duration = Duration::from_millis(1);
 /// One way between daemons of two regions.
@@ -45,47 +51,9 @@
     }
 }
 
-/// What chooses targets.
-pub trait Chooser: Default {
-    /// Adds a target.
-    fn insert(&mut self, tier: Tier, slots: u32, now: Moment) -> TargetKey;
-    /// Chooses a target and counts a call to it as in flight.
-    fn start(&mut self, exclude: &[TargetKey], random: &mut StdRng, now: Moment) -> TargetKey;
-    /// Replaces a target by a new one of the same key.
-    fn replace(&mut self, key: TargetKey, tier: Tier, slots: u32, now: Moment);
-    /// Records the end of a call, with the load and the price that the reply reported.
-    fn end(&mut self, key: TargetKey, outcome: Outcome, report: (Load, f64), now: Moment);
-}
-
-impl Chooser for Balancer {
-    fn insert(&mut self, tier: Tier, slots: u32, now: Moment) -> TargetKey {
-        Self::insert(self, tier, REGION, slots, now)
-    }
-
-    fn start(&mut self, exclude: &[TargetKey], random: &mut StdRng, now: Moment) -> TargetKey {
-        let query = Query {
-            exclude,
-            ..unrestricted(true)
-        };
-        let choice = self.choose(&query, random, now);
-        let key = choice.expect("an available target").target;
-        self.record_start(key, now);
-        key
-    }
-
-    fn replace(&mut self, key: TargetKey, tier: Tier, slots: u32, now: Moment) {
-        self.remove(key);
-        assert_eq!(Self::insert(self, tier, REGION, slots, now), key);
-    }
-
-    fn end(&mut self, key: TargetKey, outcome: Outcome, report: (Load, f64), now: Moment) {
-        self.record_end(key, outcome, Some(report.0), now);
-        self.record_price(key, report.1, now);
-    }
-}
-
 /// Parameters of a play.
 #[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent options")]
 pub struct Setup {
     pub seed: u64,
     /// Choosers and targets in each region.
@@ -107,6 +75,8 @@
     pub low: f64,
     /// Whether the ingress refuses calls by price.
     pub priced: bool,
+    /// Whether each caller has a window for its calls, see `policy::window`.
+    pub windowed: bool,
     /// When a target starts anew without calls, if one does.
     pub restart: Option<Duration>,
 }
@@ -127,9 +97,25 @@
             warm_up: Duration::from_secs(5),
             low: 0.0,
             priced: false,
+            windowed: false,
             restart: None,
         }
     }
+
+    /// Calls of 5 ms from 4 choosers in each region, which reach 2 targets there through
+    /// windows.
+    pub const fn windowed(seed: u64, demand: &'static [f64]) -> Self {
+        Self {
+            choosers: 4,
+            targets: 2,
+            slots: 16,
+            service: Duration::from_millis(5),
+            length: Duration::from_secs(12),
+            priced: true,
+            windowed: true,
+            ..Self::new(seed, demand)
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -145,6 +131,8 @@
     chooser: usize,
     priority: Priority,
     arrived: Moment,
+    /// When the call had passed the window of its caller.
+    entered: Moment,
     target: usize,
     excluded: Vec<TargetKey>,
     started: Moment,
@@ -172,7 +160,7 @@
     pub calls: u64,
     /// Calls that the ingress refused by price.
     pub priced_out: u64,
-    /// Calls that gates refused on every try.
+    /// Calls that gates refused on every try, or that a window refused.
     pub refused: u64,
     /// Calls that started later than the bound on waits.
     pub late: u64,
@@ -190,7 +178,7 @@
 pub struct Play<C> {
     setup: Setup,
     random: StdRng,
-    choosers: Vec<(C, Table)>,
+    choosers: Vec<(C, Table, Window)>,
     targets: Vec<Target>,
     calls: Vec<Call>,
     events: BinaryHeap<Reverse<(Moment, Event)>>,
@@ -240,7 +228,8 @@
                 let tier = if is_near { Tier::Domain } else { Tier::Remote };
                 chooser.insert(tier, setup.slots, Moment::ZERO);
             }
-            play.choosers.push((chooser, Table::default()));
+            let window = Window::new(Moment::ZERO);
+            play.choosers.push((chooser, Table::default(), window));
         }
         (0..regions).for_each(|region| play.push(Moment::ZERO, Event::Arrive(region)));
         play.push(Moment::ZERO, Event::Tick);
@@ -332,6 +321,7 @@
             chooser,
             priority,
             arrived: now,
+            entered: now,
             target: 0,
             excluded: Vec::new(),
             started: now,
@@ -339,7 +329,7 @@
             price: 0.0,
             is_shed: false,
         });
-        self.send(self.calls.len() - 1, now);
+        self.enter(self.calls.len() - 1, now);
     }
 
     fn delay(&self, id: usize) -> Duration {
@@ -363,17 +353,20 @@
         self.push(now + delay, Event::Offer(id));
     }
 
-    fn offer(&mut self, id: usize, now: Moment) {
-        let call = &self.calls[id];
-        let offer = Offer {
+    fn offer_of(&self, id: usize) -> Offer {
+        Offer {
             ticket: Ticket(id as u64),
             account: AccountKey(0),
             route: RouteKey(0),
-            priority: call.priority,
+            priority: self.calls[id].priority,
             depth: 0,
-            deadline: call.arrived + TIMEOUT,
-        };
-        let index = call.target;
+            deadline: self.calls[id].arrived + TIMEOUT,
+        }
+    }
+
+    fn offer(&mut self, id: usize, now: Moment) {
+        let offer = self.offer_of(id);
+        let index = self.calls[id].target;
         let target = &mut self.targets[index];
         target.pricer.record_arrival();
         let decision = target.gate.offer(offer, now, &mut self.changes);
@@ -431,7 +424,7 @@
 
     fn receive(&mut self, id: usize, now: Moment) {
         let call = &mut self.calls[id];
-        let (chooser, table) = &mut self.choosers[call.chooser];
+        let (chooser, table, _) = &mut self.choosers[call.chooser];
         let key = TargetKey(call.target as u32);
         let outcome = if call.is_shed {
             Outcome::Neutral
@@ -440,25 +433,31 @@
         };
         chooser.end(key, outcome, (call.load, call.price), now);
         table.observe(RouteKey(0), call.price, now);
-        if !call.is_shed {
+        if call.is_shed && call.excluded.len() < MAX_REROUTES {
+            call.excluded.push(key);
+            self.send(id, now);
             return;
         }
-        call.excluded.push(key);
-        if call.excluded.len() <= MAX_REROUTES {
-            self.send(id, now);
-        } else if now.since(Moment::ZERO) >= self.setup.warm_up {
-            self.figures.refused += 1;
+        if call.is_shed {
+            self.refuse(now);
         }
+        self.leave(id, now);
+    }
+
+    fn refuse(&mut self, now: Moment) {
+        let is_counted = now.since(Moment::ZERO) >= self.setup.warm_up;
+        self.figures.refused += u64::from(is_counted);
     }
 
     fn tick(&mut self, now: Moment) {
         self.push(now + TICK, Event::Tick);
+        self.tick_windows(now);
         let elapsed = now.since(Moment::ZERO);
         let restart = self.setup.restart;
         if restart.is_some_and(|at| elapsed >= at && elapsed < at + TICK) {
             let (slots, region) = (self.setup.slots, self.setup.choosers);
             self.targets[0].gate = Gate::new(Config::new(slots).fixed(), now);
-            for (chooser, _) in &mut self.choosers[..region] {
+            for (chooser, ..) in &mut self.choosers[..region] {
                 chooser.replace(TargetKey(0), Tier::Domain, slots, now);
             }
         }
