End the spill soon after an overload

Change: the share by price is scaled by the slots in use, from zero at 0.75 to one at 0.85, and the share by fullness declines by 1 a second while slots are to spare.

--- a/crates/policy/src/route/spill.rs
+++ b/crates/policy/src/route/spill.rs
@@ -24,6 +24,10 @@
 const PRICE_RATIO: f64 = 1.5;
 /// Growth of the share for each e-fold of the price.
 const SHARE_PER_E_FOLD: f64 = 0.4;
+/// Mean shares of slots in use up to which no call leaves a tier for its price, and from
+/// which the whole share does. A price stays high for seconds after an overload, while the
+/// tier has capacity again.
+const PRICED_USE: [f64; 2] = [0.75, 0.85];
 /// Mean share of slots in use from which the targets of a region are full, if calls wait.
 const FULL_USE: f64 = 0.95;
 /// Mean share of slots in use up to which calls return to their region. It is lower than
@@ -41,7 +45,7 @@
 /// their replies, so their windows grow and fill the region's targets for the others.
 const LEAK: f64 = 0.4;
 /// Decline of that share in one second while the region has slots to spare.
-const SPARE_DECLINE: f64 = 0.3;
+const SPARE_DECLINE: f64 = 1.0;
 /// Longest time for which one report changes that share.
 const MAX_STEP: Duration = Duration::from_millis(200);
 /// Share up to which calls leave a full region while no reply tells the load in the other
@@ -111,6 +115,16 @@
         self.used
     }
 
+    /// Part of the share by price that leaves a tier with these slots in use, within 0..=1.
+    /// A tier without reports of load counts as used.
+    fn price_weight(self) -> f64 {
+        let [none, whole] = PRICED_USE;
+        if self.reports == 0 {
+            return 1.0;
+        }
+        ((self.used - none) / (whole - none)).clamp(0.0, 1.0)
+    }
+
     /// Whether nearly all slots are in use and calls wait.
     fn is_full(self, now: Moment) -> bool {
         let is_known = self.reports >= MIN_REPORTS && self.is_recent(now);
@@ -200,7 +214,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Spill {
     overflow: Overflow,
-    /// Share by price once that stands; zero while it is below its bound.
+    /// Share by price once that stands; zero while it is below its bound or
+    /// the tier has slots to spare.
     share: f64,
     /// Since when the price has been above its bound.
     above_since: Option<Moment>,
@@ -217,9 +232,10 @@
     pub(super) fn update(&mut self, near: Mean, far: Mean, now: Moment) {
         let bound = LINK_PRICE.max(PRICE_RATIO * far.price(now));
         let excess = (near.price / bound).max(f64::MIN_POSITIVE).ln();
-        self.share = (SHARE_PER_E_FOLD * excess).clamp(0.0, MAX_SHARE);
+        let share = (SHARE_PER_E_FOLD * excess).clamp(0.0, MAX_SHARE);
+        self.share = share * near.price_weight();
         self.updated = now;
-        if self.share == 0.0 {
+        if share == 0.0 {
             self.above_since = None;
         } else {
             self.above_since.get_or_insert(now);
