--- a/crates/policy/src/route/compare.rs
+++ b/crates/policy/src/route/compare.rs
@@ -17,6 +17,10 @@
 /// Gain over the slow link from which every call that gains so much is sent over it.
 /// Of those that gain less, a share in proportion to the gain is sent.
 const LINK_COST: Duration = Duration::from_millis(10);
+/// Mean share of slots in use below which a tier has slots to spare. Above it, reports
+/// differ enough for a new target to be chosen by them, and a call from each daemon at once
+/// would queue there.
+const SPARE_USE: f64 = 0.5;
 /// Failure rate below which a target counts as one that has not failed lately.
 const SOUND_FAILURES: f64 = 0.05;
 
@@ -139,12 +143,14 @@
     }
 
     /// Whether nothing is known of a target that has not failed lately, and no call to it
-    /// is in flight. It gets its part of the calls then, one at a time, since the best of
-    /// the targets with a report would always be preferred to it.
+    /// is in flight, in a tier with slots to spare. It gets its part of the calls then, one
+    /// at a time: the best of the targets with a report would always be preferred to it.
     pub(super) fn is_untried(&self, key: TargetKey, now: Moment) -> bool {
         let target = self.targets[key.0 as usize].as_ref();
         target.is_some_and(|target| {
-            target.estimate.is_untried(now) && target.health.failure_rate() < SOUND_FAILURES
+            let is_calm = self.means[target.tier as usize].used() < SPARE_USE;
+            let is_sound = target.health.failure_rate() < SOUND_FAILURES;
+            is_calm && is_sound && target.estimate.is_untried(now)
         })
     }
 
--- a/crates/policy/tests/all/region_spill.rs
+++ b/crates/policy/tests/all/region_spill.rs
@@ -48,7 +48,7 @@
     let figures = run(Setup::windowed(seed(), &[1.3, 0.5]));
     let lost = figures.priced_out + figures.refused + figures.late;
     let lost = lost as f64 / figures.calls as f64;
-    assert!(lost <= 0.14, "{lost:.3} were refused or waited too long");
+    assert!(lost <= 0.12, "{lost:.3} were refused or waited too long");
     check_steady(&shares(&figures));
 }
 
