Release members that were lost one after the other

A failure domain that had lost more VMs than it has, though never most of them at the same time, kept all of them counted: its failed members had to be fewer than its live ones. Only failures within 6 s of each other are compared with the live members now, as those of a domain that is cut off are.

member_census::repeated_replacements_released failed before (size 13 for 9 at 14 s).

--- a/crates/policy/src/member/census.rs
+++ b/crates/policy/src/member/census.rs
@@ -25,6 +25,10 @@
 /// after the first, so that the domain no longer counts as reachable.
 const RELEASE_AFTER: Duration = Duration::from_secs(12);
 
+/// Time between two failures up to which they count as one event. The members of a domain
+/// that is cut off are detected as failed within a few seconds.
+const EVENT: Duration = Duration::from_secs(6);
+
 /// Number of members of a failure domain.
 ///
 /// A row of the store leaves out the failed ones of a reachable domain at once, a peer
@@ -81,6 +85,15 @@
     const fn is_reachable(self) -> bool {
         self.alive > self.failed + self.missing
     }
+
+    /// Whether more members are alive than failed in one event with a failure at `at`, so
+    /// that those that failed then are lost. `times` are all failures in order. Earlier and
+    /// later losses do not count: a domain may lose more members one by one than it has.
+    fn outnumbers(self, times: &[Moment], at: Moment) -> bool {
+        let before = times.partition_point(|time| *time + EVENT <= at);
+        let until = times.partition_point(|time| *time < at + EVENT);
+        self.alive as usize > until - before + self.missing as usize
+    }
 }
 
 impl Member {
@@ -187,13 +200,33 @@
             let is_met = tallies.get(domain).is_some_and(|tally| tally.missing == 0);
             !is_met && (age < RELEASE_AFTER || !is_reachable(domain))
         });
+        let failures = self.failures();
         for member in self.members.values_mut() {
-            if member.is_overdue(now) && is_reachable(&member.record.profile.domain) {
+            let domain = &member.record.profile.domain;
+            let (Some(tally), Some(times)) = (tallies.get(domain), failures.get(domain)) else {
+                continue;
+            };
+            if member.is_overdue(now) && tally.outnumbers(times, member.changed_at) {
                 member.is_released = true;
             }
         }
     }
 
+    /// Times of the failures in each failure domain, in order, without released members.
+    fn failures(&self) -> IndexMap<Arc<str>, Vec<Moment>> {
+        let mut failures = IndexMap::<_, Vec<Moment>>::new();
+        for member in self.members.values() {
+            if member.record.state == State::Failed && !member.is_released {
+                let domain = Arc::clone(&member.record.profile.domain);
+                failures.entry(domain).or_default().push(member.changed_at);
+            }
+        }
+        for times in failures.values_mut() {
+            times.sort_unstable();
+        }
+        failures
+    }
+
     fn tallies(&self) -> IndexMap<Arc<str>, Tally> {
         let mut tallies = IndexMap::<_, Tally>::new();
         let others = self.members.values();
--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -156,3 +156,24 @@
     fleet.tick(&mut random(), at(2) + RECOVER);
     assert_eq!((fleet.size(), fleet.live()), (5, 5));
 }
+
+/// Guards against failed members that are never released because more of them have failed
+/// than are alive, though not at the same time.
+#[test]
+fn repeated_replacements_released() {
+    let mut fleet = started();
+    let lose = |fleet: &mut Fleet, numbers: std::ops::Range<u16>, seconds| {
+        let lost = numbers.map(|number| Record {
+            state: State::Failed,
+            ..record("a", number)
+        });
+        fleet.merge_all(lost.collect(), at(seconds));
+    };
+    lose(&mut fleet, 1..5, 1);
+    lose(&mut fleet, 5..9, 8);
+    fleet.merge_all((9..13).map(|number| record("a", number)).collect(), at(9));
+    fleet.tick(&mut random(), at(14));
+    assert_eq!((fleet.size(), fleet.live()), (9, 5));
+    fleet.tick(&mut random(), at(21));
+    assert_eq!((fleet.size(), fleet.live()), (5, 5));
+}
