--- a/crates/daemon/src/claim.rs
+++ b/crates/daemon/src/claim.rs
@@ -7,7 +7,7 @@
 //! the platform cannot record a claim, the request is refused as not run.
 
 pub mod command;
-mod keeper;
+mod rewriter;
 mod row;
 pub mod store;
 
--- a/crates/daemon/src/claim/store.rs
+++ b/crates/daemon/src/claim/store.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::command::{Command, Decision};
-use super::keeper::Keeper;
+use super::rewriter::Rewriter;
 use super::row::{Outcome, Proposal, Row, Settlement, State, TABLE};
 use crate::node::Node;
 
@@ -84,7 +84,7 @@
 struct Task {
     client: Client,
     queue: Queue,
-    keeper: Keeper,
+    rewriter: Rewriter,
 }
 
 /// Processes commands until every sender is dropped.
@@ -93,11 +93,11 @@
     let mut task = Task {
         client: node.store_client(),
         queue: Queue::default(),
-        keeper: Keeper::new(node),
+        rewriter: Rewriter::new(node),
     };
     loop {
-        if task.queue.is_empty() && !task.keeper.is_due() {
-            let retry_at = task.keeper.retry_at();
+        if task.queue.is_empty() && !task.rewriter.is_due() {
+            let retry_at = task.rewriter.retry_at();
             tokio::select! {
                 command = commands.recv() => match command {
                     Some(command) => task.queue.push(command),
@@ -105,7 +105,7 @@
                 },
                 // The sender lives as long as the daemon.
                 _ = eras.changed() => {}
-                () = sleep_until(retry_at), if task.keeper.is_rewriting() => {}
+                () = sleep_until(retry_at), if task.rewriter.is_rewriting() => {}
             }
         }
         while let Ok(command) = commands.try_recv() {
@@ -120,14 +120,14 @@
 impl Task {
     /// Checks kept rows after a return of the store, and writes one batch.
     async fn step(&mut self) -> Result<(), Failure> {
-        self.keeper.observe();
-        if !self.keeper.may_claim() {
+        self.rewriter.observe();
+        if !self.rewriter.may_claim() {
             while let Some(waiter) = self.queue.claims.pop_front() {
                 self.queue.refuse(waiter, HELD);
             }
         }
-        if self.keeper.is_due() {
-            self.keeper.check(&self.client).await;
+        if self.rewriter.is_due() {
+            self.rewriter.check(&self.client).await;
         }
         let written = self.write_batch().await;
         self.expire_claims();
@@ -151,8 +151,8 @@
     /// not written stay queued.
     async fn write_batch(&mut self) -> Result<(), Failure> {
         self.amend_settlements();
-        self.keeper.observe();
-        let era = self.keeper.era();
+        self.rewriter.observe();
+        let era = self.rewriter.era();
         let claims = self.queue.claims.len().min(MAX_BATCH);
         let settlements = self.queue.settlements.len().min(MAX_BATCH - claims);
         for waiter in self.queue.claims.iter_mut().take(claims) {
@@ -192,11 +192,11 @@
     /// two writes to one row, and fails if a row has changed.
     async fn write_each(&mut self, claims: usize, settlements: usize) -> Result<(), Failure> {
         for _ in 0..claims {
-            self.keeper.observe();
+            self.rewriter.observe();
             let Some(waiter) = self.queue.claims.front() else {
                 break;
             };
-            let decision = claim_one(&self.client, &waiter.proposal, self.keeper.era()).await?;
+            let decision = claim_one(&self.client, &waiter.proposal, self.rewriter.era()).await?;
             let Some(waiter) = self.queue.claims.pop_front() else {
                 break;
             };
@@ -207,14 +207,14 @@
             }
         }
         for _ in 0..settlements {
-            self.keeper.observe();
+            self.rewriter.observe();
             self.amend_settlements();
             let Some(settlement) = self.queue.settlements.front() else {
                 break;
             };
-            let era = self.keeper.era();
+            let era = self.rewriter.era();
             let is_recorded = settle_one(&self.client, settlement).await?;
-            if !is_recorded && !self.keeper.is_same_era(era) {
+            if !is_recorded && !self.rewriter.is_same_era(era) {
                 // The row may be missing because the store has returned from a copy.
                 continue;
             }
@@ -229,13 +229,13 @@
     /// Leaves settlements to the check of the kept rows where it has not reached the row,
     /// which the store may lack.
     fn amend_settlements(&mut self) {
-        if !self.keeper.is_rewriting() {
+        if !self.rewriter.is_rewriting() {
             return;
         }
-        let keeper = &mut self.keeper;
+        let rewriter = &mut self.rewriter;
         self.queue.settlements.retain(|settlement| {
-            let written = settlement.clone().written(keeper.era(), true);
-            keeper.amend(written).is_some()
+            let written = settlement.clone().written(rewriter.era(), true);
+            rewriter.amend(written).is_some()
         });
     }
 
@@ -243,19 +243,19 @@
     /// refused if the store has returned from a copy meanwhile, since another daemon's row
     /// may have been lost, in whose place the claim was written.
     fn grant(&mut self, waiter: Waiter, stamp: Stamp) {
-        self.keeper.observe();
-        if !self.keeper.may_claim() || !self.keeper.is_same_era(stamp.era) {
+        self.rewriter.observe();
+        if !self.rewriter.may_claim() || !self.rewriter.is_same_era(stamp.era) {
             return self.queue.refuse(waiter, HELD);
         }
-        self.keeper.record(waiter.proposal.written(stamp.era));
+        self.rewriter.record(waiter.proposal.written(stamp.era));
         // If the caller no longer waits, its row stays open.
         let _ = waiter.reply.send(Decision::Granted(stamp));
     }
 
     /// Keeps the row of a settlement that was written by a request sent in `era`.
     fn record_settled(&mut self, settlement: Settlement, era: u64) {
-        let is_same_era = self.keeper.is_same_era(era);
-        self.keeper.record(settlement.written(era, is_same_era));
+        let is_same_era = self.rewriter.is_same_era(era);
+        self.rewriter.record(settlement.written(era, is_same_era));
     }
 }
 
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -5,7 +5,7 @@
 //! daemon keeps its last rows in the order of their writes and checks them from the
 //! newest on. The first row that the copy holds as it was written ends the check.
 
-mod hold;
+mod grace;
 mod repair;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -16,7 +16,7 @@
 
 use crate::moment::Moment;
 
-pub use hold::Hold;
+pub use grace::Grace;
 pub use repair::{Found, Repair};
 
 /// Time for which a row is kept, counted up to the newest row. A copy is some seconds
@@ -83,7 +83,7 @@
 
 /// The last rows that a daemon wrote, and the progress of writing them again.
 #[derive(Debug)]
-pub struct Kept<V> {
+pub struct Journal<V> {
     limits: Limits,
     /// Rows in the order of their writes, each key once, with the time of the write.
     rows: BTreeMap<u64, (Moment, Written<V>)>,
@@ -107,7 +107,7 @@
     may_grow: bool,
 }
 
-impl<V> Kept<V> {
+impl<V> Journal<V> {
     /// Creates a state without rows.
     pub fn new(limits: Limits) -> Self {
         Self {
--- a/crates/policy/src/claim/hold.rs
+++ b/crates/policy/src/claim/grace.rs
@@ -13,14 +13,14 @@
 
 /// Whether keys may be claimed.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Hold {
+pub struct Grace {
     /// Era of the store; `None` before the first response.
     era: Option<u64>,
     /// When this daemon learned that the store had returned from a copy.
     returned_at: Option<Moment>,
 }
 
-impl Hold {
+impl Grace {
     /// Records the era of the store as known `now`. Returns the era if it is a new one in
     /// which rows of this daemon may be missing.
     pub fn observe(&mut self, era: Option<u64>, now: Moment) -> Option<u64> {
--- a/crates/policy/src/member/census.rs
+++ b/crates/policy/src/member/census.rs
@@ -27,7 +27,7 @@
 
 /// Time between two failures up to which they count as one event. The members of a domain
 /// that is cut off are detected as failed within a few seconds.
-const EVENT: Duration = Duration::from_secs(6);
+const EVENT_WINDOW: Duration = Duration::from_secs(6);
 
 /// Number of members of a failure domain.
 ///
@@ -90,8 +90,8 @@
     /// that those that failed then are lost. `times` are all failures in order. Earlier and
     /// later losses do not count: a domain may lose more members one by one than it has.
     fn outnumbers(self, times: &[Moment], at: Moment) -> bool {
-        let before = times.partition_point(|time| *time + EVENT <= at);
-        let until = times.partition_point(|time| *time < at + EVENT);
+        let before = times.partition_point(|time| *time + EVENT_WINDOW <= at);
+        let until = times.partition_point(|time| *time < at + EVENT_WINDOW);
         self.alive as usize > until - before + self.missing as usize
     }
 }
--- a/crates/policy/tests/all/claim_rewrite.rs
+++ b/crates/policy/tests/all/claim_rewrite.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::claim::{Found, Hold, Kept, Limits, Repair, Stage, Written};
+use cardamomshed_policy::claim::{Found, Grace, Journal, Limits, Repair, Stage, Written};
 
 fn at(seconds: u64) -> Moment {
     Moment::from_millis(seconds * 1_000)
@@ -22,13 +22,13 @@
 }
 
 /// Rows that the next check takes.
-fn batch(kept: &Kept<u8>) -> Vec<Arc<str>> {
+fn batch(kept: &Journal<u8>) -> Vec<Arc<str>> {
     kept.batch().map(|row| Arc::clone(&row.key)).collect()
 }
 
 /// State with the settled rows `a` to `d`, written in that order in era 0.
-fn four_rows() -> Kept<u8> {
-    let mut kept = Kept::new(Limits::default());
+fn four_rows() -> Journal<u8> {
+    let mut kept = Journal::new(Limits::default());
     for (second, key) in ["a", "b", "c", "d"].into_iter().enumerate() {
         kept.record(written(key, Stage::Settled, 0), at(second as u64));
     }
@@ -39,7 +39,7 @@
 #[test]
 fn oldest_dropped_beyond_limits() {
     for limits in [Limits { rows: 2, bytes: 99 }, Limits { rows: 9, bytes: 25 }] {
-        let mut kept = Kept::new(limits);
+        let mut kept = Journal::new(limits);
         for key in ["a", "b", "c", "b"] {
             kept.record(written(key, Stage::Open, 0), at(1));
         }
@@ -93,7 +93,7 @@
 /// Guards against a settlement that finds no row because the store lacks the claim.
 #[test]
 fn settlement_during_check() {
-    let mut kept = Kept::new(Limits::default());
+    let mut kept = Journal::new(Limits::default());
     kept.record(written("a", Stage::Open, 0), at(0));
     assert!(kept.amend(written("a", Stage::Settled, 1)).is_some());
     kept.start(1);
@@ -152,7 +152,7 @@
 /// again, and against one that is refused for ever.
 #[test]
 fn keys_held_after_return() {
-    let mut hold = Hold::default();
+    let mut hold = Grace::default();
     assert_eq!(hold.observe(Some(0), at(1)), None);
     assert!(hold.is_over(true, at(1)));
     assert_eq!(hold.observe(Some(1), at(10)), Some(1));
@@ -161,7 +161,7 @@
     assert!(!hold.is_over(false, almost) && hold.is_over(false, at(13)));
     assert!(!hold.is_over(true, at(14)) && hold.is_over(true, at(15)));
     // The era that a process finds at its start may have begun just before.
-    let mut young = Hold::default();
+    let mut young = Grace::default();
     assert_eq!(young.observe(Some(1), at(1)), None);
     assert!(!young.is_over(false, at(2)));
 }
