Probe free ports without listening

Cause: free_address probed a port by listening on it. A child process that another thread started at that moment held a copy of the socket until it executed its program, so the bind that followed failed with EADDRINUSE. Ruled out: ports given out twice (one counter for the process), ports of outgoing connections (32768 and up).

Change: the probe binds its TCP socket with SO_REUSEADDR and does not listen.

--- a/crates/standin/src/soak/process.rs
+++ b/crates/standin/src/soak/process.rs
@@ -1,7 +1,7 @@
 //! Daemons as processes of their own, with the settings template of the deploy file.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -9,6 +9,7 @@
 
 use anyhow::{Context as _, Result, ensure};
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::net::TcpSocket;
 
 /// Ports below those that the kernel gives to outgoing connections.
 const PORTS: std::ops::Range<u32> = 12_000..32_000;
@@ -27,12 +28,23 @@
         let port = PORTS.start + number % (PORTS.end - PORTS.start);
         let port = u16::try_from(port).expect("a port");
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
 }
 
+/// Whether an address can be bound for TCP and UDP. The TCP socket does not listen: a
+/// child process that another thread starts meanwhile holds a copy of it until it
+/// executes its program, and a listening copy would make the next bind fail.
+fn is_free(address: SocketAddr) -> bool {
+    let socket = TcpSocket::new_v4().and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)
+    });
+    socket.is_ok() && UdpSocket::bind(address).is_ok()
+}
+
 /// What all daemons of a run share.
 #[derive(Clone, Debug)]
 pub struct Site {
