--- a/crates/daemon/tests/all/allowed_regions.rs
+++ b/crates/daemon/tests/all/allowed_regions.rs
@@ -6,9 +6,9 @@
 use cardamomshed_standin::fleet::name;
 use serde_json::json;
 
-use crate::chain;
 use crate::placed_fleet::Fleet;
 use crate::platform_sidecar::eventually_status;
+use crate::{await_revision, chain};
 
 /// Guards against a restricted request that runs at a nearer target elsewhere, and
 /// against one that is refused because the slow link's budget, here a byte a second,
@@ -60,10 +60,7 @@
     note.routes.change = routes.filter(|route| !route.repeatable).collect();
     note.routes.change[0].regions = Some(vec![name(&fleet.shape.domains[0].1)]);
     fleet.apply(&note);
-    eventually("the note is in force", || {
-        let mut daemons = fleet.daemons.iter();
-        daemons.all(|daemon| daemon.node.lookup().config.revision == 2)
-    });
+    await_revision(&fleet, 2);
     let request = || {
         Request::post(fleet.callers()[0], "/hop-0/once", b"one booking")
             .key(&fleet.keys[0])
--- a/crates/daemon/tests/all/body_integrity.rs
+++ b/crates/daemon/tests/all/body_integrity.rs
@@ -39,9 +39,7 @@
 fn large_bodies_complete() {
     let fleet = chain(1);
     let size = 3 * 1024 * 1024;
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.body_len = size);
-    }
+    fleet.change_targets(|behaviour| behaviour.body_len = size);
     let body = (0..size)
         .map(|index| (index % 251) as u8)
         .collect::<Vec<_>>();
@@ -68,9 +66,7 @@
         "status {}",
         reply.status
     );
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.body_len = 5 * 1024 * 1024);
-    }
+    fleet.change_targets(|behaviour| behaviour.body_len = 5 * 1024 * 1024);
     let reply = get(&fleet, "/hop-0").send();
     assert_eq!((reply.status, reply.code()), (502, 1406));
 }
--- a/crates/daemon/tests/all/call_context.rs
+++ b/crates/daemon/tests/all/call_context.rs
@@ -8,7 +8,7 @@
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::target::Target;
 
-use crate::{chain, get};
+use crate::{chain, get, request_text};
 
 #[test]
 fn request_id_forwarded() {
@@ -61,9 +61,7 @@
 #[test]
 fn timeout_outcome_unknown() {
     let fleet = chain(1);
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.hung = true);
-    }
+    fleet.change_targets(|behaviour| behaviour.hung = true);
     let reply = get(&fleet, "/hop-0")
         .header("x-shed-timeout-ms", "300")
         .send();
@@ -79,10 +77,7 @@
     }
     let mut caller =
         TcpStream::connect(fleet.callers()[0]).expect("the daemon accepts connections");
-    let head = format!(
-        "GET /hop-0 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\r\n",
-        fleet.keys[0]
-    );
+    let head = request_text("/hop-0", &fleet.keys[0]);
     caller
         .write_all(head.as_bytes())
         .expect("the connection is open");
--- a/crates/daemon/tests/all/caller_tls.rs
+++ b/crates/daemon/tests/all/caller_tls.rs
@@ -9,7 +9,7 @@
 
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::tls;
-use cardamomshed_note::{Limits, Size, Timespan, Tls};
+use cardamomshed_note::{Size, Timespan, Tls};
 use cardamomshed_policy::memory::Kind as Held;
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Fleet, Kind};
@@ -20,8 +20,8 @@
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 use socket2::SockRef;
 
-use crate::chain;
 use crate::process_signals::Process;
+use crate::{allow_bodies, chain, request_text};
 
 fn certificate_paths(name: &str) -> Tls {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -31,6 +31,21 @@
     }
 }
 
+/// Generates a certificate and writes it to files of this name.
+fn new_certificate(name: &str) -> (Tls, CertifiedKey<KeyPair>) {
+    let (files, certified) = (certificate_paths(name), generate_certificate());
+    write(&files, &certified);
+    (files, certified)
+}
+
+/// A fleet with one target whose callers connect with TLS.
+fn tls_fleet(files: &Tls) -> Fleet {
+    let shape = Shape::chain(1, 1, 4, Duration::from_millis(1));
+    Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
+        settings.tls = Some(files.clone());
+    })
+}
+
 fn generate_certificate() -> CertifiedKey<KeyPair> {
     generate_simple_self_signed(vec!["daemon.test".to_owned()]).expect("a certificate")
 }
@@ -68,7 +83,7 @@
 }
 
 fn request(key: &str) -> String {
-    format!("GET /hop-0 HTTP/1.1\r\nhost: daemon.test\r\nauthorization: Bearer {key}\r\n\r\n")
+    request_text("/hop-0", key)
 }
 
 /// HTTP status that a caller with this key receives; `None` if the TLS handshake or the
@@ -83,13 +98,8 @@
 
 #[test]
 fn certificate_reloaded() {
-    let files = certificate_paths("reload");
-    let first = generate_certificate();
-    write(&files, &first);
-    let shape = Shape::chain(1, 1, 4, Duration::from_millis(1));
-    let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
-        settings.tls = Some(files.clone());
-    });
+    let (files, first) = new_certificate("reload");
+    let fleet = tls_fleet(&files);
     let to = fleet.callers()[0];
     assert_eq!(status(to, first.cert.der(), "").as_deref(), Some("401"));
     // An invalid file leaves the loaded certificate in use.
@@ -106,9 +116,8 @@
 
 #[test]
 fn invalid_certificate_refused() {
-    let files = certificate_paths("invalid");
-    let (one, two) = (generate_certificate(), generate_certificate());
-    write(&files, &one);
+    let (files, _) = new_certificate("invalid");
+    let two = generate_certificate();
     assert!(tls::load(&files).is_ok());
     std::fs::write(&files.private_key, two.signing_key.serialize_pem()).expect("a file");
     let mismatch = tls::load(&files).expect_err("the private key belongs to another certificate");
@@ -117,22 +126,6 @@
     assert!(tls::load(&files).is_err());
 }
 
-/// Raises the limit on bodies, and waits until it is in force.
-fn allow_bodies(fleet: &Fleet, length: usize) {
-    let mut note = fleet.blank_note("long-bodies");
-    note.limits = Some(Limits {
-        body: Size::from_bytes(length as u64),
-        ..Limits::default()
-    });
-    fleet.apply(&note);
-    let nodes = fleet.daemons.iter().map(|daemon| &daemon.node);
-    eventually("the note is in force", || {
-        nodes
-            .clone()
-            .all(|node| node.lookup().config.limits.body.get() == length)
-    });
-}
-
 /// Guards against responses that are held without limit, because the connections of
 /// callers with TLS are not in the table of those that may be closed.
 #[test]
@@ -140,9 +133,7 @@
     /// Length of a response body, and the requests that a client sends ahead.
     const LENGTH: usize = 8 << 20;
     const REQUESTS: usize = 16;
-    let files = certificate_paths("unread");
-    let certified = generate_certificate();
-    write(&files, &certified);
+    let (files, certified) = new_certificate("unread");
     let shape = Shape::chain(1, 2, 8, Duration::from_millis(1));
     let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
         settings.tls = Some(files.clone());
@@ -151,9 +142,7 @@
     });
     allow_bodies(&fleet, LENGTH);
     let (node, key) = (&fleet.daemons[0].node, &fleet.keys[0]);
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.body_len = LENGTH);
-    }
+    fleet.change_targets(|behaviour| behaviour.body_len = LENGTH);
     let mut client = connect(fleet.callers()[0], certified.cert.der()).expect("a connection");
     client
         .write_all(request(key).repeat(REQUESTS).as_bytes())
@@ -166,9 +155,7 @@
     });
     let open = node.metrics.open.get();
     assert_eq!(open, 0, "requests of the closed connection are open");
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.body_len = 2);
-    }
+    fleet.change_targets(|behaviour| behaviour.body_len = 2);
     let ordinary = status(fleet.callers()[0], certified.cert.der(), key);
     assert_eq!(ordinary.as_deref(), Some("200"));
 }
@@ -177,13 +164,8 @@
 /// that ends without the end of the TLS session, which a client takes for a cut response.
 #[test]
 fn pipelined_in_order() {
-    let files = certificate_paths("order");
-    let certified = generate_certificate();
-    write(&files, &certified);
-    let shape = Shape::chain(1, 1, 4, Duration::from_millis(1));
-    let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
-        settings.tls = Some(files.clone());
-    });
+    let (files, certified) = new_certificate("order");
+    let fleet = tls_fleet(&files);
     let mut client = connect(fleet.callers()[0], certified.cert.der()).expect("a connection");
     let first = request(&fleet.keys[0]);
     let unknown = first.replace("/hop-0", "/unknown");
@@ -207,12 +189,8 @@
 /// not end.
 #[test]
 fn endless_handshake_closed() {
-    let files = certificate_paths("handshake");
-    write(&files, &generate_certificate());
-    let shape = Shape::chain(1, 1, 4, Duration::from_millis(1));
-    let fleet = Fleet::start_with(shape, Kind::Daemon(Options::default()), |settings| {
-        settings.tls = Some(files.clone());
-    });
+    let (files, _) = new_certificate("handshake");
+    let fleet = tls_fleet(&files);
     let node = &fleet.daemons[0].node;
     let open = || TcpStream::connect(fleet.callers()[0]).expect("a connection");
     let (_silent, mut endless) = (open(), open());
@@ -240,19 +218,17 @@
     const STEPS: usize = 10;
     /// Time after which a response has been written as far as the client permits.
     const SETTLED: Duration = Duration::from_millis(400);
-    let files = certificate_paths("stop");
-    let certified = generate_certificate();
-    write(&files, &certified);
+    let (files, certified) = new_certificate("stop");
     let fleet = chain(1);
     allow_bodies(&fleet, LONGEST);
     let settings = format!(
         "tls: {{certificate: {:?}, private_key: {:?}}}\n",
         files.certificate, files.private_key
     );
-    let mut process = Process::start_with(&fleet, Behaviour::default(), &settings);
+    let mut process = Process::start(&fleet, Behaviour::default(), &settings);
     let (trusted, key) = (certified.cert.der(), &fleet.keys[0]);
     eventually("the process serves", || {
-        status(process.callers, trusted, key).as_deref() == Some("200")
+        status(process.daemon.callers, trusted, key).as_deref() == Some("200")
     });
     // Finds the longest response that a client need not read for its request to end.
     let (mut written, mut stuck) = (0, LONGEST);
@@ -262,7 +238,7 @@
         for target in fleet.targets.iter().chain([&process.target]) {
             target.change(|behaviour| behaviour.body_len = length);
         }
-        let mut client = connect(process.callers, trusted).expect("a connection");
+        let mut client = connect(process.daemon.callers, trusted).expect("a connection");
         client
             .write_all(request(key).as_bytes())
             .expect("the request is sent");
@@ -277,8 +253,8 @@
             eventually("no request is open", || process.open_requests() == 0);
         }
     }
-    process.signal("TERM");
-    assert!(process.child.wait().expect("the daemon exits").success());
+    process.daemon.signal("TERM");
+    process.daemon.await_success();
     assert!(!unread.is_empty());
     for (length, mut client) in unread {
         let mut response = Vec::new();
--- a/crates/daemon/tests/all/chunked_requests.rs
+++ b/crates/daemon/tests/all/chunked_requests.rs
@@ -1,7 +1,7 @@
 //! Requests with chunked bodies.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cardamomshed_daemon::Options;
@@ -11,17 +11,15 @@
 use cardamomshed_standin::fleet::Member;
 use cardamomshed_standin::platform::{Capacity, Platform};
 
-use crate::platform_sidecar::{config, sidecar};
+use crate::connect;
+use crate::platform_sidecar::{config, lone};
 
 /// Memory for the bodies of requests, which is less than the largest body.
 const BODIES: u64 = 1024 * 1024;
 
 /// Sends a chunked body of one chunk and returns the response as text.
 fn send(to: SocketAddr, length: usize) -> String {
-    let mut stream = TcpStream::connect(to).expect("a connection");
-    stream
-        .set_read_timeout(Some(Duration::from_secs(5)))
-        .expect("a socket");
+    let mut stream = connect(to, Duration::from_secs(5));
     let head = format!(
         "POST /once/x HTTP/1.1\r\nhost: h.example\r\n{}: 9c41d07be2a35f68\r\n\
          connection: close\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n",
@@ -43,8 +41,7 @@
 fn short_body_received() {
     let platform = Platform::start(Capacity::default());
     platform.write("op", "config", &config(3, "key-one"));
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let mut settings = sidecar("n-1", "s-one", unreachable, &platform);
+    let mut settings = lone("n-1", &platform);
     settings.bodies = Size::from_bytes(BODIES);
     let daemon = Member::start(settings, Options::default());
     let callers = daemon.node.settings.callers;
--- a/crates/daemon/tests/all/connection_rules.rs
+++ b/crates/daemon/tests/all/connection_rules.rs
@@ -136,6 +136,14 @@
         sent.expect("the request is sent");
     }
 
+    /// Starts a connection without time limits, sends text and reads all responses.
+    async fn exchange(text: &str) -> (Self, Vec<Received>) {
+        let mut session = Self::start(LONG).await;
+        session.send(text).await;
+        let received = session.read_all().await;
+        (session, received)
+    }
+
     /// Reads to the end of the connection.
     async fn read_text(&mut self) -> String {
         let mut text = String::new();
@@ -193,16 +201,14 @@
 /// against a closing response that leaves a started request unanswered.
 #[actix_web::test]
 async fn closes_after_started() {
-    let mut session = Session::start(LONG).await;
-    session
-        .send(&[get("/wait"), get("/close"), get("/release")].concat())
-        .await;
+    let input = [get("/wait"), get("/close"), get("/release")].concat();
+    let (mut session, received) = Session::exchange(&input).await;
     let expected = [
         ok("/wait", false),
         ok("/close", false),
         ok("/release", true),
     ];
-    assert_eq!(session.read_all().await, expected);
+    assert_eq!(received, expected);
     // The connection may have been closed already.
     let _ = session.client.write_all(get("/late").as_bytes()).await;
     drop(session.client.shutdown().await);
@@ -273,11 +279,10 @@
 /// against a body that is read as requests.
 #[actix_web::test]
 async fn early_response_delivered() {
-    let mut session = Session::start(LONG).await;
     let head = "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 9000000\r\n\r\n";
-    session.send(head).await;
-    session.send(&get("/b").repeat(20_000)).await;
-    assert_eq!(session.read_all().await, [ok("/a", true)]);
+    let input = head.to_owned() + &get("/b").repeat(20_000);
+    let (mut session, received) = Session::exchange(&input).await;
+    assert_eq!(received, [ok("/a", true)]);
     drop(session.client.shutdown().await);
     assert_eq!(*session.ended().await.started.borrow(), ["/a"]);
 }
@@ -286,10 +291,8 @@
 /// further requests, which are not read.
 #[actix_web::test]
 async fn closing_response_delivered() {
-    let mut session = Session::start(LONG).await;
-    session.send(&last("/large")).await;
-    session.send(&get("/b").repeat(5_000)).await;
-    let received = session.read_all().await;
+    let input = last("/large") + &get("/b").repeat(5_000);
+    let (session, received) = Session::exchange(&input).await;
     assert_eq!(received.len(), 1);
     assert_eq!((received[0].1, received[0].2.len()), (true, LARGE));
     assert_eq!(*session.state.started.borrow(), ["/large"]);
@@ -312,14 +315,11 @@
         "POST /x HTTP/1.1\r\n\r\n".to_owned(),
         "no request\r\n\r\n".to_owned(),
     ] {
-        let mut session = Session::start(LONG).await;
-        session
-            .send(&[&get("/wait"), &get("/release"), &*head, &get("/late")].concat())
-            .await;
-        let expected = [ok("/wait", false), ok("/release", false), ok("", true)];
-        let received = session.read_all().await;
-        assert_eq!(received[..2], expected[..2], "{head}");
-        assert_eq!(received[2..], [(400, true, String::new())], "{head}");
+        let input = [&get("/wait"), &get("/release"), &*head, &get("/late")].concat();
+        let (session, received) = Session::exchange(&input).await;
+        let refusal = (400, true, String::new());
+        let expected = [ok("/wait", false), ok("/release", false), refusal];
+        assert_eq!(received, expected, "{head}");
         assert_eq!(session.state.started.borrow().len(), 2, "{head}");
     }
 }
@@ -328,10 +328,9 @@
 #[actix_web::test]
 async fn malformed_body_closes() {
     for chunk in ["4\nabcd\r\n", "x\r\n", "4\r\nabcdGET ", "-1\r\n\r\n"] {
-        let mut session = Session::start(LONG).await;
         let head = "POST /body HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
-        session.send(&[head, chunk, &get("/late")].concat()).await;
-        let received = session.read_all().await;
+        let input = [head, chunk, &get("/late")].concat();
+        let (session, received) = Session::exchange(&input).await;
         assert_eq!(received.len(), 1, "{chunk}");
         assert!(
             received[0].1 && received[0].2.ends_with("malformed"),
--- a/crates/daemon/tests/all/domain_evacuation.rs
+++ b/crates/daemon/tests/all/domain_evacuation.rs
@@ -71,10 +71,7 @@
     assert_eq!(fleet.runs_from(1), [10, 0, 0]);
     evacuate(&fleet, "a");
     await_evacuated(&fleet.members, &["a"]);
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    fleet.platform.set_faults(Faults::DOWN);
     std::thread::sleep(Duration::from_millis(600));
     assert_eq!(fleet.runs_from(1), [0, 0, 10]);
     fleet.platform.set_faults(Faults::default());
--- a/crates/daemon/tests/all/idempotency_claims.rs
+++ b/crates/daemon/tests/all/idempotency_claims.rs
@@ -116,10 +116,7 @@
 #[test]
 fn store_outage_not_run() {
     let fleet = chain(1);
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    fleet.platform.set_faults(Faults::DOWN);
     let refused = keyed_request(&fleet, 0, "b").send();
     assert_eq!(
         (refused.status, refused.code(), refused.ran().as_str()),
@@ -139,16 +136,12 @@
 #[test]
 fn unknown_outcome_kept() {
     let fleet = chain(1);
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.hung = true);
-    }
+    fleet.change_targets(|behaviour| behaviour.hung = true);
     let first = keyed_request(&fleet, 0, "c")
         .header("x-shed-timeout-ms", "300")
         .send();
     assert_eq!((first.status, first.ran().as_str()), (504, "unknown"));
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.hung = false);
-    }
+    fleet.change_targets(|behaviour| behaviour.hung = false);
     std::thread::sleep(Duration::from_millis(200));
     let repeated = keyed_request(&fleet, 1, "c").send();
     assert!([1501, 1504].contains(&repeated.code()), "{repeated:?}");
@@ -190,9 +183,7 @@
 #[test]
 fn lost_open_claim_rewritten() {
     let fleet = chain(1);
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.service_time = Duration::from_millis(800));
-    }
+    fleet.change_targets(|behaviour| behaviour.service_time = Duration::from_millis(800));
     let copy = fleet.platform.copy();
     let request = keyed_request(&fleet, 0, "e");
     let first = std::thread::spawn(move || request.send());
@@ -217,10 +208,7 @@
     let mut other = fleet.platform.peek("claims", &row).expect("a row");
     other["claim"] = 7.into();
     other["state"]["answered"]["status"] = 201.into();
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    fleet.platform.set_faults(Faults::DOWN);
     fleet.platform.restore(copy);
     fleet.platform.write("claims", &row, &other);
     fleet.platform.set_faults(Faults::default());
--- a/crates/daemon/tests/all/key_checks.rs
+++ b/crates/daemon/tests/all/key_checks.rs
@@ -2,13 +2,12 @@
 //! never forwarded to a target.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::time::Duration;
 
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::target::Target;
 
-use crate::{chain, get};
+use crate::{chain, connect, get, request_text};
 
 #[test]
 fn key_required() {
@@ -55,16 +54,8 @@
 #[test]
 fn withdrawn_key_refused() {
     let fleet = chain(1);
-    let mut caller =
-        TcpStream::connect(fleet.callers()[0]).expect("the daemon accepts connections");
-    caller
-        .set_read_timeout(Some(Duration::from_secs(5)))
-        .expect("a non-zero timeout");
-    let head = format!(
-        "GET {} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\r\n",
-        fleet.shape.path(),
-        fleet.keys[0]
-    );
+    let mut caller = connect(fleet.callers()[0], Duration::from_secs(5));
+    let head = request_text(&fleet.shape.path(), &fleet.keys[0]);
     let mut request_status = || {
         caller
             .write_all(head.as_bytes())
--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -7,13 +7,11 @@
 use bytes::Bytes;
 use cardamomshed_code::{Code, Ran};
 use cardamomshed_daemon::Options;
-use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_daemon::reply::Reply;
 use cardamomshed_daemon::service::{Peer, Query};
 use cardamomshed_note::Timespan;
-use cardamomshed_policy::Priority;
-use cardamomshed_policy::admission::{ADMIT_ALL, Rank};
+use cardamomshed_policy::admission::ADMIT_ALL;
 use cardamomshed_policy::member::{Profile, Record, State};
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Fleet, Kind};
@@ -21,13 +19,16 @@
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_standin::thread;
 use cardamomshed_wire::{
-    Answer, Call, Frame, Load, Refusal, Request, Secret, Side, Welcome, decode, encode,
+    Answer, Call, Frame, Load, Refusal, Secret, Side, Welcome, decode, encode,
 };
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::link_resume::call_frame;
+use crate::{learn, own_record};
+
 const NAME: &str = "fake";
 
 /// A peer that accepts the daemon's link and sends frames as a test directs.
@@ -126,6 +127,16 @@
     })
 }
 
+/// Listener of the fake peer, and how a daemon reaches it.
+async fn listen() -> (TcpListener, Peer) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let peer = Peer {
+        node: NAME.into(),
+        address: listener.local_addr().expect("a bound port"),
+    };
+    (listener, peer)
+}
+
 /// Sends a call over the daemon's link to the fake peer.
 async fn call(node: &Arc<Node>, peer: &Peer, body: &'static str) -> Reply {
     call_within(node, peer, body, Duration::from_secs(8)).await
@@ -135,22 +146,9 @@
 /// than the daemon's clock, as after a suspension of the VM.
 async fn call_within(node: &Arc<Node>, peer: &Peer, body: &'static str, time: Duration) -> Reply {
     let call = Call {
-        route: "route".into(),
-        repeatable: false,
-        repeated: false,
-        id: node.links.next_call_id(),
-        request: Request::random(),
-        account: "account-0".into(),
-        priority: Priority::Normal,
-        rank: Rank::MOST_IMPORTANT,
         timeout_ms: 8_000,
         tokens: 1,
-        depth: 0,
-        service: "hop-0".into(),
-        method: "POST".to_owned(),
-        path: "/hop-0".to_owned(),
-        headers: Vec::new(),
-        length: body.len() as u64,
+        ..call_frame(node.links.next_call_id(), body.len() as u64)
     };
     let deadline = node.clock.now() + time;
     node.links
@@ -184,11 +182,7 @@
     let fleet = fleet();
     let node = Arc::clone(&fleet.daemons[0].node);
     thread::run(move || async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let peer = Peer {
-            node: NAME.into(),
-            address: listener.local_addr().expect("a bound port"),
-        };
+        let (listener, peer) = listen().await;
         let fake = actix_rt::spawn(script(listener));
         let reply = call_within(&node, &peer, "body", time).await;
         fake.await.expect("the script completes");
@@ -196,6 +190,22 @@
     })
 }
 
+/// Asserts that a call was answered with this body.
+fn assert_answered(reply: &Reply, body: &str) {
+    let Reply::Answer(answer) = reply else {
+        panic!("no answer: {reply:?}");
+    };
+    assert_eq!(&answer.body[..], body.as_bytes());
+}
+
+/// Code of a refusal, and whether the call ran.
+fn refusal(reply: Reply) -> (Code, Ran) {
+    match reply {
+        Reply::Refused(refused) => (refused.code, refused.ran),
+        Reply::Answer(answer) => panic!("the call was answered: {answer:?}"),
+    }
+}
+
 fn id_of(received: Option<(Frame, Bytes)>) -> u64 {
     match received {
         Some((Frame::Call(call), chunk)) => {
@@ -221,10 +231,7 @@
         second.receive().await;
         drop(first);
     });
-    let Reply::Answer(answer) = reply else {
-        panic!("no answer: {reply:?}");
-    };
-    assert_eq!(&answer.body[..], b"whole");
+    assert_answered(&reply, "whole");
 }
 
 #[test]
@@ -240,10 +247,7 @@
         second.send(Frame::AnswerData { id }, b"456789").await;
         second.receive().await;
     });
-    let Reply::Answer(answer) = reply else {
-        panic!("no answer: {reply:?}");
-    };
-    assert_eq!(&answer.body[..], b"0123456789");
+    assert_answered(&reply, "0123456789");
 }
 
 /// Guards against an answer whose parts are mixed: those of two copies on one
@@ -260,13 +264,7 @@
         }
         fake.receive().await;
     });
-    let Reply::Refused(refused) = reply else {
-        panic!("the call was answered: {reply:?}");
-    };
-    assert_eq!(
-        (refused.code, refused.ran),
-        (Code::FrameInvalid, Ran::Unknown)
-    );
+    assert_eq!(refusal(reply), (Code::FrameInvalid, Ran::Unknown));
 }
 
 /// Makes a call within this time, has the peer lose the connection after a pause and
@@ -289,10 +287,7 @@
         second.refuse_resumed(id).await;
         second.receive().await;
     });
-    match reply {
-        Reply::Refused(refused) => refused.ran,
-        Reply::Answer(answer) => panic!("the call was answered: {answer:?}"),
-    }
+    refusal(reply).1
 }
 
 /// Guards against a call that ran and is reported as not run: it was resumed after the
@@ -323,22 +318,13 @@
         let _second = Fake::accept(&listener, 2).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
     });
-    let Reply::Refused(refused) = reply else {
-        panic!("the call was answered, not refused");
-    };
-    assert_eq!(
-        (refused.code, refused.ran),
-        (Code::OutcomeUnknown, Ran::Unknown)
-    );
+    assert_eq!(refusal(reply), (Code::OutcomeUnknown, Ran::Unknown));
 }
 
 #[test]
 fn unreachable_not_run() {
     let reply = run_script(|listener| async move { drop(listener) });
-    let Reply::Refused(refused) = reply else {
-        panic!("the call was answered, not refused");
-    };
-    assert_eq!((refused.code, refused.ran), (Code::LinkFailed, Ran::No));
+    assert_eq!(refusal(reply), (Code::LinkFailed, Ran::No));
 }
 
 #[test]
@@ -350,10 +336,7 @@
         fake.answer(id, 3, b"own").await;
         fake.receive().await;
     });
-    let Reply::Answer(answer) = reply else {
-        panic!("no answer: {reply:?}");
-    };
-    assert_eq!(&answer.body[..], b"own");
+    assert_answered(&reply, "own");
 }
 
 #[test]
@@ -361,11 +344,7 @@
     let fleet = fleet();
     let node = Arc::clone(&fleet.daemons[0].node);
     let (one, two) = thread::run(move || async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let peer = Peer {
-            node: NAME.into(),
-            address: listener.local_addr().expect("a bound port"),
-        };
+        let (listener, peer) = listen().await;
         let fake = actix_rt::spawn(async move {
             let mut fake = Fake::accept(&listener, 1).await;
             let mut calls = Vec::new();
@@ -391,19 +370,12 @@
         replies
     });
     for (reply, body) in [(one, "first"), (two, "second")] {
-        let Reply::Answer(answer) = reply else {
-            panic!("no answer: {reply:?}");
-        };
-        assert_eq!(&answer.body[..], body.as_bytes());
+        assert_answered(&reply, body);
     }
 }
 
 /// Makes the fake peer a member with a target of service `moved`.
 fn join(node: &Node, incarnation: u64, address: std::net::SocketAddr) {
-    let own = {
-        let fleet = node.members.fleet.lock().expect("not poisoned");
-        fleet.own().clone()
-    };
     let record = Record {
         name: NAME.into(),
         incarnation,
@@ -416,14 +388,10 @@
             open: true,
             lender_slots: Vec::new(),
             departure: None,
-            ..own.profile
+            ..own_record(node).profile
         },
     };
-    let output = {
-        let mut fleet = node.members.fleet.lock().expect("not poisoned");
-        fleet.merge_all(vec![record], node.clock.now())
-    };
-    apply_output(node, output);
+    learn(node, vec![record]);
 }
 
 #[test]
@@ -434,13 +402,8 @@
     thread::run({
         let node = Arc::clone(&node);
         move || async move {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("a bound port");
-            join(&node, 1, address);
-            let peer = Peer {
-                node: NAME.into(),
-                address,
-            };
+            let (listener, peer) = listen().await;
+            join(&node, 1, peer.address);
             let fake = actix_rt::spawn(async move {
                 let mut fake = Fake::accept(&listener, 1).await;
                 id_of(fake.receive().await);
--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -24,11 +24,29 @@
 
 /// Opens a connection of the fake daemon. `BOOT` is the same each time, so that
 /// the connections belong to one process.
-pub(crate) async fn dial(node: &Node, secret: &str) -> Option<Dialler> {
+pub(crate) async fn dial(node: &Node) -> Dialler {
+    let dialled = dial_with(node, &node.settings.fleet_secret).await;
+    dialled.expect("a link")
+}
+
+async fn dial_with(node: &Node, secret: &str) -> Option<Dialler> {
     Dialler::dial(node.settings.peers, NAME, BOOT, secret).await
 }
 
-pub(crate) fn call(id: u64, length: u64) -> Call {
+/// Sends a call with a body of this length, of which `sent` is sent.
+async fn call(fake: &mut Dialler, id: u64, length: usize, sent: &[u8]) {
+    let frame = Frame::Call(Box::new(call_frame(id, length as u64)));
+    fake.send(&frame, sent).await;
+}
+
+/// Asks for the answer to a call.
+async fn resume(fake: &mut Dialler, id: u64) {
+    let timeout_ms = 5_000;
+    fake.send(&Frame::Resume { id, timeout_ms }, &[]).await;
+}
+
+/// A call with a body of this length.
+pub(crate) fn call_frame(id: u64, length: u64) -> Call {
     Call {
         route: "route".into(),
         repeatable: false,
@@ -66,8 +84,8 @@
 fn secret_required() {
     let fleet = chain(1);
     let answered = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, "another secret of a fleet").await?;
-        fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
+        let mut fake = dial_with(&node, "another secret of a fleet").await?;
+        call(&mut fake, 1, 0, &[]).await;
         fake.receive().await
     });
     assert!(answered.is_none());
@@ -79,21 +97,12 @@
     let fleet = chain(1);
     fleet.targets[0].change(|behaviour| behaviour.slowdown = 50.0);
     let body = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
-        fake.send(&Frame::Call(Box::new(call(1, 5))), b"hello")
-            .await;
+        let mut fake = dial(&node).await;
+        call(&mut fake, 1, 5, b"hello").await;
         tokio::time::sleep(Duration::from_millis(30)).await;
         drop(fake);
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a second connection");
-        let resume = Frame::Resume {
-            id: 1,
-            timeout_ms: 5_000,
-        };
-        fake.send(&resume, &[]).await;
+        let mut fake = dial(&node).await;
+        resume(&mut fake, 1).await;
         fake.receive().await
     });
     let Some((Frame::Answer(answer), chunk)) = body else {
@@ -108,21 +117,13 @@
 fn resume_lost_answer() {
     let fleet = chain(1);
     let resumed = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
-        fake.send(&Frame::Call(Box::new(call(1, 0))), &[]).await;
+        let mut fake = dial(&node).await;
+        call(&mut fake, 1, 0, &[]).await;
         // The connection is lost after the answer and before its acknowledgement.
         fake.receive().await.expect("an answer");
         drop(fake);
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a second connection");
-        let resume = Frame::Resume {
-            id: 1,
-            timeout_ms: 5_000,
-        };
-        fake.send(&resume, &[]).await;
+        let mut fake = dial(&node).await;
+        resume(&mut fake, 1).await;
         fake.receive().await
     });
     assert!(matches!(resumed, Some((Frame::Answer(answer), _)) if answer.id == 1));
@@ -140,25 +141,16 @@
         behaviour.body_len = LENGTH;
     });
     let (heads, body) = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
+        let mut fake = dial(&node).await;
         let sent = (0..LENGTH).map(|index| (index / 1_000) as u8);
         let sent = sent.collect::<Vec<_>>();
-        let call = Frame::Call(Box::new(call(1, LENGTH as u64)));
-        fake.send(&call, &sent).await;
+        call(&mut fake, 1, LENGTH, &sent).await;
         tokio::time::sleep(Duration::from_millis(30)).await;
         drop(fake);
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a second connection");
+        let mut fake = dial(&node).await;
         let first = fake.receive().await.expect("an answer");
         // The answer has begun before the daemon reads this.
-        let resume = Frame::Resume {
-            id: 1,
-            timeout_ms: 5_000,
-        };
-        fake.send(&resume, &[]).await;
+        resume(&mut fake, 1).await;
         fake.send(&Frame::Ping, &[]).await;
         let (mut heads, mut body) = (1, first.1.to_vec());
         let mut has_answered_ping = false;
@@ -180,17 +172,11 @@
 fn resume_unknown_call() {
     let fleet = chain(1);
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
-        let resume = Frame::Resume {
-            id: 9,
-            timeout_ms: 5_000,
-        };
-        fake.send(&resume, &[]).await;
+        let mut fake = dial(&node).await;
+        resume(&mut fake, 9).await;
         let refused = fake.receive().await;
         // A delayed copy of the refused call must not run.
-        fake.send(&Frame::Call(Box::new(call(9, 0))), &[]).await;
+        call(&mut fake, 9, 0, &[]).await;
         fake.send(&Frame::Ping, &[]).await;
         let pong = fake.receive().await;
         assert!(matches!(pong, Some((Frame::Pong, _))));
@@ -208,20 +194,11 @@
 fn truncated_body_refused() {
     let fleet = chain(1);
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
-        fake.send(&Frame::Call(Box::new(call(3, 100))), b"a part")
-            .await;
+        let mut fake = dial(&node).await;
+        call(&mut fake, 3, 100, b"a part").await;
         drop(fake);
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a second connection");
-        let resume = Frame::Resume {
-            id: 3,
-            timeout_ms: 5_000,
-        };
-        fake.send(&resume, &[]).await;
+        let mut fake = dial(&node).await;
+        resume(&mut fake, 3).await;
         fake.receive().await
     });
     assert!(matches!(refused, Some((Frame::Refusal(refusal), _))
@@ -234,10 +211,8 @@
     let fleet = chain(1);
     fleet.targets[0].change(|behaviour| behaviour.hung = true);
     with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
-        fake.send(&Frame::Call(Box::new(call(4, 0))), &[]).await;
+        let mut fake = dial(&node).await;
+        call(&mut fake, 4, 0, &[]).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
         fake.send(&Frame::Cancel { id: 4 }, &[]).await;
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -251,9 +226,7 @@
 fn invalid_frame_closes() {
     let fleet = chain(1);
     let received = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
+        let mut fake = dial(&node).await;
         let message = Message::Binary(Bytes::from_static(b"\xff\xff\xff"));
         fake.socket.send(message).await.expect("an open link");
         fake.receive().await
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -40,10 +40,15 @@
 mod unconfirmed_start;
 mod warmup_target;
 
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use cardamomshed_daemon::Options;
-use cardamomshed_standin::client::Request;
+use cardamomshed_daemon::members::apply_output;
+use cardamomshed_daemon::node::Node;
+use cardamomshed_note::{Limits, Size};
+use cardamomshed_policy::member::Record;
+use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::{Fleet, Kind};
 use cardamomshed_standin::shape::Shape;
 
@@ -57,3 +62,68 @@
 fn get(fleet: &Fleet, path: &str) -> Request {
     Request::get(fleet.callers()[0], path).key(&fleet.keys[0])
 }
+
+/// Text of a `GET` request with a key.
+fn request_text(path: &str, key: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\r\n")
+}
+
+/// Opens a connection on which a read takes at most `timeout`.
+fn connect(to: SocketAddr, timeout: Duration) -> TcpStream {
+    let stream = TcpStream::connect(to).expect("a connection");
+    let timeout = Some(timeout);
+    stream.set_read_timeout(timeout).expect("a socket");
+    stream
+}
+
+/// Whether every daemon has this revision of the configuration in force.
+fn all_at(fleet: &Fleet, revision: u64) -> bool {
+    let mut daemons = fleet.daemons.iter();
+    daemons.all(|daemon| daemon.node.lookup().config.revision == revision)
+}
+
+fn await_revision(fleet: &Fleet, revision: u64) {
+    eventually("the note is in force", || all_at(fleet, revision));
+}
+
+/// Raises the limit on bodies, and waits until it is in force. A daemon that does not
+/// have the note yet refuses the long response of its target.
+fn allow_bodies(fleet: &Fleet, length: usize) {
+    let mut note = fleet.blank_note("long-bodies");
+    note.limits = Some(Limits {
+        body: Size::from_bytes(length as u64),
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    let nodes = fleet.daemons.iter().map(|daemon| &daemon.node);
+    eventually("the note is in force", || {
+        nodes
+            .clone()
+            .all(|node| node.lookup().config.limits.body.get() == length)
+    });
+}
+
+/// Number of members that a daemon regards as live, itself included.
+fn live(node: &Node) -> usize {
+    node.members.fleet.lock().expect("not poisoned").live()
+}
+
+/// Number of lender slots that a daemon holds.
+fn lender_slots(node: &Node) -> usize {
+    node.quota.lenders.lock().expect("not poisoned").len()
+}
+
+/// Record of a daemon by its own view.
+fn own_record(node: &Node) -> Record {
+    let members = node.members.fleet.lock().expect("not poisoned");
+    members.own().clone()
+}
+
+/// Has a daemon learn these records of members.
+fn learn(node: &Node, records: Vec<Record>) {
+    let output = {
+        let mut members = node.members.fleet.lock().expect("not poisoned");
+        members.merge_all(records, node.clock.now())
+    };
+    apply_output(node, output);
+}
--- a/crates/daemon/tests/all/malformed_status.rs
+++ b/crates/daemon/tests/all/malformed_status.rs
@@ -2,16 +2,16 @@
 //! nothing of the response, beside the target and through a peer link.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 
 use cardamomshed_daemon::Options;
 use cardamomshed_platform::header;
-use cardamomshed_standin::client::{Request, eventually};
+use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::Member;
 use cardamomshed_standin::platform::{Capacity, Platform};
 use serde_json::json;
 
-use crate::platform_sidecar::{config, sidecar};
+use crate::platform_sidecar::{ATTEMPT, config, request, send_heartbeat, sidecar, start_lone};
 
 /// Begin of the response by the last segment of the request's path.
 const STATUS_LINES: [&str; 14] = [
@@ -34,7 +34,6 @@
 const ENDLESS: &str = "endless";
 /// Segment for a proper response.
 const PROPER: &str = "proper";
-const ATTEMPT: &str = "9c41d07be2a35f68";
 /// Text in the header and the body of each response.
 const SECRET: &str = "of-the-target";
 
@@ -81,28 +80,17 @@
     });
     let platform = Platform::start(Capacity::default());
     platform.write("op", "config", &config(3, "key-one"));
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let start = |settings| Member::start(settings, Options::default());
-    let remote = start(sidecar("n-1", "s-one", unreachable, &platform));
-    let local = start(sidecar("n-2", "s-two", target, &platform));
-    let heartbeat = json!({
-        "service": "s-two", "address": target, "zone": "a", "version": "v1",
-        "slots": 8, "state": "ready", "warmup-left": "0ms", "sequence": 1, "born": 10
-    });
-    let heartbeat = heartbeat.to_string();
-    let control = local.node.settings.target;
-    let path = "/instances/i-1/heartbeat";
-    let reply = Request::post(control, path, heartbeat.as_bytes()).send();
+    let remote = start_lone("n-1", &platform);
+    let settings = sidecar("n-2", "s-two", target, &platform);
+    let local = Member::start(settings, Options::default());
+    let reply = send_heartbeat(&local, "i-1", target, &json!({}));
     assert_eq!(reply.status, 200);
     let segments = (0..STATUS_LINES.len()).map(|index| index.to_string());
     let segments = segments.chain([ENDLESS.to_owned()]).collect::<Vec<_>>();
     for daemon in [&local, &remote] {
         let send = |segment: &str| {
-            Request::get(daemon.node.settings.callers, &format!("/once/{segment}"))
-                .header("host", "h.example")
-                .header(header::ATTEMPT, ATTEMPT)
-                .header(header::DEADLINE, "1500")
-                .send()
+            let path = format!("/once/{segment}");
+            request(daemon.node.settings.callers, &path, "1500").send()
         };
         eventually("a proper response", || send(PROPER).status == 200);
         for segment in &segments {
--- a/crates/daemon/tests/all/member_discovery.rs
+++ b/crates/daemon/tests/all/member_discovery.rs
@@ -8,15 +8,15 @@
 
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::node::Node;
-use cardamomshed_note::Settings;
 use cardamomshed_policy::member::{Profile, Record, State, rank_key};
 use cardamomshed_standin::client::eventually;
 use cardamomshed_standin::fleet::{Member, name, secret};
 use cardamomshed_standin::platform::{Capacity, Faults, Platform};
 use serde_json::json;
 
-use crate::platform_sidecar::{config, sidecar};
-use crate::unconfirmed_start::{own_record, start_beside};
+use crate::platform_sidecar::{config, lone, start_lone};
+use crate::unconfirmed_start::start_beside;
+use crate::{lender_slots, live, own_record};
 
 /// Time within which a lender is to be found after a start of the whole fleet. A
 /// member that stops answering fails after more than four seconds.
@@ -44,29 +44,11 @@
     }
 }
 
-/// Settings of a daemon of failure domain `a` without a target.
-fn lone(name: &str, platform: &Platform) -> Settings {
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    sidecar(name, "s-one", unreachable, platform)
-}
-
-fn start(name: &str, platform: &Platform) -> Member {
-    Member::start(lone(name, platform), Options::default())
-}
-
 /// Size of failure domain `a` by its row.
 fn size(platform: &Platform) -> Option<u64> {
     platform.peek("seeds", "a-size")?["n"].as_u64()
 }
 
-fn slots(node: &Node) -> usize {
-    node.quota.lenders.lock().expect("not poisoned").len()
-}
-
-fn live(node: &Node) -> usize {
-    node.members.fleet.lock().expect("not poisoned").live()
-}
-
 #[test]
 fn ended_daemons_ignored() {
     let platform = Platform::start(Capacity::default());
@@ -79,10 +61,10 @@
         platform.write("seeds", &format!("a-{number}"), &row);
     }
     let started = Instant::now();
-    let members = ["n-1", "n-2"].map(|name| start(name, &platform));
+    let members = ["n-1", "n-2"].map(|name| start_lone(name, &platform));
     let nodes = members.each_ref().map(|member| Arc::clone(&member.node));
     eventually("one lender", || {
-        nodes.iter().map(|node| slots(node)).sum::<usize>() == 1
+        nodes.iter().map(|node| lender_slots(node)).sum::<usize>() == 1
             && nodes.iter().all(|node| live(node) == 2)
     });
     let took = started.elapsed();
@@ -100,18 +82,21 @@
         let row = json!({"d": domain, "n": 4});
         platform.write("seeds", &format!("{domain}-size"), &row);
     }
-    let members = ["n-1", "n-2"].map(|name| start(name, &platform));
+    let members = ["n-1", "n-2"].map(|name| start_lone(name, &platform));
     let nodes = members.each_ref().map(|member| Arc::clone(&member.node));
     let share = |node: &Node| node.quota.primary_share.load(Ordering::Relaxed);
     let until = Instant::now() + Duration::from_secs(6);
     while Instant::now() < until {
-        for node in nodes.iter().filter(|node| slots(node) > 0) {
+        for node in nodes.iter().filter(|node| lender_slots(node) > 0) {
             assert!(share(node) <= 250_000, "{} millionths", share(node));
         }
         std::thread::sleep(Duration::from_millis(10));
     }
-    assert_eq!(nodes.iter().map(|node| slots(node)).sum::<usize>(), 1);
-    let lender = nodes.iter().find(|node| slots(node) > 0);
+    assert_eq!(
+        nodes.iter().map(|node| lender_slots(node)).sum::<usize>(),
+        1
+    );
+    let lender = nodes.iter().find(|node| lender_slots(node) > 0);
     assert_eq!(share(lender.expect("a lender")), 250_000);
 }
 
@@ -119,9 +104,9 @@
 #[test]
 fn members_counted_in_store() {
     let platform = Platform::start(Capacity::default());
-    let mut members = vec![start("n-1", &platform), start("n-2", &platform)];
+    let mut members = vec![start_lone("n-1", &platform), start_lone("n-2", &platform)];
     eventually("two members are counted", || size(&platform) == Some(2));
-    members.push(start("n-3", &platform));
+    members.push(start_lone("n-3", &platform));
     eventually("the third is counted", || size(&platform) == Some(3));
 }
 
@@ -130,7 +115,7 @@
 #[test]
 fn failed_members_uncounted() {
     let platform = Platform::start(Capacity::default());
-    let members = ["n-1", "n-2"].map(|name| start(name, &platform));
+    let members = ["n-1", "n-2"].map(|name| start_lone(name, &platform));
     let failed = Record {
         state: State::Failed,
         ..ended("n-3")
@@ -147,7 +132,7 @@
 fn count_taken_over() {
     let platform = Platform::start(Capacity::default());
     platform.write("seeds", "b-size", &json!({"d": "b", "n": 4}));
-    let first = start("n-1", &platform);
+    let first = start_lone("n-1", &platform);
     let fleet_size = |node: &Node| {
         let fleet = node.members.fleet.lock().expect("not poisoned");
         fleet.is_counted().then(|| fleet.size())
@@ -155,10 +140,7 @@
     eventually("sizes from the store", || {
         fleet_size(&first.node) == Some(5)
     });
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults::DOWN);
     let late = start_beside(lone("n-2", &platform), &first.node);
     eventually("sizes from the peer", || fleet_size(&late.node) == Some(6));
 }
--- a/crates/daemon/tests/all/pipelined_requests.rs
+++ b/crates/daemon/tests/all/pipelined_requests.rs
@@ -8,17 +8,15 @@
 use cardamomshed_standin::fleet::Fleet;
 use cardamomshed_standin::target::Target;
 
-use crate::chain;
 use crate::platform_sidecar::{Deployment, eventually_status};
+use crate::{chain, connect};
 
 /// Time-out of a read. It is longer than any response takes.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Opens a connection to the first daemon and sends requests with the given bodies.
 fn send(fleet: &Fleet, bodies: &[&str]) -> TcpStream {
-    let mut stream = TcpStream::connect(fleet.callers()[0]).expect("a connection");
-    let timeout = Some(READ_TIMEOUT);
-    stream.set_read_timeout(timeout).expect("a socket");
+    let mut stream = connect(fleet.callers()[0], READ_TIMEOUT);
     write(fleet, &mut stream, bodies);
     stream
 }
@@ -63,9 +61,7 @@
     const LATER: [&str; 4] = ["second", "third", "fourth", "fifth"];
     let fleet = chain(1);
     let set_hung = |hung| {
-        for target in &fleet.targets {
-            target.change(|behaviour| behaviour.hung = hung);
-        }
+        fleet.change_targets(|behaviour| behaviour.hung = hung);
     };
     set_hung(true);
     let mut stream = send(&fleet, &["first"]);
@@ -89,9 +85,7 @@
 #[test]
 fn closed_client_cancels_all() {
     let fleet = chain(1);
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.hung = true);
-    }
+    fleet.change_targets(|behaviour| behaviour.hung = true);
     for (count, halves) in [(4, false), (4, true), (40, false), (40, true)] {
         let stream = send(&fleet, &vec!["body"; count]);
         // At most 16 requests of a connection are open.
@@ -111,16 +105,12 @@
 /// are answered, or that does not close it.
 #[test]
 fn leaving_daemon_closes_last() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
+    let fleet = Deployment::configured();
     let callers = fleet.second.node.settings.callers;
     let get = Request::get(callers, "/open/").header("host", "h.example");
     eventually_status(200, || get.clone().send());
     fleet.second.node.lifecycle.set_leaving();
-    let mut stream = TcpStream::connect(callers).expect("a connection");
-    let timeout = Some(READ_TIMEOUT);
-    stream.set_read_timeout(timeout).expect("a socket");
+    let mut stream = connect(callers, READ_TIMEOUT);
     let request = "GET /open/ HTTP/1.1\r\nhost: h.example\r\n\r\n";
     let sent = stream.write_all(request.repeat(3).as_bytes());
     sent.expect("the requests are sent");
--- a/crates/daemon/tests/all/placed_fleet.rs
+++ b/crates/daemon/tests/all/placed_fleet.rs
@@ -4,17 +4,16 @@
 use std::sync::atomic::Ordering;
 
 use cardamomshed_daemon::Options;
-use cardamomshed_daemon::members::apply_output;
 use cardamomshed_note::{Size, Timespan};
-use cardamomshed_platform::header;
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::{Member, name};
 use cardamomshed_standin::platform::{Capacity, Platform};
 use cardamomshed_standin::thread::Thread;
 use serde_json::{Value, json};
 
-use crate::platform_sidecar::{config, sidecar};
+use crate::platform_sidecar::{config, request, send_heartbeat, sidecar};
 use crate::signed_target::{Observation, target};
+use crate::{learn, own_record};
 
 /// Failure domains with their regions.
 const DOMAINS: [(&str, &str); 3] = [("a", "r"), ("b", "r"), ("c", "q")];
@@ -42,12 +41,8 @@
         fleet.members = (0..DOMAINS.len()).map(|site| fleet.member(site)).collect();
         if let Some(cut) = cut {
             // Such a daemon does not find the others by itself.
-            let own = |member: &Member| member.node.members.fleet.lock().unwrap().own().clone();
-            let records = fleet.members.iter().map(own).collect();
-            let node = &fleet.members[cut].node;
-            let now = node.clock.now();
-            let output = node.members.fleet.lock().unwrap().merge_all(records, now);
-            apply_output(node, output);
+            let records = fleet.members.iter().map(|member| own_record(&member.node));
+            learn(&fleet.members[cut].node, records.collect());
         }
         fleet.register();
         fleet
@@ -81,14 +76,9 @@
     fn register(&self) {
         let connected = (0..DOMAINS.len()).filter(|site| Some(*site) != self.cut);
         for site in connected.clone() {
-            let body = json!({
-                "service": "s-two", "address": self.targets[site].1, "zone": DOMAINS[site].0,
-                "version": "v1", "slots": 1, "state": "ready", "warmup-left": "0ms",
-                "sequence": 1, "born": 10
-            });
-            let control = self.members[site].node.settings.target;
-            let path = "/instances/i-1/heartbeat";
-            Request::post(control, path, body.to_string().as_bytes()).send();
+            let changed = json!({"zone": DOMAINS[site].0, "slots": 1});
+            let target = self.targets[site].1;
+            send_heartbeat(&self.members[site], "i-1", target, &changed);
         }
         eventually("every target is known", || {
             self.members.iter().all(|member| {
@@ -119,10 +109,7 @@
 
     /// Request to the daemon of a site.
     pub(crate) fn get(&self, site: usize, path: &str) -> Request {
-        Request::get(self.members[site].node.settings.callers, path)
-            .header("host", "h.example")
-            .header(header::ATTEMPT, "9c41d07be2a35f68")
-            .header(header::DEADLINE, "1500")
+        request(self.members[site].node.settings.callers, path, "1500")
     }
 
     /// Number of requests that have run at each target.
--- a/crates/daemon/tests/all/platform_sidecar.rs
+++ b/crates/daemon/tests/all/platform_sidecar.rs
@@ -2,7 +2,7 @@
 //! operators' row, targets register by heartbeat, and a request goes from the
 //! caller's daemon to the daemon of the target.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -23,7 +23,12 @@
 use serde_json::{Value, json};
 
 use crate::signed_target::{Observation, target};
+use crate::{lender_slots, live, own_record};
 
+/// Address that nothing listens on.
+pub(crate) const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+/// Identifier of each attempt.
+pub(crate) const ATTEMPT: &str = "9c41d07be2a35f68";
 /// Longest wait for an expected status.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -55,6 +60,43 @@
     settings
 }
 
+/// Settings of a daemon without a target.
+pub(crate) fn lone(node: &str, platform: &Platform) -> Settings {
+    sidecar(node, "s-one", NOWHERE, platform)
+}
+
+/// Starts a daemon without a target.
+pub(crate) fn start_lone(node: &str, platform: &Platform) -> Member {
+    Member::start(lone(node, platform), Options::default())
+}
+
+/// A request with the fields that the platform's clients set.
+pub(crate) fn request(to: SocketAddr, path: &str, deadline_ms: &str) -> Request {
+    Request::get(to, path)
+        .header("host", "h.example")
+        .header(header::ATTEMPT, ATTEMPT)
+        .header(header::DEADLINE, deadline_ms)
+}
+
+/// Sends a daemon the heartbeat of a warm and ready target, with these fields changed.
+pub(crate) fn send_heartbeat(
+    member: &Member,
+    instance: &str,
+    target: SocketAddr,
+    changed: &Value,
+) -> Reply {
+    let mut body = json!({
+        "service": "s-two", "address": target, "zone": "a", "version": "v1", "slots": 8,
+        "state": "ready", "warmup-left": "0ms", "sequence": 1, "born": 10
+    });
+    for (name, value) in changed.as_object().into_iter().flatten() {
+        body[name] = value.clone();
+    }
+    let control = member.node.settings.target;
+    let path = format!("/instances/{instance}/heartbeat");
+    Request::post(control, &path, body.to_string().as_bytes()).send()
+}
+
 pub(crate) fn config(version: u64, key: &str) -> Value {
     json!({
         "version": version,
@@ -87,10 +129,9 @@
     pub(crate) fn start() -> Self {
         let platform = Platform::start(Capacity::default());
         let (thread, target, observed) = target();
-        let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-        let start = |settings| Member::start(settings, Options::default());
-        let first = start(sidecar("n-1", "s-one", unreachable, &platform));
-        let second = start(sidecar("n-2", "s-two", target, &platform));
+        let first = start_lone("n-1", &platform);
+        let settings = sidecar("n-2", "s-two", target, &platform);
+        let second = Member::start(settings, Options::default());
         Self {
             platform,
             first,
@@ -102,11 +143,30 @@
         }
     }
 
+    /// A deployment with a configuration and a target that is ready.
+    pub(crate) fn configured() -> Self {
+        let mut fleet = Self::start();
+        fleet.configure(3, "key-one");
+        fleet.heartbeat("ready");
+        fleet
+    }
+
+    /// A deployment that serves requests on the open route.
+    pub(crate) fn serving() -> Self {
+        let fleet = Self::configured();
+        eventually_status(200, || fleet.get("/open/").send());
+        fleet
+    }
+
+    /// A deployment that accepts `key-one`.
+    pub(crate) fn accepting() -> Self {
+        let fleet = Self::configured();
+        eventually_status(200, || fleet.get("/a/").key("key-one").send());
+        fleet
+    }
+
     pub(crate) fn get(&self, path: &str) -> Request {
-        Request::get(self.first.node.settings.callers, path)
-            .header("host", "h.example")
-            .header(header::ATTEMPT, "9c41d07be2a35f68")
-            .header(header::DEADLINE, "1500")
+        request(self.first.node.settings.callers, path, "1500")
     }
 
     pub(crate) fn heartbeat(&mut self, state: &str) -> Reply {
@@ -122,18 +182,11 @@
         left_ms: u64,
     ) -> Reply {
         self.sequence += 1;
-        let body = json!({
-            "service": "s-two", "address": self.target, "zone": "a", "version": "v1",
-            "slots": 8, "state": state,
-            "warmup-left": format!("{left_ms}ms"), "sequence": self.sequence, "born": born
+        let changed = json!({
+            "state": state, "warmup-left": format!("{left_ms}ms"),
+            "sequence": self.sequence, "born": born
         });
-        let control = self.second.node.settings.target;
-        Request::post(
-            control,
-            &format!("/instances/{instance}/heartbeat"),
-            body.to_string().as_bytes(),
-        )
-        .send()
+        send_heartbeat(&self.second, instance, self.target, &changed)
     }
 
     /// Waits until both daemons list each other as live and exactly one holds the
@@ -141,13 +194,8 @@
     fn await_lender(&self) {
         let nodes = [&self.first.node, &self.second.node];
         eventually_holds("exactly one lender", || {
-            let complete = nodes
-                .iter()
-                .all(|node| node.members.fleet.lock().expect("not poisoned").live() == 2);
-            let slots = nodes
-                .iter()
-                .map(|node| node.quota.lenders.lock().expect("not poisoned").len());
-            complete && slots.sum::<usize>() == 1
+            let slots = nodes.iter().map(|node| lender_slots(node));
+            slots.sum::<usize>() == 1 && nodes.iter().all(|node| live(node) == 2)
         });
         // The next gossip advertises the holder to both.
         std::thread::sleep(Duration::from_millis(500));
@@ -236,9 +284,7 @@
 
 #[test]
 fn draining_target_excluded() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
+    let mut fleet = Deployment::configured();
     fleet.await_lender();
     eventually_status(200, || fleet.get("/a/").key("key-one").send());
     assert_eq!(fleet.heartbeat("draining").status, 200);
@@ -254,14 +300,11 @@
 
 #[test]
 fn stale_lender_recovered() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
+    let fleet = Deployment::configured();
     fleet.await_lender();
     eventually_status(200, || fleet.get("/a/").key("key-one").send());
     let nodes = [&fleet.first.node, &fleet.second.node];
-    let own = |node: &Node| node.members.fleet.lock().expect("unpoisoned").own().clone();
-    let records = nodes.map(|node| own(node));
+    let records = nodes.map(|node| own_record(node));
     let holds_slot = |record: &&Record| !record.profile.lender_slots.is_empty();
     let lender = records.iter().find(holds_slot).expect("a lender").clone();
     let other = records.iter().find(|record| !holds_slot(record));
@@ -294,10 +337,7 @@
 
 #[test]
 fn restart_finds_target() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/open/").send());
+    let mut fleet = Deployment::serving();
     fleet.observed.health.store(true, Ordering::Relaxed);
     fleet.restart_second();
     // Without a heartbeat, the health check of the target reports its instance.
@@ -310,10 +350,7 @@
 
 #[test]
 fn restart_draining_target() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/open/").send());
+    let mut fleet = Deployment::serving();
     assert_eq!(fleet.heartbeat("draining").status, 200);
     // A draining target may still pass its health checks, and a heartbeat that it
     // sent before it drained may arrive late.
@@ -333,23 +370,9 @@
 
 #[test]
 fn shutdown_keeps_serving() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/open/").send());
+    let mut fleet = Deployment::serving();
     let request = fleet.get("/open/");
-    let second = std::mem::replace(
-        &mut fleet.second,
-        Member::start(
-            sidecar(
-                "n-3",
-                "s-one",
-                SocketAddr::from(([127, 0, 0, 1], 1)),
-                &fleet.platform,
-            ),
-            Options::default(),
-        ),
-    );
+    let second = std::mem::replace(&mut fleet.second, start_lone("n-3", &fleet.platform));
     let started = Instant::now();
     let ending = std::thread::spawn(move || {
         let mut second = second;
@@ -371,19 +394,13 @@
 
 #[test]
 fn replaced_key_refused() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/a/").key("key-one").send());
+    let mut fleet = Deployment::accepting();
     fleet.configure(9, "key-two");
     eventually_status(401, || fleet.get("/a/").key("key-one").send());
     eventually_status(200, || fleet.get("/a/").key("key-two").send());
     // During an outage of the store no key can be confirmed, so requests with a
     // key are refused. Public routes are still served.
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    fleet.platform.set_faults(Faults::DOWN);
     eventually_status(503, || fleet.get("/a/").key("key-two").send());
     fleet.heartbeat("ready");
     assert_eq!(fleet.get("/open/").send().status, 200);
@@ -393,10 +410,7 @@
 
 #[test]
 fn truncated_history_reread() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/a/").key("key-one").send());
+    let fleet = Deployment::accepting();
     fleet.configure(4, "key-two");
     fleet.platform.clear_history();
     eventually_status(200, || fleet.get("/a/").key("key-two").send());
@@ -407,13 +421,18 @@
     assert_eq!(fleet.get("/a/").key("key-two").send().status, 200);
 }
 
+/// Spends a token of account `t-1` from the wallet of a daemon.
+fn spend(node: &Node) -> Spend {
+    let key = node.names.account(&Arc::from("t-1"));
+    let mut wallet = node.quota.wallet.lock().expect("not poisoned");
+    wallet.spend(key, node.clock.now())
+}
+
 #[test]
 fn paused_lender_refuses() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
+    let fleet = Deployment::configured();
     fleet.await_lender();
-    let holds = |node: &Node| !node.quota.lenders.lock().expect("not poisoned").is_empty();
+    let holds = |node: &Node| lender_slots(node) > 0;
     let nodes = [&fleet.first.node, &fleet.second.node];
     let lender = nodes
         .into_iter()
@@ -446,27 +465,17 @@
         ..grant()
     };
     quota::receive(lender, &late);
-    let key = lender.names.account(&Arc::from("t-1"));
-    let spend = lender
-        .quota
-        .wallet
-        .lock()
-        .expect("not poisoned")
-        .spend(key, lender.clock.now());
-    assert_eq!(spend, Spend::Wait);
+    assert_eq!(spend(lender), Spend::Wait);
     eventually_holds("a lender again", || nodes.iter().any(|node| holds(node)));
 }
 
 #[test]
 fn second_lender_exhausted() {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
+    let fleet = Deployment::configured();
     fleet.await_lender();
     let node = &fleet.first.node;
-    let account: Arc<str> = "t-1".into();
     let answer = |turn, holds_slot| Grant {
-        account: Arc::clone(&account),
+        account: "t-1".into(),
         requested: 1,
         tokens: 0,
         requested_us: 0,
@@ -474,20 +483,11 @@
         lenders_tried: turn,
         is_lender: holds_slot,
     };
-    let spend = || {
-        let now = node.clock.now();
-        let key = node.names.account(&account);
-        node.quota
-            .wallet
-            .lock()
-            .expect("not poisoned")
-            .spend(key, now)
-    };
     // The second lender on the list holds only one member's share of the account,
     // and the first may be slow to answer. A refusal by the second alone
     // does not mean that the quota is exhausted.
     quota::receive(node, &answer(2, true));
-    assert_eq!(spend(), Spend::Wait);
+    assert_eq!(spend(node), Spend::Wait);
     quota::receive(node, &answer(1, true));
-    assert_eq!(spend(), Spend::Exhausted);
+    assert_eq!(spend(node), Spend::Exhausted);
 }
--- a/crates/daemon/tests/all/process_signals.rs
+++ b/crates/daemon/tests/all/process_signals.rs
@@ -8,83 +8,63 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use cardamomshed_note::{Limits, Size};
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::{Fleet, secret};
+use cardamomshed_standin::platform::Platform;
 use cardamomshed_standin::soak::process::free_address;
 use cardamomshed_standin::target::{Behaviour, Config, Target};
 use socket2::SockRef;
 
-use crate::chain;
+use crate::{allow_bodies, chain, request_text};
 
 static NEXT_PROCESS: AtomicU32 = AtomicU32::new(0);
 
-/// A daemon in a process of its own, with a target of service `hop-0` of the
-/// fleet. Dropping it kills the process.
-pub(crate) struct Process {
-    pub(crate) child: Child,
+/// A daemon in a process of its own. Dropping it kills the process.
+pub(crate) struct Daemon {
+    child: Child,
     pub(crate) callers: SocketAddr,
+    control: SocketAddr,
     admin: SocketAddr,
-    pub(crate) target: Target,
 }
 
-impl Process {
-    fn start(fleet: &Fleet, behaviour: Behaviour) -> Self {
-        Self::start_with(fleet, behaviour, "")
-    }
-
-    /// Like [`Self::start`], with further lines of settings.
-    pub(crate) fn start_with(fleet: &Fleet, behaviour: Behaviour, settings: &str) -> Self {
-        let number = NEXT_PROCESS.fetch_add(1, Ordering::Relaxed);
+impl Daemon {
+    /// Starts a daemon of a fleet with one failure domain, given with its region, and
+    /// with further lines of settings.
+    pub(crate) fn start(
+        name: &str,
+        [domain, region]: [&str; 2],
+        platform: &Platform,
+        further: &str,
+    ) -> Self {
         // A port of those that the kernel gives out may be taken by another test before
         // the process binds it.
         let [callers, control, peers, admin] = [(); 4].map(|()| free_address());
         let settings = format!(
-            "node: process-{}-{number}\ndomain: here\nregion: region\n\
+            "node: {name}\ndomain: {domain}\nregion: {region}\ndomains: [{domain}]\n\
              fleet_secret: {}\n\
              callers: {callers}\ntarget: {control}\npeers: {peers}\n\
-             admin: {admin}\nplatform: {}\ndomains: [here]\nlog: off\n\
-             timing: {{poll: 200ms, drain: 5s}}\n{settings}",
-            std::process::id(),
-            secret(&fleet.platform.base()),
-            fleet.platform.base()
+             admin: {admin}\nplatform: {}\nlog: off\n{further}",
+            secret(&platform.base()),
+            platform.base()
         );
         let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let file = folder.join(format!("process-{}-{number}.yaml", std::process::id()));
+        let file = folder.join(format!("{}-{name}.yaml", std::process::id()));
         fs::write(&file, settings).expect("the settings file is written");
         let child = Command::new(env!("CARGO_BIN_EXE_cardamomshed"))
             .arg("--settings")
             .arg(&file)
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon can be started");
-        let target = Target::start(Config {
-            service: "hop-0".to_owned(),
-            slots: 8,
-            connections: 64,
-            daemon: control,
-            behaviour,
-            announces: true,
-        });
         Self {
             child,
             callers,
+            control,
             admin,
-            target,
         }
     }
 
-    /// Number of open root requests that the daemon's status reports, -1 if the
-    /// status cannot be read.
-    pub(crate) fn open_requests(&self) -> i64 {
-        let status = Request::get(self.admin, "/status").send();
-        let status = serde_json::from_slice::<serde_json::Value>(&status.body);
-        let open = status
-            .ok()
-            .and_then(|status| status["open_requests"].as_i64());
-        open.unwrap_or(-1)
-    }
-
     pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(format!("-{name}"))
@@ -92,9 +72,14 @@
             .status();
         assert!(status.expect("kill runs").success());
     }
+
+    /// Waits until the process has ended, and asserts that it did so without an error.
+    pub(crate) fn await_success(&mut self) {
+        assert!(self.child.wait().expect("the daemon exits").success());
+    }
 }
 
-impl Drop for Process {
+impl Drop for Daemon {
     fn drop(&mut self) {
         // The process may have exited already.
         let _ = self.child.kill();
@@ -102,6 +87,58 @@
     }
 }
 
+/// A daemon in a process of its own, with a target of service `hop-0` of the fleet.
+pub(crate) struct Process {
+    pub(crate) daemon: Daemon,
+    pub(crate) target: Target,
+}
+
+impl Process {
+    /// Starts both and waits until requests are served.
+    fn serving(fleet: &Fleet, behaviour: Behaviour) -> Self {
+        let process = Self::start(fleet, behaviour, "");
+        eventually("the process serves", || {
+            get(fleet, process.daemon.callers) == 200
+        });
+        process
+    }
+
+    /// Starts both and waits until calls reach the target.
+    fn reached(fleet: &Fleet) -> Self {
+        let process = Self::start(fleet, Behaviour::default(), "");
+        eventually("calls reach the process", || reached(fleet, &process));
+        process
+    }
+
+    /// Starts both, the daemon with further lines of settings.
+    pub(crate) fn start(fleet: &Fleet, behaviour: Behaviour, settings: &str) -> Self {
+        let number = NEXT_PROCESS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("process-{}-{number}", std::process::id());
+        let settings = format!("timing: {{poll: 200ms, drain: 5s}}\n{settings}");
+        let daemon = Daemon::start(&name, ["here", "region"], &fleet.platform, &settings);
+        let target = Target::start(Config {
+            service: "hop-0".to_owned(),
+            slots: 8,
+            connections: 64,
+            daemon: daemon.control,
+            behaviour,
+            announces: true,
+        });
+        Self { daemon, target }
+    }
+
+    /// Number of open root requests that the daemon's status reports, -1 if the
+    /// status cannot be read.
+    pub(crate) fn open_requests(&self) -> i64 {
+        let status = Request::get(self.daemon.admin, "/status").send();
+        let status = serde_json::from_slice::<serde_json::Value>(&status.body);
+        let open = status
+            .ok()
+            .and_then(|status| status["open_requests"].as_i64());
+        open.unwrap_or(-1)
+    }
+}
+
 /// Sends 20 requests to the fleet's first daemon and returns whether the target
 /// of the process has received any request.
 fn reached(fleet: &Fleet, process: &Process) -> bool {
@@ -118,6 +155,13 @@
     Request::get(to, "/hop-0").key(&fleet.keys[0]).send().status
 }
 
+/// Waits until 20 requests in a row to the fleet's first daemon succeed.
+fn await_no_failure(fleet: &Fleet) {
+    eventually("no call fails", || {
+        (0..20).all(|_| get(fleet, fleet.callers()[0]) == 200)
+    });
+}
+
 #[test]
 fn stop_drains_requests() {
     let fleet = chain(1);
@@ -125,25 +169,21 @@
         service_time: Duration::from_millis(900),
         ..Behaviour::default()
     };
-    let mut process = Process::start(&fleet, slow);
-    eventually("the process serves", || get(&fleet, process.callers) == 200);
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.service_time = Duration::from_millis(700));
-    }
-    let (to, key) = (process.callers, fleet.keys[0].clone());
+    let mut process = Process::serving(&fleet, slow);
+    fleet.change_targets(|behaviour| behaviour.service_time = Duration::from_millis(700));
+    let (to, key) = (process.daemon.callers, fleet.keys[0].clone());
     let callers = (0..12).map(|_| {
         let request = Request::get(to, "/hop-0").key(&key);
         std::thread::spawn(move || request.send())
     });
     let callers = callers.collect::<Vec<_>>();
     eventually("every request is open", || process.open_requests() == 12);
-    process.signal("TERM");
+    process.daemon.signal("TERM");
     for caller in callers {
         let reply = caller.join().expect("the caller's thread completes");
         assert_eq!(reply.status, 200, "a request was interrupted: {reply:?}");
     }
-    let status = process.child.wait().expect("the daemon exits");
-    assert!(status.success());
+    process.daemon.await_success();
     let before = process.target.total();
     for _ in 0..10 {
         assert_eq!(get(&fleet, fleet.callers()[0]), 200);
@@ -165,34 +205,18 @@
     const PART: usize = 64 << 10;
     const PAUSE: Duration = Duration::from_millis(16);
     let fleet = chain(1);
-    let mut note = fleet.blank_note("long-bodies");
-    note.limits = Some(Limits {
-        body: Size::from_bytes(2 * LENGTH as u64),
-        ..Limits::default()
-    });
-    fleet.apply(&note);
+    allow_bodies(&fleet, 2 * LENGTH);
     let long = Behaviour {
         body_len: LENGTH,
         ..Behaviour::default()
     };
-    for target in &fleet.targets {
-        target.change(|behaviour| behaviour.body_len = LENGTH);
-    }
-    // A daemon that does not have the note yet refuses the long response of its target.
-    eventually("the note is in force", || {
-        let bodies = fleet.daemons.iter().map(|daemon| daemon.node.lookup());
-        bodies
-            .map(|lookup| lookup.config.limits.body.get())
-            .all(|body| body == 2 * LENGTH)
-    });
-    let mut process = Process::start(&fleet, long);
-    eventually("the process serves", || get(&fleet, process.callers) == 200);
-    let mut caller = TcpStream::connect(process.callers).expect("a connection");
+    fleet.change_targets(|behaviour| behaviour.body_len = LENGTH);
+    let mut process = Process::serving(&fleet, long);
+    let mut caller = TcpStream::connect(process.daemon.callers).expect("a connection");
     SockRef::from(&caller)
         .set_recv_buffer_size(64 << 10)
         .expect("a socket");
-    let key = &fleet.keys[0];
-    let request = format!("GET /hop-0 HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\r\n");
+    let request = request_text("/hop-0", &fleet.keys[0]);
     caller
         .write_all(request.as_bytes())
         .expect("the request is sent");
@@ -208,21 +232,20 @@
         );
         received += length;
         if !is_stopped {
-            process.signal("TERM");
+            process.daemon.signal("TERM");
             is_stopped = true;
         }
         std::thread::sleep(PAUSE);
     }
     drop(caller);
-    let status = process.child.wait().expect("the daemon exits");
-    assert!(status.success());
+    process.daemon.await_success();
 }
 
 /// Sends requests one after the other over kept connections until no new
 /// connection is accepted. Returns the requests that were answered, and those
 /// whose connection ended without a complete response.
 fn request_until_closed(to: SocketAddr, key: &str) -> (u32, u32) {
-    let request = format!("GET /hop-0 HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\r\n");
+    let request = request_text("/hop-0", key);
     let (mut answered, mut cut) = (0, 0);
     while let Ok(mut stream) = TcpStream::connect(to) {
         stream
@@ -273,20 +296,19 @@
         service_time: Duration::from_millis(20),
         ..Behaviour::default()
     };
-    let mut process = Process::start(&fleet, behaviour);
-    eventually("the process serves", || get(&fleet, process.callers) == 200);
+    let mut process = Process::serving(&fleet, behaviour);
     let callers = (0..12).map(|_| {
-        let (to, key) = (process.callers, fleet.keys[0].clone());
+        let (to, key) = (process.daemon.callers, fleet.keys[0].clone());
         std::thread::spawn(move || request_until_closed(to, &key))
     });
     let callers = callers.collect::<Vec<_>>();
     std::thread::sleep(Duration::from_millis(400));
-    process.signal("TERM");
+    process.daemon.signal("TERM");
     let counts = callers
         .into_iter()
         .map(|caller| caller.join().expect("the caller's thread completes"));
     let (answered, cut) = counts.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-    assert!(process.child.wait().expect("the daemon exits").success());
+    process.daemon.await_success();
     assert!(answered > 100, "only {answered} requests were answered");
     assert_eq!(cut, 0, "of {answered} answered requests");
 }
@@ -294,19 +316,15 @@
 #[test]
 fn killed_daemon_excluded() {
     let fleet = chain(1);
-    let process = Process::start(&fleet, Behaviour::default());
-    eventually("calls reach the process", || reached(&fleet, &process));
-    process.signal("KILL");
-    eventually("no call fails", || {
-        (0..20).all(|_| get(&fleet, fleet.callers()[0]) == 200)
-    });
+    let process = Process::reached(&fleet);
+    process.daemon.signal("KILL");
+    await_no_failure(&fleet);
 }
 
 #[test]
 fn killed_claim_kept() {
     let fleet = chain(1);
-    let process = Process::start(&fleet, Behaviour::default());
-    eventually("the process serves", || get(&fleet, process.callers) == 200);
+    let process = Process::serving(&fleet, Behaviour::default());
     let targets = fleet.targets.iter().chain([&process.target]);
     for target in targets.clone() {
         target.change(|behaviour| behaviour.service_time = Duration::from_millis(1_500));
@@ -318,10 +336,10 @@
             .key(&fleet.keys[0])
             .header("idempotency-key", "killed")
     };
-    let first = booking(process.callers);
+    let first = booking(process.daemon.callers);
     let caller = std::thread::spawn(move || first.send());
     eventually("the booking is running", || total() == before + 1);
-    process.signal("KILL");
+    process.daemon.signal("KILL");
     assert_eq!(
         caller.join().expect("the caller's thread completes").status,
         0
@@ -338,13 +356,10 @@
 #[test]
 fn suspended_daemon_excluded() {
     let fleet = chain(1);
-    let process = Process::start(&fleet, Behaviour::default());
-    eventually("calls reach the process", || reached(&fleet, &process));
-    process.signal("STOP");
-    eventually("no call fails", || {
-        (0..20).all(|_| get(&fleet, fleet.callers()[0]) == 200)
-    });
-    process.signal("CONT");
+    let process = Process::reached(&fleet);
+    process.daemon.signal("STOP");
+    await_no_failure(&fleet);
+    process.daemon.signal("CONT");
     let before = process.target.total();
     eventually("calls reach the process again", || {
         reached(&fleet, &process) && process.target.total() > before
--- a/crates/daemon/tests/all/refused_calls.rs
+++ b/crates/daemon/tests/all/refused_calls.rs
@@ -11,7 +11,7 @@
 use cardamomshed_standin::shape::Shape;
 use cardamomshed_wire::Frame;
 
-use crate::link_resume::{call, dial, with_daemon};
+use crate::link_resume::{call_frame, dial, with_daemon};
 
 /// Time in which a call that waited for a slot would start once there is one.
 const START_TIME: Duration = Duration::from_millis(300);
@@ -26,7 +26,7 @@
 
 /// Sends a call without a body.
 async fn send(fake: &mut Dialler, id: u64, timeout_ms: u32) {
-    let mut call = call(id, 0);
+    let mut call = call_frame(id, 0);
     call.timeout_ms = timeout_ms;
     fake.send(&Frame::Call(Box::new(call)), &[]).await;
 }
@@ -45,9 +45,7 @@
     let fleet = hung_fleet();
     let target = &fleet.targets[0];
     with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
+        let mut fake = dial(&node).await;
         send(&mut fake, 1, 5_000).await;
         send(&mut fake, 2, 5_000).await;
         tokio::time::sleep(START_TIME).await;
@@ -64,9 +62,7 @@
 fn refused_in_queue() {
     let fleet = hung_fleet();
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
+        let mut fake = dial(&node).await;
         send(&mut fake, 1, 5_000).await;
         send(&mut fake, 2, 400).await;
         let refused = refusal(&mut fake).await;
@@ -84,9 +80,7 @@
     let fleet = hung_fleet();
     let refused = with_daemon(&fleet, |node| async move {
         node.local_target.set_leaving();
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
+        let mut fake = dial(&node).await;
         send(&mut fake, 1, 5_000).await;
         let refused = refusal(&mut fake).await;
         tokio::time::sleep(START_TIME).await;
@@ -101,9 +95,7 @@
 fn unanswered_call_unknown() {
     let fleet = hung_fleet();
     let refused = with_daemon(&fleet, |node| async move {
-        let mut fake = dial(&node, &node.settings.fleet_secret)
-            .await
-            .expect("a link");
+        let mut fake = dial(&node).await;
         send(&mut fake, 1, 400).await;
         refusal(&mut fake).await
     });
--- a/crates/daemon/tests/all/request_preview.rs
+++ b/crates/daemon/tests/all/request_preview.rs
@@ -1,19 +1,16 @@
 //! `GET /preview` tells where a request would go, or how it would be refused.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cardamomshed_code::Code;
-use cardamomshed_daemon::Options;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_standin::client::{Reply, Request, eventually};
-use cardamomshed_standin::fleet::Member;
 use cardamomshed_standin::platform::{Capacity, Platform};
 use serde_json::{Value, json};
 
 use crate::chain;
 use crate::placed_fleet::Fleet;
-use crate::platform_sidecar::{eventually_status, sidecar};
+use crate::platform_sidecar::{eventually_status, start_lone};
 
 fn ask(node: &Node, query: &str) -> Reply {
     Request::get(node.settings.admin, &format!("/preview?{query}")).send()
@@ -238,9 +235,7 @@
 #[test]
 fn unconfigured() {
     let platform = Platform::start(Capacity::default());
-    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-    let settings = sidecar("n-1", "s-one", nowhere, &platform);
-    let member = Member::start(settings, Options::default());
+    let member = start_lone("n-1", &platform);
     let document = preview(&member.node, "path=/a/&host=h.example&account=t-1");
     assert_eq!(document["route"], Value::Null);
     let refusal = &document["outcome"]["refusal"];
--- a/crates/daemon/tests/all/retry_outcomes.rs
+++ b/crates/daemon/tests/all/retry_outcomes.rs
@@ -4,17 +4,9 @@
 
 use crate::platform_sidecar::{Deployment, eventually_status};
 
-fn serving() -> Deployment {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/open/").send());
-    fleet
-}
-
 #[test]
 fn rejected_call_repeated() {
-    let fleet = serving();
+    let fleet = Deployment::serving();
     // The route allows two targets a request, but a rejection is no execution.
     fleet.observed.rejections.store(3, Ordering::Relaxed);
     let runs = fleet.observed.runs.load(Ordering::Relaxed);
@@ -24,7 +16,7 @@
 
 #[test]
 fn rejected_call_not_run() {
-    let fleet = serving();
+    let fleet = Deployment::serving();
     fleet.observed.rejections.store(1_000, Ordering::Relaxed);
     let reply = fleet.get("/open/").send();
     assert_eq!(reply.status, 503, "a request that did not run is refused");
@@ -33,7 +25,7 @@
 
 #[test]
 fn unknown_outcome_kept() {
-    let fleet = serving();
+    let fleet = Deployment::serving();
     // This route allows a second target.
     let request = || fleet.get("/a/").key("key-one");
     eventually_status(200, || request().send());
@@ -52,7 +44,7 @@
 /// ran it and did not mark its response as a rejection.
 #[test]
 fn unmarked_status_unknown() {
-    let fleet = serving();
+    let fleet = Deployment::serving();
     for status in [408, 429, 503] {
         fleet.observed.unmarked.store(status, Ordering::Relaxed);
         for path in ["/once/", "/open/"] {
--- a/crates/daemon/tests/all/store_return.rs
+++ b/crates/daemon/tests/all/store_return.rs
@@ -5,19 +5,10 @@
 
 use crate::platform_sidecar::{Deployment, eventually_status};
 
-/// A deployment whose target serves requests on the open route.
-fn served() -> Deployment {
-    let mut deployment = Deployment::start();
-    deployment.configure(3, "key-one");
-    deployment.heartbeat("ready");
-    eventually_status(200, || deployment.get("/open/").send());
-    deployment
-}
-
 /// Guards against a departure that a restart forgets because the store lost its row.
 #[test]
 fn departure_rewritten() {
-    let mut deployment = served();
+    let mut deployment = Deployment::serving();
     let copy = deployment.platform.copy();
     assert_eq!(deployment.heartbeat("draining").status, 200);
     // A peer may hold the departure before the store does.
@@ -34,7 +25,7 @@
 /// Guards against daemons that start after the return and find no other one.
 #[test]
 fn seeds_rewritten() {
-    let deployment = served();
+    let deployment = Deployment::serving();
     let empty = cardamomshed_standin::platform::Copy::default();
     let has_size = || deployment.platform.peek("seeds", "a-size").is_some();
     eventually("the size of the failure domain is stored", has_size);
@@ -48,7 +39,7 @@
 /// older configuration, and against one that is confirmed as the newest.
 #[test]
 fn withdrawn_key_refused() {
-    let mut deployment = served();
+    let mut deployment = Deployment::serving();
     deployment.heartbeat("ready");
     eventually_status(200, || deployment.get("/a/").key("key-one").send());
     let copy = deployment.platform.copy();
--- a/crates/daemon/tests/all/target_recovery.rs
+++ b/crates/daemon/tests/all/target_recovery.rs
@@ -6,34 +6,18 @@
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
-use cardamomshed_daemon::node::Node;
 use cardamomshed_standin::client::{Request, eventually};
 use cardamomshed_standin::fleet::Member;
 use cardamomshed_standin::platform::Faults;
 
+use crate::live;
 use crate::platform_sidecar::{Deployment, eventually_status};
 
-/// Faults of a store that is down.
-const DOWN: Faults = Faults {
-    down: true,
-    delay: Duration::ZERO,
-    lose_answers: 0.0,
-};
-
-/// A deployment that serves requests.
-fn serving() -> Deployment {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/open/").send());
-    fleet
-}
-
 #[test]
 fn store_outage_retried() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     fleet.observed.health.store(true, Ordering::Relaxed);
-    fleet.platform.set_faults(DOWN);
+    fleet.platform.set_faults(Faults::DOWN);
     fleet.restart_second();
     std::thread::sleep(Duration::from_millis(700));
     fleet.platform.set_faults(Faults::default());
@@ -42,7 +26,7 @@
 
 #[test]
 fn failed_check_retried() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     fleet.observed.health.store(false, Ordering::Relaxed);
     fleet.restart_second();
     let node = &fleet.second.node;
@@ -54,9 +38,9 @@
 
 #[test]
 fn late_heartbeat_deferred() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     assert_eq!(fleet.heartbeat("draining").status, 200);
-    fleet.platform.set_faults(DOWN);
+    fleet.platform.set_faults(Faults::DOWN);
     fleet.restart_second();
     let runs = fleet.observed.runs.load(Ordering::Relaxed);
     // A heartbeat from before the target drained arrives before the store does.
@@ -76,8 +60,8 @@
 
 #[test]
 fn unread_departure_expires() {
-    let mut fleet = serving();
-    fleet.platform.set_faults(DOWN);
+    let mut fleet = Deployment::serving();
+    fleet.platform.set_faults(Faults::DOWN);
     fleet.restart_second();
     // With the store away for long, heartbeats alone register the target.
     let node = std::sync::Arc::clone(&fleet.second.node);
@@ -90,7 +74,7 @@
 
 #[test]
 fn seed_row_replaced() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     let peer_of = |fleet: &Deployment| {
         let rows = (0..3).filter_map(|number| fleet.platform.peek("seeds", &format!("a-{number}")));
         let own = rows
@@ -108,7 +92,6 @@
 
 /// Both daemons list each other as live.
 fn await_members(fleet: &Deployment) {
-    let live = |node: &Node| node.members.fleet.lock().expect("not poisoned").live();
     eventually("two members", || {
         live(&fleet.first.node) == 2 && live(&fleet.second.node) == 2
     });
@@ -118,10 +101,10 @@
 /// forgotten by a restart of the daemon.
 #[test]
 fn departure_returned_by_peer() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     await_members(&fleet);
     fleet.observed.health.store(true, Ordering::Relaxed);
-    fleet.platform.set_faults(DOWN);
+    fleet.platform.set_faults(Faults::DOWN);
     assert_eq!(fleet.heartbeat("draining").status, 200);
     fleet.restart_in_place();
     let runs = fleet.observed.runs.load(Ordering::Relaxed);
@@ -144,10 +127,10 @@
 /// row of the departure.
 #[test]
 fn departure_missing_in_store() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     await_members(&fleet);
     fleet.observed.health.store(true, Ordering::Relaxed);
-    fleet.platform.set_faults(DOWN);
+    fleet.platform.set_faults(Faults::DOWN);
     assert_eq!(fleet.heartbeat("draining").status, 200);
     let settings = fleet.second.node.settings.clone();
     fleet.second.leave();
@@ -168,14 +151,12 @@
 /// Guards against the acknowledgement of a departure that nothing but the daemon knows.
 #[test]
 fn unconfirmed_departure_unacknowledged() {
-    let mut fleet = serving();
+    let mut fleet = Deployment::serving();
     await_members(&fleet);
     fleet.first.leave();
     let node = Arc::clone(&fleet.second.node);
-    eventually("no other member", || {
-        node.members.fleet.lock().expect("not poisoned").live() == 1
-    });
-    fleet.platform.set_faults(DOWN);
+    eventually("no other member", || live(&node) == 1);
+    fleet.platform.set_faults(Faults::DOWN);
     assert_eq!(fleet.heartbeat("draining").status, 503);
     assert!(node.local_target.is_leaving(), "no calls all the same");
     // The same notice again, with the sequence of the first, and a deregistration.
--- a/crates/daemon/tests/all/unconfirmed_start.rs
+++ b/crates/daemon/tests/all/unconfirmed_start.rs
@@ -1,66 +1,59 @@
 //! A daemon that starts while the platform's store is away gets a configuration from a
 //! peer. It accepts keys by it only after a confirmation.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cardamomshed_daemon::Options;
 use cardamomshed_daemon::actor::distribution::row_key;
-use cardamomshed_daemon::members::apply_output;
 use cardamomshed_daemon::node::Node;
 use cardamomshed_note::{Limits, Settings, Timespan, Unconfirmed};
-use cardamomshed_policy::member::Record;
 use cardamomshed_standin::client::{Reply, Request, eventually};
-use cardamomshed_standin::fleet::{Location, Member, settings};
-use cardamomshed_standin::platform::{Faults, Platform};
+use cardamomshed_standin::fleet::{Fleet, Location, Member, settings};
+use cardamomshed_standin::platform::Faults;
 
-use crate::chain;
-use crate::platform_sidecar::{Deployment, eventually_status, sidecar};
+use crate::platform_sidecar::{Deployment, eventually_status, lone};
+use crate::{await_revision, chain, learn, own_record};
 
 /// Time for which the requests of a withdrawn key are observed. It exceeds the
 /// time for which a confirmation is in force.
 const OBSERVATION: Duration = Duration::from_secs(4);
 
-/// A deployment that accepts `key-one`.
-fn serving_deployment() -> Deployment {
-    let mut fleet = Deployment::start();
-    fleet.configure(3, "key-one");
-    fleet.heartbeat("ready");
-    eventually_status(200, || fleet.get("/a/b").key("key-one").send());
-    fleet
-}
-
-fn set_store_down(platform: &Platform) {
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
-}
-
 /// Starts a sidecar that knows a member of the deployment and cannot reach the
 /// store.
 fn start_sidecar(fleet: &Deployment) -> Member {
-    let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
-    let settings = sidecar("n-3", "s-one", unreachable, &fleet.platform);
-    start_beside(settings, &fleet.second.node)
+    start_beside(lone("n-3", &fleet.platform), &fleet.second.node)
 }
 
 /// Starts a daemon that knows another one.
 pub(crate) fn start_beside(settings: Settings, other: &Node) -> Member {
     let member = Member::start(settings, Options::default());
-    let known = own_record(other);
-    let output = {
-        let mut members = member.node.members.fleet.lock().expect("not poisoned");
-        members.merge_all(vec![known], member.node.clock.now())
-    };
-    apply_output(&member.node, output);
+    learn(&member.node, vec![own_record(other)]);
     member
 }
 
-pub(crate) fn own_record(node: &Node) -> Record {
-    let members = node.members.fleet.lock().expect("not poisoned");
-    members.own().clone()
+/// Applies a note by which keys are refused this many milliseconds after the last
+/// confirmation.
+pub(crate) fn refuse_unconfirmed(fleet: &Fleet, after: u64) {
+    let mut note = fleet.blank_note("refuse-unconfirmed");
+    note.limits = Some(Limits {
+        unconfirmed_keys: Unconfirmed::Refuse,
+        unconfirmed_after: Timespan::from_millis(after),
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    await_revision(fleet, 2);
+}
+
+/// Settings of a further daemon in the first failure domain.
+pub(crate) fn late_settings(fleet: &Fleet) -> Settings {
+    let (domain, region) = fleet.shape.domains[0].clone();
+    let place = Location {
+        node: "late".to_owned(),
+        domain,
+        region,
+    };
+    settings(&place, &fleet.shape.domains, &fleet.platform.base())
 }
 
 fn get(node: &Arc<Node>, path: &str) -> Request {
@@ -75,8 +68,8 @@
 /// store took a configuration from a peer as confirmed at its own start.
 #[test]
 fn withdrawn_key_refused() {
-    let mut fleet = serving_deployment();
-    set_store_down(&fleet.platform);
+    let mut fleet = Deployment::accepting();
+    fleet.platform.set_faults(Faults::DOWN);
     eventually_status(503, || fleet.get("/a/b").key("key-one").send());
     // By now no read that the store had accepted before is open.
     fleet.configure(4, "key-two");
@@ -103,30 +96,15 @@
 #[test]
 fn peer_notes_unconfirmed() {
     let fleet = chain(1);
-    let mut note = fleet.blank_note("refuse-unconfirmed");
-    note.limits = Some(Limits {
-        unconfirmed_keys: Unconfirmed::Refuse,
-        unconfirmed_after: Timespan::from_millis(700),
-        ..Limits::default()
-    });
-    fleet.apply(&note);
+    refuse_unconfirmed(&fleet, 700);
     let daemon = &fleet.daemons[0].node;
-    eventually("the note is in force", || {
-        daemon.lookup().config.revision == 2
-    });
-    set_store_down(&fleet.platform);
+    fleet.platform.set_faults(Faults::DOWN);
     let send = |node: &Node| {
         let request = Request::get(node.settings.callers, &fleet.shape.path());
         request.key(&fleet.keys[0]).send()
     };
     eventually("the key is refused", || send(daemon).code() == 1104);
-    let place = Location {
-        node: "late".to_owned(),
-        domain: fleet.shape.domains[0].0.clone(),
-        region: fleet.shape.domains[0].1.clone(),
-    };
-    let settings = settings(&place, &fleet.shape.domains, &fleet.platform.base());
-    let late = start_beside(settings, daemon);
+    let late = start_beside(late_settings(&fleet), daemon);
     let until = Instant::now() + OBSERVATION;
     while Instant::now() < until {
         for node in [daemon, &late.node] {
@@ -145,17 +123,7 @@
 #[test]
 fn undecodable_note_unconfirmed() {
     let fleet = chain(1);
-    let mut note = fleet.blank_note("refuse-unconfirmed");
-    note.limits = Some(Limits {
-        unconfirmed_keys: Unconfirmed::Refuse,
-        unconfirmed_after: Timespan::from_millis(700),
-        ..Limits::default()
-    });
-    fleet.apply(&note);
-    let daemon = &fleet.daemons[0].node;
-    eventually("the note is in force", || {
-        daemon.lookup().config.revision == 2
-    });
+    refuse_unconfirmed(&fleet, 700);
     let send = || crate::get(&fleet, &fleet.shape.path()).send();
     eventually("the key is accepted", || send().status == 200);
     let row = row_key(3);
@@ -168,8 +136,8 @@
 /// still in force also counts for a daemon that starts without the store.
 #[test]
 fn confirmation_taken_over() {
-    let fleet = serving_deployment();
-    set_store_down(&fleet.platform);
+    let fleet = Deployment::accepting();
+    fleet.platform.set_faults(Faults::DOWN);
     let late = start_sidecar(&fleet);
     eventually_status(200, || send_with_key(&late.node, "key-one"));
 }
--- a/crates/daemon/tests/clients/main.rs
+++ b/crates/daemon/tests/clients/main.rs
@@ -41,14 +41,15 @@
 /// take whole responses.
 const RECEIVE_BUFFER: u32 = 16 * 1024;
 
-/// Runs a test alone.
-fn alone(name: &str, crowd: impl AsyncFnOnce(SocketAddr) -> Crowd) {
+/// Runs a test alone, with the clients that `gather` adds.
+fn alone(name: &str, gather: impl AsyncFnOnce(&mut Crowd, SocketAddr)) {
     static RUNNING: Mutex<()> = Mutex::new(());
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     actix::System::new().block_on(async {
         let mut site = Site::start(name).await;
         site.check();
-        let crowd = crowd(site.callers()).await;
+        let mut crowd = Crowd::default();
+        gather(&mut crowd, site.callers()).await;
         let end = Instant::now() + WATCHED;
         while Instant::now() < end {
             site.check();
@@ -141,10 +142,8 @@
 /// sent ahead are held for clients that do not read them.
 #[test]
 fn requests_ahead() {
-    alone("ahead", async |to| {
-        let mut crowd = Crowd::default();
+    alone("ahead", async |crowd, to| {
         crowd.add(AHEAD, to, send_ahead).await;
-        crowd
     });
 }
 
@@ -152,32 +151,26 @@
 /// read them slowly.
 #[test]
 fn slow_readers() {
-    alone("slow", async |to| {
-        let mut crowd = Crowd::default();
+    alone("slow", async |crowd, to| {
         crowd.add(SLOW, to, read_slowly).await;
-        crowd
     });
 }
 
 /// Case (c). Guards against connections that use up the descriptors.
 #[test]
 fn unfinished_requests() {
-    alone("unfinished", async |to| {
-        let mut crowd = Crowd::default();
+    alone("unfinished", async |crowd, to| {
         crowd.add(HEADS, to, send_endless_head).await;
         crowd.add(BODIES, to, send_trickle).await;
         crowd.add(SILENT, to, async |_| Ok(())).await;
-        crowd
     });
 }
 
 /// Case (d): cases (a) and (b) together.
 #[test]
 fn ahead_and_slow() {
-    alone("both", async |to| {
-        let mut crowd = Crowd::default();
+    alone("both", async |crowd, to| {
         crowd.add(AHEAD, to, send_ahead).await;
         crowd.add(SLOW, to, read_slowly).await;
-        crowd
     });
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -408,6 +408,13 @@
             .filter(move |target| target.service() == service)
     }
 
+    /// Changes the behaviour of every target for calls that arrive from now on.
+    pub fn change_targets(&self, change: impl Fn(&mut Behaviour)) {
+        for target in &self.targets {
+            target.change(&change);
+        }
+    }
+
     /// Number of calls received so far, over all targets.
     pub fn executions(&self) -> u64 {
         self.targets.iter().map(Target::total).sum()
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -33,6 +33,15 @@
     pub lose_answers: f64,
 }
 
+impl Faults {
+    /// The store is down.
+    pub const DOWN: Self = Self {
+        down: true,
+        delay: Duration::ZERO,
+        lose_answers: 0.0,
+    };
+}
+
 /// Requests received since the start, those during an outage included.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counts {
--- a/crates/standin/tests/all/platform_rows.rs
+++ b/crates/standin/tests/all/platform_rows.rs
@@ -96,10 +96,7 @@
     });
     assert_eq!(written.expect_err("lost").code, Code::PlatformUnavailable);
     assert_eq!(platform.peek("t", "k"), Some(json!(1)));
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults::DOWN);
     let read = with(
         &platform,
         |client| async move { client.get("t", "k").await },
