--- a/crates/policy/tests/all/claim_rewrite.rs
+++ b/crates/policy/tests/all/claim_rewrite.rs
@@ -5,9 +5,7 @@
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::claim::{Found, Grace, Journal, Limits, Repair, Stage, Written};
 
-fn at(seconds: u64) -> Moment {
-    Moment::from_millis(seconds * 1_000)
-}
+use crate::at;
 
 fn written(key: &str, stage: Stage, era: u64) -> Written<u8> {
     Written {
--- a/crates/policy/tests/all/decision_preview.rs
+++ b/crates/policy/tests/all/decision_preview.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::admission::{Admission, Level, Method, Request};
-use cardamomshed_policy::gate::{Config, Decision, Gate, Offer, Preview, Ticket};
+use cardamomshed_policy::gate::{Config, Decision, Gate, Offer, Preview};
 use cardamomshed_policy::quota::{Bound, Lease, Lender, Spend, Wallet};
 use cardamomshed_policy::rotation::Rotation;
 use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
@@ -31,12 +31,10 @@
     let mut decisions = Vec::new();
     for ticket in 0..12 {
         let offer = Offer {
-            ticket: Ticket(ticket),
             account: ACCOUNT,
             route: ROUTE,
             priority: Priority::ALL[3 - ticket as usize % 3],
-            depth: 0,
-            deadline: NOW + Duration::from_secs(1),
+            ..crate::offer(ticket, NOW + Duration::from_secs(1))
         };
         let expected = unchanged(&gate, |gate| gate.preview(offer, NOW));
         let decision = gate.offer(offer, NOW, &mut Vec::new());
@@ -64,23 +62,20 @@
         draw,
     };
     for method in [Method::Levels, Method::AcceptRatio, Method::None] {
-        let mut admission = Admission::new(method);
-        for _ in 0..30 {
-            admission.admit(&request(0.5), NOW);
-            admission.observe(ROUTE, Some(Level(312.0)), true, NOW);
-        }
-        let share = unchanged(&admission, |admission| admission.share(&request(0.0), NOW));
-        let is_random = method != Method::None;
-        assert_eq!(share > 0.0 && share < 1.0, is_random, "{method:?} {share}");
-        let admits = |draw| {
-            // Each draw is offered to the same state.
+        let pressed = || {
             let mut admission = Admission::new(method);
             for _ in 0..30 {
                 admission.admit(&request(0.5), NOW);
                 admission.observe(ROUTE, Some(Level(312.0)), true, NOW);
             }
-            admission.admit(&request(draw), NOW).is_some()
+            admission
         };
+        let admission = pressed();
+        let share = unchanged(&admission, |admission| admission.share(&request(0.0), NOW));
+        let is_random = method != Method::None;
+        assert_eq!(share > 0.0 && share < 1.0, is_random, "{method:?} {share}");
+        // Each draw is offered to the same state.
+        let admits = |draw| pressed().admit(&request(draw), NOW).is_some();
         let admitted = (0..200).filter(|step| admits(f64::from(*step) / 200.0));
         let expected = admitted.count() as f64 / 200.0;
         assert!(
--- a/crates/policy/tests/all/evacuation_state.rs
+++ b/crates/policy/tests/all/evacuation_state.rs
@@ -6,18 +6,14 @@
 
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::evacuation::{Evacuations, HOLD, Reading, Stamp, State};
-use cardamomshed_policy::member::{Config, Fleet, Packet, Payload};
+use cardamomshed_policy::member::{Packet, Payload};
 
-use crate::{check, member_record};
+use crate::{at, check, started_member};
 
 /// One generated read: era, version, bit set of domains, seconds on the reader's
 /// clock.
 type Read = (u8, u8, u8, u8);
 
-fn at(seconds: u64) -> Moment {
-    Moment::from_millis(seconds * 1_000)
-}
-
 fn names(domains: &[&str]) -> BTreeSet<Arc<str>> {
     domains.iter().map(|domain| Arc::from(*domain)).collect()
 }
@@ -111,10 +107,7 @@
 /// against packets that grow before the first evacuation.
 #[test]
 fn change_broadcast() {
-    let fleet = |domain: &str, name: &str, port: u16| {
-        let record = member_record(domain, name, port);
-        Fleet::new(Config::default(), name.into(), 1, record.profile)
-    };
+    let fleet = |domain, name, port| started_member(domain, name, port, 1);
     let mut reader = fleet("near", "reader", 1);
     let (mut local, mut foreign) = (fleet("near", "local", 2), fleet("far", "foreign", 3));
     let other = fleet("far", "other", 4);
--- a/crates/policy/tests/all/even_load.rs
+++ b/crates/policy/tests/all/even_load.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::gate::Load;
-use cardamomshed_policy::route::{Balancer, Outcome, Tier};
+use cardamomshed_policy::route::{Balancer, Tier};
 
 use crate::play::{Figures, Play, REGION, Setup, TICK, unrestricted};
-use crate::{random, seed};
+use crate::{answer, load, random, seed};
 
 /// Largest share of the calls that may be refused while the targets have capacity.
 const MAX_REFUSED: f64 = 0.001;
@@ -75,14 +74,7 @@
     let mut balancer = Balancer::default();
     let keys = [(); 2].map(|()| balancer.insert(Tier::Domain, REGION, 10, now));
     for (key, running) in keys.into_iter().zip([6, 9]) {
-        balancer.record_start(key, now);
-        let load = Load {
-            running,
-            limit: 10,
-            service_time: Duration::from_millis(50),
-            ..Load::default()
-        };
-        balancer.record_end(key, Outcome::Answered, Some(load), now);
+        answer(&mut balancer, key, load(running, 0, 50), now);
     }
     let chosen = |balancer: &Balancer| {
         let choice = balancer.choose(&unrestricted(false), &mut random(), now);
--- a/crates/policy/tests/all/gate_fairness.rs
+++ b/crates/policy/tests/all/gate_fairness.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Offer, Ticket};
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::{AccountKey, Moment};
 
 /// Simulates a gate with four slots and calls of 10 ms for two seconds. `loads`
 /// is the number of calls per millisecond by account. Returns the completed
@@ -34,12 +34,8 @@
                 last_ticket += 1;
                 accounts.insert(last_ticket, account);
                 let offer = Offer {
-                    route: RouteKey(0),
-                    ticket: Ticket(last_ticket),
                     account: AccountKey(account as u32),
-                    priority: Priority::Normal,
-                    depth: 0,
-                    deadline: now + Duration::from_millis(500),
+                    ..crate::offer(last_ticket, now + Duration::from_millis(500))
                 };
                 if gate.offer(offer, now, &mut changes) == Decision::Run {
                     changes.push(Change::Run(Ticket(last_ticket)));
--- a/crates/policy/tests/all/gate_order.rs
+++ b/crates/policy/tests/all/gate_order.rs
@@ -5,23 +5,24 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Offer, Shed, Ticket};
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::{AccountKey, Moment, Priority};
 
-use crate::check;
+use crate::{check, offer};
 
 /// One step of a generated case: action, account or depth, priority, and time.
 /// Actions by remainder modulo six: 0 completes the running call with the
 /// lowest ticket, 1 cancels a call, others offer one.
 type Step = (u8, u8, u8, u16);
 
-fn offer(ticket: u64, step: Step, now: Moment) -> Offer {
+fn generated(ticket: u64, step: Step, now: Moment) -> Offer {
     Offer {
-        route: RouteKey(0),
-        ticket: Ticket(ticket),
         account: AccountKey(u32::from(step.1 % 5)),
         priority: Priority::ALL[usize::from(step.2) % 4],
         depth: step.1 % 3,
-        deadline: now + Duration::from_millis(20 + u64::from(step.3 % 400)),
+        ..offer(
+            ticket,
+            now + Duration::from_millis(20 + u64::from(step.3 % 400)),
+        )
     }
 }
 
@@ -85,7 +86,7 @@
                 model.waiting.remove(&ticket);
             }
             _ => {
-                let offer = offer(index as u64, step, now);
+                let offer = generated(index as u64, step, now);
                 let decision = gate.offer(offer, now, &mut changes);
                 model.latest.insert(index as u64, offer.deadline);
                 match decision {
@@ -124,12 +125,8 @@
     let now = Moment::from_millis(1);
     let mut changes = Vec::new();
     let call = |ticket, priority| Offer {
-        route: RouteKey(0),
-        ticket: Ticket(ticket),
-        account: AccountKey(0),
         priority,
-        depth: 0,
-        deadline: now + Duration::from_millis(100),
+        ..offer(ticket, now + Duration::from_millis(100))
     };
     let mut low = 0;
     while gate.offer(call(low, Priority::Low), now, &mut changes) != Decision::Shed(Shed::Deadline)
@@ -147,14 +144,7 @@
     let mut gate = Gate::new(Config::new(1), Moment::ZERO);
     let start = Moment::from_millis(1);
     let mut changes = Vec::new();
-    let call = |ticket| Offer {
-        route: RouteKey(0),
-        ticket: Ticket(ticket),
-        account: AccountKey(0),
-        priority: Priority::Normal,
-        depth: 0,
-        deadline: start + Duration::from_millis(60),
-    };
+    let call = |ticket| offer(ticket, start + Duration::from_millis(60));
     assert_eq!(gate.offer(call(1), start, &mut changes), Decision::Run);
     assert_eq!(gate.offer(call(2), start, &mut changes), Decision::Wait);
     let late = start + Duration::from_millis(61);
@@ -166,7 +156,7 @@
 fn closed_gate_refuses() {
     let mut gate = Gate::new(Config::new(1), Moment::ZERO);
     gate.close();
-    let offer = offer(1, (2, 0, 0, 300), Moment::ZERO);
+    let offer = generated(1, (2, 0, 0, 300), Moment::ZERO);
     let decision = gate.offer(offer, Moment::ZERO, &mut Vec::new());
     assert_eq!(decision, Decision::Shed(Shed::Closed));
 }
@@ -185,14 +175,7 @@
     let config = Config::new(4).max_wait(Duration::from_secs(5));
     let mut gate = Gate::new(config, Moment::ZERO);
     let start = Moment::from_millis(1);
-    let call = |ticket| Offer {
-        route: RouteKey(0),
-        ticket: Ticket(ticket),
-        account: AccountKey(0),
-        priority: Priority::Normal,
-        depth: 0,
-        deadline: start + Duration::from_secs(5),
-    };
+    let call = |ticket| offer(ticket, start + Duration::from_secs(5));
     let mut changes = Vec::new();
     for ticket in 0..6 {
         gate.offer(call(ticket), start, &mut changes);
@@ -202,25 +185,16 @@
     for waiting in [4, 5] {
         assert!(changes.contains(&Change::Shed(Ticket(waiting), Shed::Stalled)));
     }
-    assert_eq!(
-        gate.offer(call(6), later, &mut changes),
-        Decision::Shed(Shed::Stalled)
-    );
+    let stalled = Decision::Shed(Shed::Stalled);
+    assert_eq!(gate.offer(call(6), later, &mut changes), stalled);
     for ticket in 0..4 {
         gate.cancel(Ticket(ticket), later, &mut changes);
     }
     // One call runs as a probe; others are refused until it completes.
     assert_eq!(gate.offer(call(7), later, &mut changes), Decision::Run);
-    assert_eq!(
-        gate.offer(call(8), later, &mut changes),
-        Decision::Shed(Shed::Stalled)
-    );
-    gate.finish(
-        Ticket(7),
-        Some(Duration::from_millis(9)),
-        later,
-        &mut changes,
-    );
+    assert_eq!(gate.offer(call(8), later, &mut changes), stalled);
+    let own = Some(Duration::from_millis(9));
+    gate.finish(Ticket(7), own, later, &mut changes);
     assert_eq!(gate.offer(call(9), later, &mut changes), Decision::Run);
     assert_eq!(gate.offer(call(10), later, &mut changes), Decision::Run);
 }
@@ -230,12 +204,8 @@
     let mut gate = Gate::new(Config::new(8), Moment::ZERO);
     let start = Moment::from_millis(1);
     let call = |ticket| Offer {
-        route: RouteKey(0),
-        ticket: Ticket(ticket),
-        account: AccountKey(0),
         priority: Priority::Low,
-        depth: 0,
-        deadline: start + Duration::from_mins(1),
+        ..offer(ticket, start + Duration::from_mins(1))
     };
     let mut changes = Vec::new();
     gate.offer(call(1), start, &mut changes);
--- a/crates/policy/tests/all/gate_reserve.rs
+++ b/crates/policy/tests/all/gate_reserve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Offer, Ticket};
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::{Moment, Priority, RouteKey};
 use indexmap::IndexMap;
 
 /// Duration of a long call.
@@ -45,12 +45,9 @@
             (RouteKey(1), Priority::Normal, Duration::from_secs(5))
         };
         let offer = Offer {
-            ticket,
-            account: AccountKey(0),
             route,
             priority,
-            depth: 0,
-            deadline: self.now + wait,
+            ..crate::offer(ticket.0, self.now + wait)
         };
         let mut changes = Vec::new();
         if self.gate.offer(offer, self.now, &mut changes) == Decision::Run {
--- a/crates/policy/tests/all/gate_slowdown.rs
+++ b/crates/policy/tests/all/gate_slowdown.rs
@@ -2,29 +2,19 @@
 
 use std::time::Duration;
 
-use cardamomshed_policy::gate::{Config, Decision, Gate, Offer, Shed, Ticket};
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::Moment;
+use cardamomshed_policy::gate::{Config, Decision, Gate, Shed, Ticket};
 
-const USUAL: Duration = Duration::from_millis(100);
+use crate::offer;
 
-/// A call that must end within this time.
-fn offer(ticket: u64, now: Moment, time: Duration) -> Offer {
-    Offer {
-        ticket: Ticket(ticket),
-        account: AccountKey(0),
-        route: RouteKey(0),
-        priority: Priority::Normal,
-        depth: 0,
-        deadline: now + time,
-    }
-}
+const USUAL: Duration = Duration::from_millis(100);
 
 /// Runs 50 calls that take this long, with a report after each, and returns when the
 /// last ended.
 fn run(gate: &mut Gate, from: Moment, time: Duration, slowdown: Option<f64>) -> Moment {
     let mut now = from;
     for ticket in 0..50 {
-        let call = offer(ticket, now, Duration::from_secs(10));
+        let call = offer(ticket, now + Duration::from_secs(10));
         assert_eq!(gate.offer(call, now, &mut Vec::new()), Decision::Run);
         now = now + time;
         if let Some(factor) = slowdown {
@@ -74,10 +64,10 @@
 fn late_calls_refused() {
     let mut gate = gate();
     let now = run(&mut gate, Moment::ZERO, USUAL, Some(1.0));
-    let call = offer(100, now, USUAL * 3 / 2);
+    let call = offer(100, now + USUAL * 3 / 2);
     assert_eq!(gate.offer(call, now, &mut Vec::new()), Decision::Run);
     (0..20).for_each(|_| gate.record_slowdown(2.5, now));
-    let call = offer(101, now, USUAL * 3 / 2);
+    let call = offer(101, now + USUAL * 3 / 2);
     let refused = Decision::Shed(Shed::Deadline);
     assert_eq!(gate.offer(call, now, &mut Vec::new()), refused);
 }
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -36,8 +36,12 @@
 mod window_backpressure;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use cardamomshed_policy::member::{Profile, Record, State};
+use cardamomshed_policy::gate::{Load, Offer, Ticket};
+use cardamomshed_policy::member::{Config, Fleet, Profile, Record, State};
+use cardamomshed_policy::route::{Balancer, Outcome};
+use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey, TargetKey};
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -81,6 +85,46 @@
     }
 }
 
+/// View of a member that has just started.
+fn started_member(domain: &str, name: &str, port: u16, incarnation: u64) -> Fleet {
+    let record = member_record(domain, name, port);
+    Fleet::new(Config::default(), record.name, incarnation, record.profile)
+}
+
+/// Moment this many seconds after the start.
+fn at(seconds: u64) -> Moment {
+    Moment::ZERO + Duration::from_secs(seconds)
+}
+
+/// A call of normal priority.
+fn offer(ticket: u64, deadline: Moment) -> Offer {
+    Offer {
+        ticket: Ticket(ticket),
+        account: AccountKey(0),
+        route: RouteKey(0),
+        priority: Priority::Normal,
+        depth: 0,
+        deadline,
+    }
+}
+
+/// Load of a target with ten slots and this service time in milliseconds.
+fn load(running: u32, waiting: u32, service_ms: u64) -> Load {
+    Load {
+        running,
+        waiting,
+        limit: 10,
+        service_time: Duration::from_millis(service_ms),
+        rejection: 0.0,
+    }
+}
+
+/// Records a call to a target that was answered with this load.
+fn answer(balancer: &mut Balancer, key: TargetKey, load: Load, now: Moment) {
+    balancer.record_start(key, now);
+    balancer.record_end(key, Outcome::Answered, Some(load), now);
+}
+
 /// Checks a property on generated cases. Properties take their arguments by
 /// value, as the library passes them.
 fn check(property: impl Testable) {
--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -3,10 +3,9 @@
 
 use std::time::Duration;
 
-use cardamomshed_policy::Moment;
 use cardamomshed_policy::member::{Config, Fleet, Record, Size, State};
 
-use crate::{member_record, random};
+use crate::{at, member_record, random, started_member};
 
 fn record(domain: &str, number: u16) -> Record {
     member_record(domain, &format!("{domain}-{number}"), 1_000 + number)
@@ -14,8 +13,7 @@
 
 /// Member `a-0`, which has just started.
 fn started() -> Fleet {
-    let own = record("a", 0);
-    Fleet::new(Config::default(), own.name, 1, own.profile)
+    started_member("a", "a-0", 1_000, 1)
 }
 
 fn size(domain: &str, members: u32) -> Size {
@@ -25,8 +23,12 @@
     }
 }
 
-fn at(seconds: u64) -> Moment {
-    Moment::ZERO + Duration::from_secs(seconds)
+/// Record of a member in this state.
+fn in_state(state: State, domain: &str, number: u16) -> Record {
+    Record {
+        state,
+        ..record(domain, number)
+    }
 }
 
 #[test]
@@ -50,11 +52,7 @@
     fleet.merge_all(vec![record("a", 1)], at(1));
     fleet.tick(&mut random(), at(2));
     assert!(!fleet.awaits_local_members());
-    let left = Record {
-        state: State::Left,
-        ..record("a", 1)
-    };
-    fleet.merge_all(vec![left], at(3));
+    fleet.merge_all(vec![in_state(State::Left, "a", 1)], at(3));
     assert_eq!(
         fleet.size(),
         1,
@@ -66,11 +64,7 @@
 fn failed_members_counted() {
     let mut fleet = started();
     fleet.receive_sizes(vec![size("a", 3)], at(1));
-    let failed = Record {
-        state: State::Failed,
-        ..record("a", 1)
-    };
-    fleet.merge_all(vec![failed], at(1));
+    fleet.merge_all(vec![in_state(State::Failed, "a", 1)], at(1));
     assert_eq!((fleet.size(), fleet.live()), (3, 1));
 }
 
@@ -99,10 +93,8 @@
 #[test]
 fn cut_off_members_kept() {
     let mut fleet = started();
-    let lost = [("b", 1), ("b", 2), ("c", 1), ("c", 2)].map(|(domain, number)| Record {
-        state: State::Failed,
-        ..record(domain, number)
-    });
+    let lost = [("b", 1), ("b", 2), ("c", 1), ("c", 2)];
+    let lost = lost.map(|(domain, number)| in_state(State::Failed, domain, number));
     fleet.merge_all(lost.to_vec(), at(1));
     fleet.merge_all(vec![record("b", 3)], at(1));
     fleet.tick(&mut random(), at(600));
@@ -125,8 +117,7 @@
     assert_eq!(fleet.size(), 4, "the fifth was never met");
     let revived = |incarnation, state| Record {
         incarnation,
-        state,
-        ..record("a", 3)
+        ..in_state(state, "a", 3)
     };
     fleet.merge_all(vec![revived(1, State::Failed)], at(15));
     fleet.tick(&mut random(), at(26));
@@ -147,10 +138,7 @@
     /// Time after a fault within which the platform asks for service as before.
     const RECOVER: Duration = Duration::from_secs(15);
     let mut fleet = started();
-    let lost = (1..5).map(|number| Record {
-        state: State::Failed,
-        ..record("a", number)
-    });
+    let lost = (1..5).map(|number| in_state(State::Failed, "a", number));
     fleet.merge_all(lost.collect(), at(1));
     fleet.merge_all((5..9).map(|number| record("a", number)).collect(), at(2));
     fleet.tick(&mut random(), at(2) + RECOVER);
@@ -163,10 +151,7 @@
 fn repeated_replacements_released() {
     let mut fleet = started();
     let lose = |fleet: &mut Fleet, numbers: std::ops::Range<u16>, seconds| {
-        let lost = numbers.map(|number| Record {
-            state: State::Failed,
-            ..record("a", number)
-        });
+        let lost = numbers.map(|number| in_state(State::Failed, "a", number));
         fleet.merge_all(lost.collect(), at(seconds));
     };
     lose(&mut fleet, 1..5, 1);
--- a/crates/policy/tests/all/member_confirmation.rs
+++ b/crates/policy/tests/all/member_confirmation.rs
@@ -6,29 +6,17 @@
 
 use cardamomshed_policy::Moment;
 use cardamomshed_policy::confirmation::Date;
-use cardamomshed_policy::member::{Config, Fleet, Packet, Payload, Profile, Record, State};
+use cardamomshed_policy::member::{Fleet, Packet, Payload, Record, State};
 use quickcheck::TestResult;
 
-use crate::{check, random};
+use crate::{check, random, started_member};
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 fn fleet(name: &str, port: u16, incarnation: u64) -> Fleet {
-    let profile = Profile {
-        domain: "domain".into(),
-        region: "region".into(),
-        gossip: address(port),
-        peer: address(port),
-        admin: address(port),
-        service: None,
-        slots: 0,
-        open: true,
-        lender_slots: Vec::new(),
-        departure: None,
-    };
-    Fleet::new(Config::default(), name.into(), incarnation, profile)
+    started_member("domain", name, port, incarnation)
 }
 
 fn at(millis: u64) -> Moment {
--- a/crates/policy/tests/all/member_departure.rs
+++ b/crates/policy/tests/all/member_departure.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use cardamomshed_policy::Moment;
-use cardamomshed_policy::member::{Config, Departure, Fleet, Output, Send};
+use cardamomshed_policy::member::{Departure, Fleet, Output, Send};
 
-use crate::{check, member_record, random};
+use crate::{check, member_record, random, started_member};
 
 fn departure(born_ms: u64) -> Departure {
     Departure {
@@ -16,8 +16,7 @@
 }
 
 fn member(name: &str, port: u16, incarnation: u64) -> Fleet {
-    let record = member_record("domain", name, port);
-    Fleet::new(Config::default(), record.name, incarnation, record.profile)
+    started_member("domain", name, port, incarnation)
 }
 
 /// Delivers packets until none is left, and returns the last departure that the first
--- a/crates/policy/tests/all/member_gossip.rs
+++ b/crates/policy/tests/all/member_gossip.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use crate::random;
+use crate::{random, started_member};
 
 const STEP: Duration = Duration::from_millis(50);
 
@@ -33,19 +33,10 @@
     SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16))
 }
 
-fn profile(index: usize) -> Profile {
-    Profile {
-        domain: "domain".into(),
-        region: "region".into(),
-        gossip: address(index),
-        peer: address(index),
-        admin: address(index),
-        service: None,
-        slots: 0,
-        open: true,
-        lender_slots: Vec::new(),
-        departure: None,
-    }
+/// View of a member that has just started, at the address of number `index`.
+fn fleet(number: usize, index: usize, incarnation: u64) -> Fleet {
+    let port = address(index).port();
+    started_member("domain", &name(number), port, incarnation)
 }
 
 fn name(index: usize) -> Arc<str> {
@@ -66,10 +57,16 @@
         network
     }
 
+    /// Creates members that have exchanged records and gossiped for 20 s.
+    fn settled(count: usize) -> Self {
+        let mut network = Self::new(count);
+        network.run(Duration::from_secs(20));
+        network
+    }
+
     /// Creates members that have just started.
     fn started(count: usize) -> Self {
-        let config = Config::default();
-        let make = |index| Fleet::new(config, name(index), 1, profile(index));
+        let make = |index| fleet(index, index, 1);
         let mut network = Self {
             fleets: (0..count).map(make).collect(),
             down: HashSet::new(),
@@ -139,6 +136,14 @@
         }
     }
 
+    /// Asserts that every member regards all members as live.
+    fn assert_complete(&self) {
+        for fleet in &self.fleets {
+            let name = &fleet.own().name;
+            assert_eq!(fleet.live(), self.fleets.len(), "by {name}");
+        }
+    }
+
     /// Number of members that record `subject` in a state.
     fn count_in_state(&self, subject: usize, state: State) -> usize {
         let matches = |fleet: &&Fleet| {
@@ -152,25 +157,15 @@
 
 #[test]
 fn all_members_join() {
-    let mut network = Network::new(32);
-    network.run(Duration::from_secs(20));
-    for fleet in &network.fleets {
-        assert_eq!(fleet.live(), 32);
-    }
+    let network = Network::settled(32);
+    network.assert_complete();
 }
 
 #[test]
 fn simultaneous_start_converges() {
     let mut network = Network::started(64);
     network.run(Duration::from_secs(15));
-    for fleet in &network.fleets {
-        assert_eq!(
-            fleet.live(),
-            64,
-            "{} has an incomplete member list",
-            fleet.own().name
-        );
-    }
+    network.assert_complete();
 }
 
 #[test]
@@ -193,7 +188,7 @@
     let make = |index: usize| {
         let profile = Profile {
             domain: domain(index).into(),
-            ..profile(index)
+            ..fleet(index, index, 1).own().profile.clone()
         };
         Fleet::new(Config::default(), name(index), 1, profile)
     };
@@ -234,8 +229,7 @@
 
 #[test]
 fn failure_disseminated() {
-    let mut network = Network::new(24);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(24);
     network.down.insert(7);
     network.run(Duration::from_secs(20));
     assert_eq!(network.count_in_state(7, State::Failed), 23);
@@ -243,8 +237,7 @@
 
 #[test]
 fn packet_loss_tolerated() {
-    let mut network = Network::new(24);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(24);
     network.loss = 0.05;
     network.run(Duration::from_mins(5));
     for index in 0..24 {
@@ -258,22 +251,18 @@
 
 #[test]
 fn partition_heals() {
-    let mut network = Network::new(16);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(16);
     network.partitioned = true;
     network.run(Duration::from_mins(1));
     assert_eq!(network.count_in_state(1, State::Failed), 8);
     network.partitioned = false;
     network.run(Duration::from_mins(2));
-    for fleet in &network.fleets {
-        assert_eq!(fleet.live(), 16);
-    }
+    network.assert_complete();
 }
 
 #[test]
 fn paused_member_recovers() {
-    let mut network = Network::new(12);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(12);
     network.down.insert(3);
     network.run(Duration::from_mins(1));
     assert_eq!(network.count_in_state(3, State::Failed), 11);
@@ -284,10 +273,9 @@
 
 #[test]
 fn restarted_member_supersedes() {
-    let mut network = Network::new(12);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(12);
     // A new process has the same name and address and a higher incarnation.
-    let mut restarted = Fleet::new(Config::default(), name(5), 1_000, profile(5));
+    let mut restarted = fleet(5, 5, 1_000);
     let first = network.fleets[0].own().clone();
     restarted.merge_all(vec![first], network.now);
     network.fleets[5] = restarted;
@@ -302,8 +290,7 @@
 
 #[test]
 fn departure_disseminated() {
-    let mut network = Network::new(16);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(16);
     let output = network.fleets[2].leave(&mut random());
     network.deliver(2, output);
     network.down.insert(2);
@@ -313,8 +300,7 @@
 
 #[test]
 fn packet_rate_bounded() {
-    let mut network = Network::new(32);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(32);
     network.packets = 0;
     network.run(Duration::from_mins(1));
     let per_member = network.packets as f64 / 32.0 / 60.0;
@@ -326,7 +312,7 @@
 
 #[test]
 fn lender_change_broadcast() {
-    let start = |index| Fleet::new(Config::default(), name(index), 1, profile(index));
+    let start = |index| fleet(index, index, 1);
     // Without and with members that receive the broadcast by forwarding.
     for count in [30, 400] {
         let mut fleets = (0..count).map(start).collect::<Vec<_>>();
@@ -374,7 +360,7 @@
 
 #[test]
 fn suspect_probed_directly() {
-    let start = |index| Fleet::new(Config::default(), name(index), 1, profile(index));
+    let start = |index| fleet(index, index, 1);
     let (mut fleet, mut suspect) = (start(0), start(1));
     let mut random = random();
     // With many members, the regular probe of the suspect comes too late.
@@ -401,12 +387,11 @@
 
 #[test]
 fn reused_address_distinguished() {
-    let mut network = Network::new(12);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(12);
     // The machine of member 5 is lost and another member starts at its address,
     // which also knows the lost member, as from the platform's rows.
     let lost = network.fleets[5].own().clone();
-    let mut successor = Fleet::new(Config::default(), name(50), 1_000, profile(5));
+    let mut successor = fleet(50, 5, 1_000);
     let first = network.fleets[0].own().clone();
     successor.merge_all(vec![first, lost], network.now);
     network.fleets[5] = successor;
@@ -435,17 +420,14 @@
             .is_some_and(|record| record.state.is_active())
     };
     assert_eq!(network.fleets.iter().filter(is_active).count(), 0);
-    for fleet in &network.fleets {
-        assert_eq!(fleet.live(), 8);
-    }
+    network.assert_complete();
 }
 
 #[test]
 fn unresponsive_members_verified() {
     // Two members do not answer messages, sent to them in turn, and nobody else can
     // tell. Both fail within one probe each and the suspicion.
-    let mut network = Network::new(3);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(3);
     network.down.extend([1, 2]);
     let config = Config::default();
     let until = network.now + config.probe_interval * 3 + config.suspicion_timeout;
@@ -467,8 +449,7 @@
 
 #[test]
 fn verification_limited() {
-    let mut network = Network::new(8);
-    network.run(Duration::from_secs(20));
+    let mut network = Network::settled(8);
     network.down.insert(7);
     let verify = |network: &mut Network| {
         let output = network.fleets[0].verify(&name(7), network.now);
--- a/crates/policy/tests/all/quota_bound.rs
+++ b/crates/policy/tests/all/quota_bound.rs
@@ -17,11 +17,25 @@
 
 const ACCOUNT: AccountKey = AccountKey(0);
 const LEASE: Duration = Duration::from_secs(2);
+/// Lease that lasts for a whole test.
+const LONG_LEASE: Duration = Duration::from_mins(10);
 
 /// One step of a generated case: wallet, delay in ms before the step, and
 /// fault.
 type Step = (u8, u8, u8);
 
+const fn bound(rate: f64, burst: f64) -> Bound {
+    Bound { rate, burst }
+}
+
+/// A lender with this share of the account and a lease that begins now.
+fn lender(share: Bound, lease: Duration, now: Moment) -> Lender {
+    let mut lender = Lender::default();
+    lender.set_lease(Lease::granted(now, lease));
+    lender.set_share(ACCOUNT, share, RAISE_AFTER, now);
+    lender
+}
+
 struct Grant {
     wallet: usize,
     tokens: u32,
@@ -33,31 +47,24 @@
 /// replaced lenders. Returns the times at which requests were admitted.
 fn run(bound: Bound, steps: &[Step]) -> Vec<Moment> {
     let share = bound.share(500_000);
-    let mut lenders = [Lender::default(), Lender::default()];
     let mut wallets = [Wallet::default(), Wallet::default(), Wallet::default()];
     let mut in_flight = VecDeque::<Grant>::new();
     let mut admitted = Vec::new();
     let mut now = Moment::from_millis(10);
-    for lender in &mut lenders {
-        lender.set_lease(Lease::granted(now, LEASE));
-        lender.set_share(ACCOUNT, share, RAISE_AFTER, now);
-    }
+    let mut lenders = [(); 2].map(|()| lender(share, LEASE, now));
     for (wallet_number, wait, fault) in steps {
         now = now + Duration::from_millis(u64::from(*wait) % 40);
         let wallet = usize::from(*wallet_number) % wallets.len();
-        let lender = usize::from(*fault) % 2;
+        let index = usize::from(*fault) % 2;
         match fault {
             // A lender is replaced. Its successor starts after the lease has
             // expired.
             250.. => {
-                lenders[lender].clear_lease();
                 now = now + Lease::takeover_after(LEASE);
-                lenders[lender] = Lender::default();
-                lenders[lender].set_lease(Lease::granted(now, LEASE));
-                lenders[lender].set_share(ACCOUNT, share, RAISE_AFTER, now);
+                lenders[index] = lender(share, LEASE, now);
             }
             // A lease is renewed.
-            200..250 => lenders[lender].set_lease(Lease::granted(now, LEASE)),
+            200..250 => lenders[index].set_lease(Lease::granted(now, LEASE)),
             _ => {}
         }
         while in_flight.front().is_some_and(|grant| grant.arrives <= now) {
@@ -73,7 +80,7 @@
             }
         }
         let wanted = wallets[wallet].request(ACCOUNT, true, Duration::from_millis(20), now);
-        let tokens = lenders[lender].lend(ACCOUNT, wanted, now);
+        let tokens = lenders[index].lend(ACCOUNT, wanted, now);
         // Every fifth grant is lost, others are late.
         if fault % 5 != 0 {
             let late = Duration::from_millis(u64::from(fault % 3) * 30);
@@ -101,10 +108,8 @@
 #[expect(clippy::needless_pass_by_value, reason = "generated values are owned")]
 fn stays_within_bound(rate: u16, burst: u8, steps: Vec<Step>) -> bool {
     let rate = f64::from(rate % 400 + 10);
-    let bound = Bound {
-        rate,
-        burst: f64::from(burst % 60).max(rate * 0.1).max(2.0).ceil(),
-    };
+    let burst = f64::from(burst % 60).max(rate * 0.1).max(2.0).ceil();
+    let bound = bound(rate, burst);
     within_bound(bound, &run(bound, &steps))
 }
 
@@ -115,10 +120,7 @@
 
 #[test]
 fn rate_granted() {
-    let bound = Bound {
-        rate: 200.0,
-        burst: 40.0,
-    };
+    let bound = bound(200.0, 40.0);
     // Two wallets request far more than the rate, and no grant is lost.
     let steps = (0..2_000u32).map(|index| ((index % 2) as u8, 5, 7 + (index % 2) as u8));
     let admitted = run(bound, &steps.collect::<Vec<_>>());
@@ -133,13 +135,7 @@
 #[test]
 fn paused_lender_expires() {
     let now = Moment::from_millis(1);
-    let mut lender = Lender::default();
-    lender.set_lease(Lease::granted(now, LEASE));
-    let bound = Bound {
-        rate: 100.0,
-        burst: 100.0,
-    };
-    lender.set_share(ACCOUNT, bound, RAISE_AFTER, now);
+    let mut lender = lender(bound(100.0, 100.0), LEASE, now);
     let later = now + Duration::from_millis(500);
     assert!(lender.lend(ACCOUNT, 5, later) == 5);
     // The holder is paused past the end of its lease and resumes before its
@@ -153,15 +149,14 @@
 /// of the whole fleet, and against an excess beyond what the platform tolerates.
 #[test]
 fn start_allowance_bounded() {
-    let whole = Bound {
-        rate: 15.0,
-        burst: 30.0,
-    };
+    let whole = bound(15.0, 30.0);
     let start = Moment::from_millis(1);
-    let mut lender = Lender::default();
-    lender.set_lease(Lease::granted(start, Duration::from_mins(10)));
-    lender.set_share(ACCOUNT, whole, RAISE_AFTER, start);
-    lender.add_allowance(ACCOUNT, whole.start_allowance(), start);
+    let started = || {
+        let mut lender = lender(whole, LONG_LEASE, start);
+        lender.add_allowance(ACCOUNT, whole.start_allowance(), start);
+        lender
+    };
+    let mut lender = started();
     let granted_by = |lender: &mut Lender, millis: u64| -> u32 {
         let steps = (1..=millis / 10).map(|step| start + Duration::from_millis(10 * step));
         steps.map(|now| lender.lend(ACCOUNT, 100, now)).sum()
@@ -173,62 +168,37 @@
     let most = whole.rate * 5.0 + 0.05 * (whole.rate * 5.0 + whole.burst) + 10.0;
     assert!(f64::from(all) <= most, "{all} in five seconds");
     // A lender that was not the first after all drops what it has not granted.
-    let mut other = Lender::default();
-    other.set_lease(Lease::granted(start, Duration::from_mins(10)));
-    other.set_share(ACCOUNT, whole, RAISE_AFTER, start);
-    other.add_allowance(ACCOUNT, whole.start_allowance(), start);
+    let mut other = started();
     other.set_share(ACCOUNT, whole.share(1_000), RAISE_AFTER, start);
     assert_eq!(granted_by(&mut other, 1_000), 0);
 }
 
 #[test]
 fn withdrawn_raise() {
-    let mut lender = Lender::default();
     let now = Moment::from_millis(1);
-    lender.set_lease(Lease::granted(now, Duration::from_mins(10)));
-    let bound = |value| Bound {
-        rate: value,
-        burst: value,
+    let mut lender = lender(bound(10.0, 10.0), LONG_LEASE, now);
+    let set_share = |lender: &mut Lender, value, at| {
+        lender.set_share(ACCOUNT, bound(value, value), RAISE_AFTER, at);
     };
-    lender.set_share(ACCOUNT, bound(10.0), RAISE_AFTER, now);
     // A raise that is withdrawn before it takes effect must not take effect
     // later.
-    lender.set_share(ACCOUNT, bound(1_000.0), RAISE_AFTER, now);
-    lender.set_share(
-        ACCOUNT,
-        bound(10.0),
-        RAISE_AFTER,
-        now + Duration::from_secs(1),
-    );
+    set_share(&mut lender, 1_000.0, now);
+    set_share(&mut lender, 10.0, now + Duration::from_secs(1));
     assert!(lender.lend(ACCOUNT, 1_000, now + Duration::from_secs(8)) <= 10);
     assert!(lender.lend(ACCOUNT, 1_000, now + Duration::from_secs(9)) <= 10);
     // A second raise waits from its own start, not from that of the first.
     let start = now + Duration::from_secs(20);
-    lender.set_share(ACCOUNT, bound(20.0), RAISE_AFTER, start);
-    lender.set_share(
-        ACCOUNT,
-        bound(1_000.0),
-        RAISE_AFTER,
-        start + Duration::from_secs(5),
-    );
+    set_share(&mut lender, 20.0, start);
+    set_share(&mut lender, 1_000.0, start + Duration::from_secs(5));
     assert!(lender.lend(ACCOUNT, 1_000, start + Duration::from_secs(7)) <= 20);
     assert!(lender.lend(ACCOUNT, 1_000, start + Duration::from_secs(8)) <= 20);
 }
 
 #[test]
 fn raise_delayed() {
-    let mut lender = Lender::default();
     let now = Moment::from_millis(1);
-    lender.set_lease(Lease::granted(now, Duration::from_mins(10)));
-    let small = Bound {
-        rate: 10.0,
-        burst: 10.0,
-    };
-    lender.set_share(ACCOUNT, small, RAISE_AFTER, now);
-    let large = Bound {
-        rate: 1_000.0,
-        burst: 1_000.0,
-    };
+    let mut lender = lender(bound(10.0, 10.0), LONG_LEASE, now);
+    let large = bound(1_000.0, 1_000.0);
     let second = now + Duration::from_secs(1);
     lender.set_share(ACCOUNT, large, RAISE_AFTER, second);
     assert!(lender.lend(ACCOUNT, 1_000, second + Duration::from_secs(5)) <= 10);
@@ -240,10 +210,7 @@
 fn fits_bound(burst: u32, domains: u8) -> bool {
     let domains = (0..=domains % 8).map(|index| Arc::from(format!("d{index}")));
     let domains = domains.collect::<Vec<Arc<str>>>();
-    let bound = Bound {
-        rate: 50.0,
-        burst: f64::from(burst % 10_000 + 2),
-    };
+    let bound = bound(50.0, f64::from(burst % 10_000 + 2));
     let (slots, share) = holders("account", bound, &domains, 2);
     let again = holders("account", bound, &domains, 2);
     let total = share.burst * slots.len() as f64;
--- a/crates/policy/tests/all/region_choice.rs
+++ b/crates/policy/tests/all/region_choice.rs
@@ -2,10 +2,10 @@
 //! what remains.
 
 use cardamomshed_policy::gate::Load;
-use cardamomshed_policy::route::{Balancer, Outcome, Query, Tier};
+use cardamomshed_policy::route::{Balancer, Query, Tier};
 use cardamomshed_policy::{Moment, RegionKey, TargetKey};
 
-use crate::{check, random};
+use crate::{answer, check, random};
 
 const NOW: Moment = Moment::from_millis(1);
 const SLOTS: u32 = 10;
@@ -25,8 +25,7 @@
         limit: SLOTS,
         ..Load::default()
     };
-    balancer.record_start(key, NOW);
-    balancer.record_end(key, Outcome::Answered, Some(load), NOW);
+    answer(balancer, key, load, NOW);
     balancer.set_open(key, evacuated & 1 << (place % 6) == 0);
     key
 }
--- a/crates/policy/tests/all/region_spill.rs
+++ b/crates/policy/tests/all/region_spill.rs
@@ -1,13 +1,10 @@
 //! Calls that leave a region for another over the slow link.
 
-use std::time::Duration;
-
-use cardamomshed_policy::gate::Load;
 use cardamomshed_policy::route::{Balancer, Outcome, Tier};
 use cardamomshed_policy::{Moment, TargetKey};
 
 use crate::play::{Figures, Play, REGION, Setup, unrestricted};
-use crate::{random, seed};
+use crate::{answer, load, random, seed};
 
 fn run(mut setup: Setup) -> Figures {
     setup.priced = true;
@@ -30,26 +27,28 @@
     assert!(furthest <= 0.15, "{furthest:.2} from the mean {mean:.2}");
 }
 
+/// Checks that at most this share of the calls is lost, and that the share of the link is
+/// steady.
+fn check_helped(setup: Setup, most: f64) {
+    let figures = run(setup);
+    let lost = figures.priced_out + figures.refused + figures.late;
+    let lost = lost as f64 / figures.calls as f64;
+    assert!(lost <= most, "{lost:.3} were refused or waited too long");
+    check_steady(&shares(&figures));
+}
+
 /// Guards against callers that are refused while another region has half of its
 /// capacity free, and against a share of the link that alternates.
 #[test]
 fn full_region_helped() {
-    let figures = run(Setup::new(seed(), &[1.3, 0.5]));
-    let lost = figures.priced_out + figures.refused + figures.late;
-    let lost = lost as f64 / figures.calls as f64;
-    assert!(lost <= 0.1, "{lost:.3} were refused or waited too long");
-    check_steady(&shares(&figures));
+    check_helped(Setup::new(seed(), &[1.3, 0.5]), 0.1);
 }
 
 /// Guards against short calls that a window keeps waiting while another region has half
 /// of its capacity free, as their price is too low to move any.
 #[test]
 fn full_windows_helped() {
-    let figures = run(Setup::windowed(seed(), &[1.3, 0.5]));
-    let lost = figures.priced_out + figures.refused + figures.late;
-    let lost = lost as f64 / figures.calls as f64;
-    assert!(lost <= 0.12, "{lost:.3} were refused or waited too long");
-    check_steady(&shares(&figures));
+    check_helped(Setup::windowed(seed(), &[1.3, 0.5]), 0.12);
 }
 
 /// Guards against calls that cross the link before windows because of a chance queue, or
@@ -154,15 +153,7 @@
 fn short_waits_kept() {
     let now = Moment::from_millis(1);
     let (mut balancer, near, _) = two_regions();
-    balancer.record_start(near, now);
-    let load = Load {
-        running: 10,
-        waiting: 50,
-        limit: 10,
-        service_time: Duration::from_millis(5),
-        rejection: 0.0,
-    };
-    balancer.record_end(near, Outcome::Answered, Some(load), now);
+    answer(&mut balancer, near, load(10, 50, 5), now);
     assert_eq!(count_remote(&balancer, now), 0);
 }
 
@@ -175,14 +166,12 @@
     for millis in (0..=12_000).step_by(10) {
         let now = Moment::from_millis(millis);
         let is_full = millis >= 1_000 && millis % 6_000 < 3_000;
-        let report = |running, waiting| Load {
-            running,
-            waiting,
-            limit: 10,
-            ..Load::default()
+        let here = if is_full {
+            load(10, 1, 0)
+        } else {
+            load(5, 0, 0)
         };
-        let here = if is_full { report(10, 1) } else { report(5, 0) };
-        let there = report(if millis >= 8_000 { 10 } else { 5 }, 0);
+        let there = load(if millis >= 8_000 { 10 } else { 5 }, 0, 0);
         for (key, load) in [(near, here), (far, there)] {
             balancer.record_end(key, Outcome::Answered, Some(load), now);
         }
--- a/crates/policy/tests/all/registration_order.rs
+++ b/crates/policy/tests/all/registration_order.rs
@@ -15,46 +15,44 @@
     }
 }
 
+/// Verdict on the heartbeat of a new incarnation that accepts calls.
+const NEW: Verdict = Verdict::New { leaving: false };
+/// Verdict on a heartbeat of the registered incarnation once it leaves.
+const LEAVING: Verdict = Verdict::Current { leaving: true };
+
+/// Sends the heartbeat of an incarnation of `i-1`.
+fn beat(registration: &mut Registration, born_ms: u64, sequence: u64, leaving: bool) -> Verdict {
+    let incarnation = incarnation("i-1", born_ms);
+    registration.heartbeat(&incarnation, sequence, leaving, Moment::ZERO)
+}
+
 #[test]
 fn leaving_is_permanent() {
     let mut registration = Registration::default();
-    let first = incarnation("i-1", 10);
-    let verdict = registration.heartbeat(&first, 1, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::New { leaving: false });
-    let verdict = registration.heartbeat(&first, 2, true, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Current { leaving: true });
-    assert_eq!(
-        registration.heartbeat(&first, 1, false, Moment::ZERO),
-        Verdict::Stale
-    );
-    let verdict = registration.heartbeat(&first, 3, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Current { leaving: true });
+    assert_eq!(beat(&mut registration, 10, 1, false), NEW);
+    assert_eq!(beat(&mut registration, 10, 2, true), LEAVING);
+    assert_eq!(beat(&mut registration, 10, 1, false), Verdict::Stale);
+    assert_eq!(beat(&mut registration, 10, 3, false), LEAVING);
 }
 
 #[test]
 fn restart_keeps_instance() {
     let mut registration = Registration::default();
-    registration.heartbeat(&incarnation("i-1", 10), 90, true, Moment::ZERO);
+    beat(&mut registration, 10, 90, true);
     // The new incarnation restarts its sequence and accepts calls.
-    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::New { leaving: false });
-    assert_eq!(
-        registration.heartbeat(&incarnation("i-1", 10), 91, false, Moment::ZERO),
-        Verdict::Stale
-    );
+    assert_eq!(beat(&mut registration, 20, 1, false), NEW);
+    assert_eq!(beat(&mut registration, 10, 91, false), Verdict::Stale);
 }
 
 #[test]
 fn deregister_before_draining() {
     let mut registration = Registration::default();
-    let first = incarnation("i-1", 10);
-    registration.heartbeat(&first, 1, false, Moment::ZERO);
+    beat(&mut registration, 10, 1, false);
     let name: Arc<str> = "i-1".into();
     assert!(!registration.deregister(&"i-2".into(), None));
     assert!(!registration.deregister(&name, Some(9)));
     assert!(registration.deregister(&name, Some(10)));
-    let verdict = registration.heartbeat(&first, 2, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Current { leaving: true });
+    assert_eq!(beat(&mut registration, 10, 2, false), LEAVING);
 }
 
 #[expect(clippy::needless_pass_by_value, reason = "generated values are owned")]
@@ -89,14 +87,12 @@
         "another instance is registered already"
     );
     // The first heartbeat supplies the start; the incarnation stays the same.
-    let verdict = registration.heartbeat(&incarnation("i-1", 10), 7, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Current { leaving: false });
     assert_eq!(
-        registration.heartbeat(&incarnation("i-1", 10), 7, false, Moment::ZERO),
-        Verdict::Stale
+        beat(&mut registration, 10, 7, false),
+        Verdict::Current { leaving: false }
     );
-    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::New { leaving: false });
+    assert_eq!(beat(&mut registration, 10, 7, false), Verdict::Stale);
+    assert_eq!(beat(&mut registration, 20, 1, false), NEW);
 }
 
 #[test]
@@ -104,8 +100,7 @@
     let mut registration = Registration::default();
     registration.adopt(&"i-1".into());
     assert!(registration.deregister(&"i-1".into(), Some(10)));
-    let verdict = registration.heartbeat(&incarnation("i-1", 10), 8, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Current { leaving: true });
+    assert_eq!(beat(&mut registration, 10, 8, false), LEAVING);
 }
 
 #[test]
@@ -117,14 +112,9 @@
     let mut after = Registration::default();
     assert!(after.deregister(&leaving.instance, Some(leaving.born_ms)));
     assert!(!after.adopt(&"i-1".into()));
-    let verdict = after.heartbeat(&incarnation("i-1", 10), 5, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Current { leaving: true });
-    let verdict = after.heartbeat(&incarnation("i-1", 30), 1, false, Moment::ZERO);
-    assert_eq!(
-        verdict,
-        Verdict::New { leaving: false },
-        "a new incarnation"
-    );
+    assert_eq!(beat(&mut after, 10, 5, false), LEAVING);
+    let verdict = beat(&mut after, 30, 1, false);
+    assert_eq!(verdict, NEW, "a new incarnation");
 }
 
 #[test]
@@ -141,17 +131,13 @@
     assert_eq!(verdict, Verdict::New { leaving: true });
     let mut registration = Registration::default();
     registration.defer_until(until);
-    assert_eq!(
-        registration.heartbeat(&target, 4, false, until),
-        Verdict::New { leaving: false }
-    );
+    let verdict = registration.heartbeat(&target, 4, false, until);
+    assert_eq!(verdict, NEW);
     let mut registration = Registration::default();
     registration.defer_until(until);
     registration.end_deferral();
-    assert_eq!(
-        registration.heartbeat(&target, 4, false, early),
-        Verdict::New { leaving: false }
-    );
+    let verdict = registration.heartbeat(&target, 4, false, early);
+    assert_eq!(verdict, NEW);
 }
 
 /// Guards against a departure of an earlier run that a peer returns, and that keeps a
@@ -161,10 +147,8 @@
     let mut registration = Registration::default();
     assert!(registration.adopt(&"i-1".into()));
     assert!(registration.deregister(&"i-1".into(), Some(10)));
-    let verdict = registration.heartbeat(&incarnation("i-1", 20), 1, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::New { leaving: false });
-    let verdict = registration.heartbeat(&incarnation("i-1", 10), 9, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Stale);
+    assert_eq!(beat(&mut registration, 20, 1, false), NEW);
+    assert_eq!(beat(&mut registration, 10, 9, false), Verdict::Stale);
 }
 
 /// Guards against the departure of a former instance that a peer returns, and that keeps
@@ -175,6 +159,5 @@
     assert!(registration.deregister(&"i-1".into(), Some(10)));
     assert!(!registration.adopt(&"i-1".into()));
     assert!(registration.adopt(&"i-2".into()));
-    let verdict = registration.heartbeat(&incarnation("i-1", 10), 9, false, Moment::ZERO);
-    assert_eq!(verdict, Verdict::Stale);
+    assert_eq!(beat(&mut registration, 10, 9, false), Verdict::Stale);
 }
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -6,7 +6,7 @@
 use cardamomshed_policy::route::{Balancer, ByteBudget, Outcome, Query, Tier, Transition};
 use cardamomshed_policy::{Moment, RegionKey, TargetKey};
 
-use crate::random;
+use crate::{answer, load, random};
 
 /// Region of all targets, which these choices do not restrict.
 const HOME: RegionKey = RegionKey(0);
@@ -17,16 +17,6 @@
     remote: true,
 };
 
-fn load(running: u32, waiting: u32) -> Load {
-    Load {
-        running,
-        waiting,
-        limit: 10,
-        service_time: Duration::from_millis(10),
-        rejection: 0.0,
-    }
-}
-
 fn domain_balancer(count: usize) -> (Balancer, Vec<TargetKey>) {
     let mut balancer = Balancer::default();
     let insert = |_| balancer.insert(Tier::Domain, HOME, 10, Moment::ZERO);
@@ -66,36 +56,23 @@
     let (mut balancer, keys) = domain_balancer(2);
     let region = balancer.insert(Tier::Region, HOME, 10, now);
     for key in keys {
-        balancer.record_start(key, now);
-        balancer.record_end(key, Outcome::Answered, Some(load(10, 20)), now);
+        answer(&mut balancer, key, load(10, 20, 10), now);
     }
     assert_eq!(count_choices(&mut balancer, region, 100, now), 100);
 }
 
-/// Load of a target with this service time.
-fn load_with_time(running: u32, waiting: u32, millis: u64) -> Load {
-    Load {
-        service_time: Duration::from_millis(millis),
-        ..load(running, waiting)
-    }
-}
-
 #[test]
 fn slow_target_spills() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(1);
     let region = balancer.insert(Tier::Region, HOME, 10, now);
-    let report = |balancer: &mut Balancer, key, load| {
-        balancer.record_start(key, now);
-        balancer.record_end(key, Outcome::Answered, Some(load), now);
-    };
     // Both are full; the nearer one has three times the service time.
-    report(&mut balancer, keys[0], load_with_time(10, 15, 300));
-    report(&mut balancer, region, load_with_time(10, 5, 100));
+    answer(&mut balancer, keys[0], load(10, 15, 300), now);
+    answer(&mut balancer, region, load(10, 5, 100), now);
     assert_eq!(count_choices(&mut balancer, region, 100, now), 100);
     // With equal service times, a somewhat shorter queue does not justify the
     // farther tier.
-    report(&mut balancer, keys[0], load_with_time(10, 10, 100));
+    answer(&mut balancer, keys[0], load(10, 10, 100), now);
     assert_eq!(count_choices(&mut balancer, region, 100, now), 0);
 }
 
@@ -104,13 +81,7 @@
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(2);
     for (key, millis) in [(keys[0], 50), (keys[1], 150)] {
-        balancer.record_start(key, now);
-        balancer.record_end(
-            key,
-            Outcome::Answered,
-            Some(load_with_time(4, 0, millis)),
-            now,
-        );
+        answer(&mut balancer, key, load(4, 0, millis), now);
     }
     assert_eq!(count_choices(&mut balancer, keys[0], 100, now), 100);
 }
@@ -120,13 +91,7 @@
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(2);
     for (key, millis) in [(keys[0], 3_000), (keys[1], 10)] {
-        balancer.record_start(key, now);
-        balancer.record_end(
-            key,
-            Outcome::Answered,
-            Some(load_with_time(1, 0, millis)),
-            now,
-        );
+        answer(&mut balancer, key, load(1, 0, millis), now);
     }
     assert_eq!(count_choices(&mut balancer, keys[0], 100, now), 0);
     // The reported service time has expired, so the target is chosen again.
@@ -141,8 +106,7 @@
     let far = balancer.insert(Tier::Remote, HOME, 10, now);
     for (running, waiting, expected) in [(10, 20, 0), (10, 50, 100)] {
         for key in &keys {
-            balancer.record_start(*key, now);
-            balancer.record_end(*key, Outcome::Answered, Some(load(running, waiting)), now);
+            answer(&mut balancer, *key, load(running, waiting, 10), now);
         }
         assert_eq!(count_choices(&mut balancer, far, 100, now), expected);
     }
@@ -152,29 +116,36 @@
 fn busy_target_avoided() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(4);
-    balancer.record_start(keys[0], now);
-    balancer.record_end(keys[0], Outcome::Answered, Some(load(10, 30)), now);
+    answer(&mut balancer, keys[0], load(10, 30, 10), now);
     assert_eq!(count_choices(&mut balancer, keys[0], 200, now), 0);
 }
 
+/// Makes calls to all targets in turn, of which those to `failing` fail. Returns the first
+/// transition.
+fn call_each(
+    balancer: &mut Balancer,
+    keys: &[TargetKey],
+    failing: &[TargetKey],
+    report: Option<Load>,
+    rounds: usize,
+    now: Moment,
+) -> Option<Transition> {
+    let mut first = None;
+    for key in keys.repeat(rounds) {
+        let outcome = [Outcome::Answered, Outcome::Failed][usize::from(failing.contains(&key))];
+        balancer.record_start(key, now);
+        let transition = balancer.record_end(key, outcome, report, now);
+        first = first.or(transition);
+    }
+    first
+}
+
 #[test]
 fn failing_target_ejected() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(4);
-    let mut ejected = None;
-    for _ in 0..20 {
-        for key in &keys {
-            balancer.record_start(*key, now);
-            let failed = *key == keys[0];
-            let outcome = if failed {
-                Outcome::Failed
-            } else {
-                Outcome::Answered
-            };
-            let transition = balancer.record_end(*key, outcome, Some(load(1, 0)), now);
-            ejected = ejected.or(transition);
-        }
-    }
+    let report = Some(load(1, 0, 10));
+    let ejected = call_each(&mut balancer, &keys, &keys[..1], report, 20, now);
     assert!(matches!(ejected, Some(Transition::Ejected(_))));
     assert_eq!(count_choices(&mut balancer, keys[0], 200, now), 0);
 }
@@ -183,12 +154,7 @@
 fn failing_service_kept() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(4);
-    for _ in 0..50 {
-        for key in &keys {
-            balancer.record_start(*key, now);
-            balancer.record_end(*key, Outcome::Failed, None, now);
-        }
-    }
+    call_each(&mut balancer, &keys, &keys, None, 50, now);
     assert_eq!(
         balancer.ejected(),
         0,
@@ -200,17 +166,7 @@
 fn ejected_target_restored() {
     let now = Moment::from_millis(1);
     let (mut balancer, keys) = domain_balancer(4);
-    for _ in 0..20 {
-        for key in &keys {
-            balancer.record_start(*key, now);
-            let outcome = if *key == keys[0] {
-                Outcome::Failed
-            } else {
-                Outcome::Answered
-            };
-            balancer.record_end(*key, outcome, None, now);
-        }
-    }
+    call_each(&mut balancer, &keys, &keys[..1], None, 20, now);
     assert_eq!(balancer.ejected(), 1);
     let later = now + Duration::from_mins(2);
     assert!(count_choices(&mut balancer, keys[0], 200, later) > 0);
@@ -255,9 +211,8 @@
         let now = Moment::from_millis(5 * number);
         let chosen = balancer.choose(&ANY, &mut random, now);
         let chosen = chosen.expect("a target is available").target;
-        balancer.record_start(chosen, now);
-        let report = load_with_time(0, 0, if chosen == known[0] { 20 } else { 21 });
-        balancer.record_end(chosen, Outcome::Answered, Some(report), now);
+        let report = load(0, 0, if chosen == known[0] { 20 } else { 21 });
+        answer(balancer, chosen, report, now);
         chosen
     };
     for number in 0..50 {
--- a/crates/policy/tests/all/route_preview.rs
+++ b/crates/policy/tests/all/route_preview.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use cardamomshed_policy::gate::Load;
 use cardamomshed_policy::route::{Availability, Balancer, Exclusion, Outcome, Query, Tier};
-use cardamomshed_policy::{Moment, RegionKey, TargetKey};
+use cardamomshed_policy::{Moment, RegionKey};
 
-use crate::random;
+use crate::{answer, load, random};
 
 const NOW: Moment = Moment::from_millis(1);
 const HOME: RegionKey = RegionKey(0);
@@ -16,18 +15,6 @@
     evacuated: false,
 };
 
-fn report(balancer: &mut Balancer, key: TargetKey, running: u32, waiting: u32) {
-    let load = Load {
-        running,
-        waiting,
-        limit: 10,
-        service_time: Duration::from_millis(20),
-        rejection: 0.0,
-    };
-    balancer.record_start(key, NOW);
-    balancer.record_end(key, Outcome::Answered, Some(load), NOW);
-}
-
 /// Guards against a cause that is named wrongly, and against a target that is listed as a
 /// candidate although no call goes there.
 #[test]
@@ -80,7 +67,7 @@
     let mut balancer = Balancer::default();
     let keys = [(); 8].map(|()| balancer.insert(Tier::Domain, HOME, 10, NOW));
     for (index, key) in keys.into_iter().enumerate() {
-        report(&mut balancer, key, 10, index as u32);
+        answer(&mut balancer, key, load(10, index as u32, 20), NOW);
     }
     balancer.record_price(keys[0], 0.5, NOW);
     let before = format!("{balancer:?}");
--- a/crates/policy/tests/all/warmup_limit.rs
+++ b/crates/policy/tests/all/warmup_limit.rs
@@ -4,7 +4,7 @@
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Offer, Shed, Ticket};
 use cardamomshed_policy::warmup::Report;
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::{AccountKey, Moment, Priority};
 use indexmap::IndexMap;
 use rand::Rng;
 
@@ -23,12 +23,9 @@
 
 fn offer(ticket: u64, priority: Priority, now: Moment) -> Offer {
     Offer {
-        ticket: Ticket(ticket),
         account: AccountKey(ticket as u32 % 3),
-        route: RouteKey(0),
         priority,
-        depth: 0,
-        deadline: now + Duration::from_secs(2),
+        ..crate::offer(ticket, now + Duration::from_secs(2))
     }
 }
 
--- a/crates/policy/tests/all/window_backpressure.rs
+++ b/crates/policy/tests/all/window_backpressure.rs
@@ -9,7 +9,7 @@
 
 use cardamomshed_policy::gate::{Change, Config, Decision, Gate, Offer, Ticket};
 use cardamomshed_policy::window::Window;
-use cardamomshed_policy::{AccountKey, Moment, Priority, RouteKey};
+use cardamomshed_policy::{Moment, Priority, RouteKey};
 use rand::Rng;
 use rand::rngs::StdRng;
 
@@ -250,12 +250,10 @@
 
 fn offer(index: usize, depth: u8, deadline: Moment) -> Offer {
     Offer {
-        ticket: Ticket(index as u64),
-        account: AccountKey(0),
         route: RouteKey(u32::from(depth)),
         priority: Priority::High,
         depth,
-        deadline,
+        ..crate::offer(index as u64, deadline)
     }
 }
 
