Shorten the tests of the tool's notes and of invalid settings

The invalid settings are a table.

Assertions that moved: the ten comparisons of invalid_settings are one in a loop over the same ten cases, whose message names the case. Each case still has a file of its own.

--- a/crates/ctl/tests/all/load_report.rs
+++ b/crates/ctl/tests/all/load_report.rs
@@ -24,30 +24,19 @@
 #[test]
 fn usage_errors() {
     for invalid in [
-        vec!["load"],
-        vec!["load", "--to", "nowhere"],
-        vec!["load", "--to", "127.0.0.1:1", "--source", "a,b,-5,GET,/"],
-        vec![
-            "load",
-            "--to",
-            "127.0.0.1:1",
-            "--source",
-            "a,b,5,GET,/",
-            "--stage",
-            "x",
-        ],
-        vec!["status"],
-        vec!["note", "apply"],
-        vec!["frobnicate"],
-        vec![],
+        "load",
+        "load --to nowhere",
+        "load --to 127.0.0.1:1 --source a,b,-5,GET,/",
+        "load --to 127.0.0.1:1 --source a,b,5,GET,/ --stage x",
+        "status",
+        "note apply",
+        "frobnicate",
+        "",
     ] {
-        let run = shedctl(&invalid);
-        assert!(!run.status.success(), "{invalid:?}");
-        assert!(
-            stderr(&run).contains("CS3001"),
-            "{invalid:?}: {}",
-            stderr(&run)
-        );
+        let run = shedctl(&invalid.split_whitespace().collect::<Vec<_>>());
+        let error = stderr(&run);
+        assert!(!run.status.success(), "{invalid}");
+        assert!(error.contains("CS3001"), "{invalid}: {error}");
     }
     for valid in ["--help", "--version"] {
         assert!(shedctl(&[valid]).status.success());
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -5,7 +5,7 @@
 mod request_preview;
 mod status_explain;
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Output};
 use std::time::Duration;
 
@@ -34,13 +34,18 @@
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
 
-/// Writes a note file that adds one account.
-fn note_file(name: &str, account: &str) -> PathBuf {
+/// Applies the note of a file on the platform of a fleet.
+fn apply(fleet: &Fleet, file: &str) -> Output {
+    shedctl(&["note", "apply", file, "--platform", &fleet.platform.base()])
+}
+
+/// Writes a note file that adds one account. Returns its path.
+fn note_file(name: &str, account: &str) -> String {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"));
     let text = format!(
         "note: {name}\nauthor: test\nsummary: adds {account}\naccounts:\n  add:\n    \
          - {{name: {account}, rate: 5/s, burst: 10}}\n"
     );
     std::fs::write(&path, text).expect("the file is written");
-    path
+    path.to_str().expect("a plain path").to_owned()
 }
--- a/crates/ctl/tests/all/note_commands.rs
+++ b/crates/ctl/tests/all/note_commands.rs
@@ -5,7 +5,7 @@
 
 use cardamomshed_standin::platform::Faults;
 
-use crate::{fleet, note_file, shedctl, stderr, stdout};
+use crate::{apply, fleet, note_file, shedctl, stderr, stdout};
 
 #[test]
 fn applied_everywhere() {
@@ -13,22 +13,14 @@
     let base = fleet.platform.base();
     let admin = fleet.daemons[0].node.settings.admin.to_string();
     let file = note_file("apply-one", "one");
-    let path = file.to_str().expect("a plain path");
-    let checked = shedctl(&["note", "check", path, "--platform", &base]);
+    let checked = shedctl(&["note", "check", &file, "--platform", &base]);
     assert!(
         stdout(&checked).contains("would become revision 2"),
         "{}",
         stderr(&checked)
     );
-    let apply = [
-        "note",
-        "apply",
-        path,
-        "--platform",
-        &base,
-        "--daemon",
-        &admin,
-    ];
+    let target = ["--platform", &base, "--daemon", &admin];
+    let apply = [&["note", "apply", &file], &target[..]].concat();
     let applied = shedctl(&apply);
     assert!(applied.status.success(), "{}", stderr(&applied));
     assert!(stdout(&applied).contains("in force everywhere"));
@@ -52,10 +44,7 @@
 #[test]
 fn conflicting_entry_refused() {
     let fleet = fleet();
-    let base = fleet.platform.base();
-    let file = note_file("taken", "account-0");
-    let path = file.to_str().expect("a plain path");
-    let refused = shedctl(&["note", "apply", path, "--platform", &base]);
+    let refused = apply(&fleet, &note_file("taken", "account-0"));
     assert!(!refused.status.success());
     assert!(stderr(&refused).contains("CS2008"), "{}", stderr(&refused));
     assert!(
@@ -69,38 +58,20 @@
 #[test]
 fn name_reuse_refused() {
     let fleet = fleet();
-    let base = fleet.platform.base();
-    let first = note_file("reused", "one");
-    let applied = shedctl(&[
-        "note",
-        "apply",
-        first.to_str().expect("a path"),
-        "--platform",
-        &base,
-    ]);
+    let applied = apply(&fleet, &note_file("reused", "one"));
     assert!(applied.status.success(), "{}", stderr(&applied));
-    let other = note_file("reused", "two");
-    let refused = shedctl(&[
-        "note",
-        "apply",
-        other.to_str().expect("a path"),
-        "--platform",
-        &base,
-    ]);
+    let refused = apply(&fleet, &note_file("reused", "two"));
     assert!(stderr(&refused).contains("CS2102"), "{}", stderr(&refused));
 }
 
 #[test]
 fn lost_response() {
     let fleet = fleet();
-    let base = fleet.platform.base();
     fleet.platform.set_faults(Faults {
         lose_answers: 1.0,
         ..Faults::default()
     });
-    let file = note_file("lost-answer", "one");
-    let path = file.to_str().expect("a plain path");
-    let applied = shedctl(&["note", "apply", path, "--platform", &base]);
+    let applied = apply(&fleet, &note_file("lost-answer", "one"));
     assert!(applied.status.success(), "{}", stderr(&applied));
     assert_eq!(fleet.platform.rows("notes"), 2);
 }
@@ -108,18 +79,14 @@
 #[test]
 fn concurrent_apply() {
     let fleet = fleet();
-    let base = fleet.platform.base();
     fleet.platform.set_faults(Faults {
         delay: Duration::from_millis(200),
         ..Faults::default()
     });
     let files = [note_file("race-a", "same"), note_file("race-b", "same")];
     let outcomes = std::thread::scope(|scope| {
-        let base = &base;
-        let threads = files.iter().map(|file| {
-            let path = file.to_str().expect("a plain path");
-            scope.spawn(move || shedctl(&["note", "apply", path, "--platform", base]))
-        });
+        let apply = |file| apply(&fleet, file);
+        let threads = files.iter().map(|file| scope.spawn(move || apply(file)));
         let threads = threads.collect::<Vec<_>>();
         let outputs = threads
             .into_iter()
@@ -140,12 +107,7 @@
 #[test]
 fn platform_down() {
     let fleet = fleet();
-    fleet.platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
-    let file = note_file("down", "one");
-    let path = file.to_str().expect("a plain path");
-    let refused = shedctl(&["note", "apply", path, "--platform", &fleet.platform.base()]);
+    fleet.platform.set_faults(Faults::DOWN);
+    let refused = apply(&fleet, &note_file("down", "one"));
     assert!(stderr(&refused).contains("CS2201"), "{}", stderr(&refused));
 }
--- a/crates/note/tests/all/settings_errors.rs
+++ b/crates/note/tests/all/settings_errors.rs
@@ -29,39 +29,27 @@
 
 #[test]
 fn invalid_settings() {
-    assert_eq!(
-        code("s1.yaml", "domains: [d]", "domains: [e]"),
-        Code::ReferenceUnknown
-    );
-    assert_eq!(
-        code("s2.yaml", "sixteen-bytes-or-more", "short"),
-        Code::ValueRange
-    );
-    assert_eq!(
-        code("s3.yaml", "target: 127.0.0.1:2", "target: 10.0.0.1:2"),
-        Code::ValueRange
-    );
-    assert_eq!(
-        code("s4.yaml", "peers: 127.0.0.1:3", "peers: 0.0.0.0:3"),
-        Code::ValueRange
-    );
-    assert_eq!(
-        code("s5.yaml", "node: n", "node: Not A Name"),
-        Code::YamlInvalid
-    );
-    assert_eq!(
-        code("s6.yaml", "callers: 127.0.0.1:1", "callers: here"),
-        Code::YamlInvalid
-    );
-    assert_eq!(code("s7.yaml", "region: r\n", ""), Code::YamlInvalid);
-    assert_eq!(
-        code("s8.yaml", "domains: [d]", "domains: [d]\nextra: 1"),
-        Code::YamlInvalid
-    );
     let timing = "domains: [d]\ntiming: {heartbeat: 1s, silence: 1s}";
-    assert_eq!(code("s9.yaml", "domains: [d]", timing), Code::ValueRange);
     let zero = "domains: [d]\ntiming: {poll: 0ms}";
-    assert_eq!(code("s10.yaml", "domains: [d]", zero), Code::ValueRange);
+    let cases = [
+        ("domains: [d]", "domains: [e]", Code::ReferenceUnknown),
+        ("sixteen-bytes-or-more", "short", Code::ValueRange),
+        (
+            "target: 127.0.0.1:2",
+            "target: 10.0.0.1:2",
+            Code::ValueRange,
+        ),
+        ("peers: 127.0.0.1:3", "peers: 0.0.0.0:3", Code::ValueRange),
+        ("node: n", "node: Not A Name", Code::YamlInvalid),
+        ("callers: 127.0.0.1:1", "callers: here", Code::YamlInvalid),
+        ("region: r\n", "", Code::YamlInvalid),
+        ("domains: [d]", "domains: [d]\nextra: 1", Code::YamlInvalid),
+        ("domains: [d]", timing, Code::ValueRange),
+        ("domains: [d]", zero, Code::ValueRange),
+    ];
+    for (number, (from, to, expected)) in (1..).zip(cases) {
+        assert_eq!(code(&format!("s{number}.yaml"), from, to), expected, "{to}");
+    }
 }
 
 #[test]
