Count no members twice that failed before the start

A process that starts learns of the members that failed in the last hour from its peers, all at once. It counted them in addition to the sizes of the failure domains, which include those that may still lend, and did not release them, since they seemed to have failed in one event. A new lender with 24 live members thus counted up to 54 and lent 0.44 of each account, for up to an hour.

Members that are known as failed only and started before this process are left out where the size of their failure domain was received.

earlier_failures_included fails before this change: 8 members counted, not 5.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -90,6 +90,8 @@
     changed_at: Moment,
     /// Whether it is a failed member that no longer counts as part of the fleet.
     is_released: bool,
+    /// Whether it is known as failed only, and started before this process.
+    is_inherited: bool,
     /// When it was last probed directly because it is suspect.
     probed_at: Option<Moment>,
     /// Relation of its clock to the local one, once it acknowledged a ping.
--- a/crates/policy/src/member/census.rs
+++ b/crates/policy/src/member/census.rs
@@ -10,7 +10,12 @@
 //! alone stops to accept keys, so that failed members of a domain that is otherwise
 //! reachable are lost. They, and expected members that were not met, are released after
 //! [`RELEASE_AFTER`].
+//!
+//! A process that starts also learns of members that failed before, from peers which
+//! remember them for long after their release. The sizes include those that may still
+//! lend, so that these members are not added to them.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,6 +57,8 @@
     /// Size of each failure domain of which fewer members have been met. Once they have
     /// been met, their departures and failures are known, and the domain is removed.
     expected: IndexMap<Arc<str>, u32>,
+    /// Failure domains whose size was received.
+    sized: HashSet<Arc<str>>,
 }
 
 /// Members of one failure domain, this one included.
@@ -121,6 +128,7 @@
         }
         self.census.received_at = Some(now);
         for size in sizes {
+            self.census.sized.insert(Arc::clone(&size.domain));
             let expected = self.census.expected.entry(size.domain).or_default();
             *expected = size.members.max(*expected);
         }
@@ -145,8 +153,7 @@
     pub fn size(&self) -> u32 {
         if self.census.expected.is_empty() {
             let counted = self
-                .members
-                .values()
+                .tracked()
                 .filter(|member| member.record.state != State::Left && !member.is_released);
             return counted.count() as u32 + 1;
         }
@@ -158,7 +165,7 @@
     /// off from them.
     pub fn local_size(&self) -> u32 {
         let mut tally = Tally::default();
-        let local = self.members.values();
+        let local = self.tracked();
         let local = local.filter(|member| self.is_local(&member.record));
         for member in local {
             tally.add(member.record.state, member.is_released);
@@ -171,6 +178,18 @@
         }
     }
 
+    /// Members, without those that failed before this process started if the size of their
+    /// failure domain was received, since it includes them.
+    fn tracked(&self) -> impl Iterator<Item = &Member> {
+        let is_included = |member: &&Member| {
+            let domain = &member.record.profile.domain;
+            member.is_inherited && self.census.sized.contains(domain)
+        };
+        self.members
+            .values()
+            .filter(move |member| !is_included(member))
+    }
+
     /// Whether more members are expected in the local failure domain than have been
     /// met.
     pub fn awaits_local_members(&self) -> bool {
@@ -215,7 +234,7 @@
     /// Times of the failures in each failure domain, in order, without released members.
     fn failures(&self) -> IndexMap<Arc<str>, Vec<Moment>> {
         let mut failures = IndexMap::<_, Vec<Moment>>::new();
-        for member in self.members.values() {
+        for member in self.tracked() {
             if member.record.state == State::Failed && !member.is_released {
                 let domain = Arc::clone(&member.record.profile.domain);
                 failures.entry(domain).or_default().push(member.changed_at);
@@ -229,7 +248,7 @@
 
     fn tallies(&self) -> IndexMap<Arc<str>, Tally> {
         let mut tallies = IndexMap::<_, Tally>::new();
-        let others = self.members.values();
+        let others = self.tracked();
         let others = others.map(|member| (&member.record, member.is_released));
         for (record, is_released) in others.chain([(&self.own, false)]) {
             let domain = &record.profile.domain;
--- a/crates/policy/src/member/merge.rs
+++ b/crates/policy/src/member/merge.rs
@@ -40,6 +40,7 @@
         self.keep_departure(&mut record, source);
         let known = self.members.get(&record.name);
         let previous_address = known.map(|member| member.record.profile.gossip);
+        let precedes = record.state == State::Failed && record.incarnation < self.process;
         let before = match self.members.get_mut(&record.name) {
             Some(member) if !record.supersedes(&member.record) => return,
             Some(member) => {
@@ -50,6 +51,7 @@
                 member.record = record.clone();
                 member.changed_at = now;
                 member.is_released = false;
+                member.is_inherited &= precedes;
                 member.probed_at = None;
                 Some(before)
             }
@@ -59,6 +61,7 @@
                     record: record.clone(),
                     changed_at: now,
                     is_released: false,
+                    is_inherited: precedes,
                     probed_at: None,
                     offset: None,
                     calibrated_at: None,
--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -177,3 +177,31 @@
     fleet.tick(&mut random(), at(21));
     assert_eq!((fleet.size(), fleet.live()), (5, 5));
 }
+
+/// Guards against accounts that are lent half of their rate by a process that starts after
+/// many VMs were replaced: its peers remember the lost ones, and it learns of all of them
+/// at once, so that they seem to be a domain that is cut off.
+#[test]
+fn earlier_failures_included() {
+    let own = record("a", 0);
+    let mut fleet = Fleet::new(Config::default(), own.name, 9, own.profile);
+    let failed = |number, incarnation| Record {
+        state: State::Failed,
+        incarnation,
+        ..record("b", number)
+    };
+    fleet.receive_sizes(vec![size("a", 1), size("b", 4)], at(1));
+    fleet.merge_all((1..8).map(|number| failed(number, 1)).collect(), at(1));
+    assert_eq!(fleet.size(), 5, "the size includes those that may lend");
+    fleet.merge_all((11..15).map(|number| record("b", number)).collect(), at(2));
+    assert_eq!((fleet.size(), fleet.live()), (5, 5));
+    fleet.merge_all(vec![failed(11, 1), failed(20, 10)], at(3));
+    assert_eq!(fleet.size(), 6, "later failures count");
+    // A domain of unknown size may consist of failed members only.
+    let unsized_domain = Record {
+        state: State::Failed,
+        ..record("c", 30)
+    };
+    fleet.merge_all(vec![unsized_domain], at(3));
+    assert_eq!(fleet.size(), 7);
+}
