Count the tokens granted from the start allowance

The bucket keeps the tokens of the allowance apart from those of its rate and grants them last, so that the number granted in excess of the share is known. The sum that is granted is the same. start_allowance_bounded checks the number, and that no token is reported twice.

--- a/crates/daemon/src/actor/quota.rs
+++ b/crates/daemon/src/actor/quota.rs
@@ -370,6 +370,8 @@
     let mut lenders = lock(&node.quota.lenders);
     for lender in lenders.values_mut() {
         granted += lender.lend(account, request.requested - granted, now);
+        let extra = lender.report_allowance(account);
+        node.metrics.start_allowance.inc_by(extra);
     }
     Grant {
         tokens: granted,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a daemon.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Counter, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -53,6 +53,9 @@
     /// Claims and answers dropped from memory for its bound, which could not be written
     /// again after a return of the store.
     pub dropped_claims: IntCounter,
+    /// Tokens that a lender slot held here granted from the start allowance, in excess of
+    /// its shares.
+    pub start_allowance: Counter,
 }
 
 fn histogram(name: &str, help: &str) -> prometheus::Result<Histogram> {
@@ -136,6 +139,10 @@
                 "cardamomshed_evacuated_domains",
                 "Failure domains that are evacuated",
             )?,
+            start_allowance: Counter::new(
+                "cardamomshed_quota_start_allowance_total",
+                "Tokens granted from the start allowance, in excess of the lender's shares",
+            )?,
             dropped_claims: IntCounter::new(
                 "cardamomshed_dropped_claims_total",
                 "Claims and answers that are no longer kept for a return of the store",
@@ -164,6 +171,8 @@
         self.registry.register(Box::new(self.connections.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))?;
         self.registry.register(Box::new(self.evacuated.clone()))?;
+        self.registry
+            .register(Box::new(self.start_allowance.clone()))?;
         self.registry
             .register(Box::new(self.dropped_claims.clone()))
     }
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -148,6 +148,12 @@
         entry.bucket.take(wanted, now)
     }
 
+    /// Tokens of allowances that were granted to the account since the last call.
+    pub fn report_allowance(&mut self, account: AccountKey) -> f64 {
+        let entry = self.accounts.get_mut(&account);
+        entry.map_or(0.0, |entry| entry.bucket.report_extra())
+    }
+
     /// Tokens that could be granted now, without a change.
     pub fn available(&self, account: AccountKey, now: Moment) -> f64 {
         let entry = self.accounts.get(&account).copied();
--- a/crates/policy/tests/all/quota_bound.rs
+++ b/crates/policy/tests/all/quota_bound.rs
@@ -168,10 +168,14 @@
     };
     let first = granted_by(&mut lender, 1_000);
     assert!(f64::from(first) >= whole.rate + 10.0, "{first} in a second");
+    let reported = lender.report_allowance(ACCOUNT);
+    let excess = f64::from(first) - whole.rate;
+    assert!((reported - excess).abs() < 1.0, "{reported}, not {excess}");
     lender.add_allowance(ACCOUNT, whole.start_allowance(), start);
     let all = first + granted_by(&mut lender, 5_000);
     let most = whole.rate * 5.0 + 0.05 * (whole.rate * 5.0 + whole.burst) + 10.0;
     assert!(f64::from(all) <= most, "{all} in five seconds");
+    assert!(lender.report_allowance(ACCOUNT) < 1.0, "reported twice");
     // A lender that was not the first after all drops what it has not granted.
     let mut other = Lender::default();
     other.set_lease(Lease::granted(start, Duration::from_mins(10)));
