Check that a domain stays counted while it is cut off at a start

earlier_failures_included now also holds the size 600 s later, while no member of the domain has been met: releasing it would let both sides lend its part.

--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -193,15 +193,20 @@
     fleet.receive_sizes(vec![size("a", 1), size("b", 4)], at(1));
     fleet.merge_all((1..8).map(|number| failed(number, 1)).collect(), at(1));
     assert_eq!(fleet.size(), 5, "the size includes those that may lend");
-    fleet.merge_all((11..15).map(|number| record("b", number)).collect(), at(2));
+    fleet.tick(&mut random(), at(600));
+    assert_eq!(fleet.size(), 5, "the domain is still cut off");
+    fleet.merge_all(
+        (11..15).map(|number| record("b", number)).collect(),
+        at(601),
+    );
     assert_eq!((fleet.size(), fleet.live()), (5, 5));
-    fleet.merge_all(vec![failed(11, 1), failed(20, 10)], at(3));
+    fleet.merge_all(vec![failed(11, 1), failed(20, 10)], at(602));
     assert_eq!(fleet.size(), 6, "later failures count");
     // A domain of unknown size may consist of failed members only.
     let unsized_domain = Record {
         state: State::Failed,
         ..record("c", 30)
     };
-    fleet.merge_all(vec![unsized_domain], at(3));
+    fleet.merge_all(vec![unsized_domain], at(602));
     assert_eq!(fleet.size(), 7);
 }
