--- a/crates/policy/tests/all/member_census.rs
+++ b/crates/policy/tests/all/member_census.rs
@@ -162,3 +162,28 @@
     fleet.tick(&mut random(), at(21));
     assert_eq!((fleet.size(), fleet.live()), (5, 5));
 }
+
+/// Guards against accounts that are lent half of their rate by a process that starts after
+/// many VMs were replaced: its peers remember the lost ones, and it learns of all of them
+/// at once, so that they seem to be a domain that is cut off.
+#[test]
+fn earlier_failures_included() {
+    let own = record("a", 0);
+    let mut fleet = Fleet::new(Config::default(), own.name, 9, own.profile);
+    let failed = |domain, number, incarnation| Record {
+        state: State::Failed,
+        incarnation,
+        ..record(domain, number)
+    };
+    fleet.receive_sizes(vec![size("a", 1), size("b", 4)], at(1));
+    fleet.merge_all((1..8).map(|number| failed("b", number, 1)).collect(), at(1));
+    fleet.tick(&mut random(), at(600));
+    assert_eq!(fleet.size(), 5, "the domain may be cut off");
+    let met = (11..15).map(|number| record("b", number));
+    fleet.merge_all(met.collect(), at(601));
+    assert_eq!((fleet.size(), fleet.live()), (5, 5));
+    fleet.merge_all(vec![failed("b", 11, 1), failed("b", 20, 10)], at(602));
+    assert_eq!(fleet.size(), 6, "later failures count");
+    fleet.merge_all(vec![failed("c", 30, 1)], at(602));
+    assert_eq!(fleet.size(), 7, "the size of this domain is unknown");
+}
