Reserve the input of callers' connections before it is buffered

Cause: a connection reserves 16 KiB (24 KiB with TLS), but its buffer took up to 128 KiB of a head that does not end, 32 KiB for each of up to three parts of a body that the handler had not read, and stayed allocated while the head of an open request referred to it. max-header-bytes of the configuration was not applied.

Change: connection::Input charges the capacity of each allocation and the length of each head before it allocates. The reservation of the connection covers 8 KiB (6 KiB with TLS); the rest is reserved as memory of connections and released with the last reference. Heads are copied out of the buffer. A head above max-header-bytes gets 431 from the connection once that many bytes have arrived; the check in http::head uses the same setting. Without memory, a body is read with the buffer at hand, a head waits for the open requests of its connection, and without any gets 503. The kept output falls from 16 to 4 KiB, so that the reservation covers it.

Tests: head_memory. On the version before, with a Host::new that ignores the new arguments, its 3 tests fail: the long head is not refused within 5 s, nothing is reserved within 10 s, and a long head is read without memory. connection_rules passes the new arguments and shares its session; no assertion changed.

--- a/crates/daemon/src/http/closing.rs
+++ b/crates/daemon/src/http/closing.rs
@@ -12,7 +12,8 @@
 use super::connection_table::Counted;
 use crate::node::Node;
 
-/// Memory that the buffers of one connection take, in bytes.
+/// Memory that one connection takes, in bytes. `Transport::INPUT_BYTES` of it are for
+/// input; what exceeds them is reserved as it arrives.
 pub const CONNECTION_BYTES: usize = 16 * 1024;
 /// Memory that one with TLS takes, in bytes.
 pub const TLS_CONNECTION_BYTES: usize = 24 * 1024;
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -5,8 +5,10 @@
 //! module does the I/O: it decodes requests with the codec of the HTTP library, runs
 //! their handlers concurrently, and writes the responses in the order of the requests.
 
+mod close;
 mod exchange;
 mod host;
+mod input;
 mod monitor;
 mod tls;
 mod transport;
@@ -14,12 +16,11 @@
 
 use std::collections::VecDeque;
 use std::future::poll_fn;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use actix_codec::Decoder;
 use actix_http::body::BoxBody;
@@ -32,14 +33,14 @@
 use futures_util::StreamExt;
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
-use socket2::SockRef;
 use tokio::io::Interest;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
+use self::close::close;
 use self::exchange::{Decoded, Encoded, Exchange};
 use self::host::Count;
-pub use self::host::{Application, Host, Timeouts};
+pub use self::host::{Application, HeadLimit, Host, Timeouts};
+use self::input::{Charge, HEAD_BYTES, Head, Input, Part};
 pub use self::monitor::Monitor;
 pub use self::tls::Tls;
 pub use self::transport::{Tcp, Transport};
@@ -51,20 +52,10 @@
     requests: 16,
     waiting_bytes: 256 * 1024,
 };
-/// Size of the buffer into which heads are read, in bytes. The values of a head refer
-/// to the buffer until the request has ended.
-const HEAD_BYTES: usize = 8 * 1024;
-/// Size of the buffer into which bodies are read, in bytes.
-const BODY_BYTES: usize = 32 * 1024;
-/// Free bytes of a buffer below which it is not read into.
-const MIN_FREE_BYTES: usize = 1024;
 /// Bytes of encoded responses above which no more are encoded until some are written.
 const OUTPUT_BYTES: usize = 32 * 1024;
 /// Capacity of the write buffer of an idle connection, in bytes.
-const KEPT_BYTES: usize = 16 * 1024;
-/// Time for which input is read and discarded after the last response. Closing a socket
-/// with unread input resets the connection, and the client may lose the response.
-const DRAIN_TIME: Duration = Duration::from_millis(500);
+const KEPT_BYTES: usize = 4 * 1024;
 
 /// How a connection ended.
 enum End {
@@ -109,28 +100,6 @@
     }
 }
 
-/// Closes a connection in a way that does not destroy the last response.
-async fn close(transport: &mut impl Transport, time: Duration) {
-    // The message needs room in the send buffer, which may be full of the response.
-    let _ = tokio::time::timeout(time, poll_fn(|cx| transport.poll_close(cx))).await;
-    let socket = transport.socket();
-    let _ = SockRef::from(&**socket).shutdown(Shutdown::Write);
-    // The client is expected to close its side; the connection ends anyway.
-    let _ = tokio::time::timeout(DRAIN_TIME, discard_input(socket)).await;
-}
-
-/// Reads until the client closes its side.
-async fn discard_input(stream: &TcpStream) {
-    let mut discarded = vec![0; BODY_BYTES];
-    while stream.readable().await.is_ok() {
-        match stream.try_read(&mut discarded) {
-            Ok(0) => break,
-            Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => break,
-            Ok(_) | Err(_) => {}
-        }
-    }
-}
-
 struct Connection<T> {
     host: Rc<Host>,
     transport: T,
@@ -144,7 +113,7 @@
     /// Codec of the next request. Each request has one of its own, because the state
     /// of a codec belongs to the request that it has decoded last.
     codec: Codec,
-    received: BytesMut,
+    received: Input,
     output: BytesMut,
     /// Number of bytes that have been encoded.
     encoded: u64,
@@ -157,6 +126,8 @@
     timer: Timer,
     /// Whether the client has closed its side. Nothing more is read or started.
     is_gone: bool,
+    /// Whether reading is stopped because there is no memory for more input.
+    lacks_memory: bool,
     /// Whether a response could not be completed. No further one is written.
     is_broken: bool,
 }
@@ -172,6 +143,7 @@
         let watched = Rc::clone(transport.socket());
         // On Linux, this interest includes the end of the input and no other input.
         let hangup = async move { drop(watched.ready(Interest::PRIORITY).await) };
+        let received = Input::new(&host.memory, T::INPUT_BYTES);
         Self {
             codec: Codec::new(host.config.clone()),
             timer: Timer {
@@ -185,12 +157,13 @@
             pipeline: Pipeline::new(LIMITS),
             running: FuturesUnordered::new(),
             upload: None,
-            received: BytesMut::new(),
+            received,
             output: BytesMut::new(),
             encoded: 0,
             unwritten: VecDeque::new(),
             hangup: hangup.boxed_local(),
             is_gone: false,
+            lacks_memory: false,
             is_broken: false,
         }
     }
@@ -219,6 +192,7 @@
     /// Makes all progress that is possible without waiting.
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<End> {
         loop {
+            self.lacks_memory = false;
             let mut progress = self.poll_read(cx);
             progress |= self.poll_decode(cx);
             if self.is_gone || self.is_broken {
@@ -237,9 +211,10 @@
             if progress {
                 continue;
             }
-            if self.received.is_empty() && self.pipeline.items().next().is_none() {
+            if self.upload.is_none() {
                 // An idle connection holds no buffer.
-                self.received = BytesMut::new();
+                let is_idle = self.pipeline.items().next().is_none();
+                self.received.shrink(if is_idle { 0 } else { HEAD_BYTES });
             }
             match self.poll_timer(cx) {
                 Poll::Pending => return Poll::Pending,
@@ -260,8 +235,7 @@
             None => self.pipeline.may_start(self.waiting_bytes()),
         };
         if !wanted {
-            self.is_gone = self.hangup.poll_unpin(cx).is_ready();
-            return self.is_gone;
+            return self.poll_hangup(cx);
         }
         loop {
             match self.transport.poll_readable(cx) {
@@ -269,12 +243,15 @@
                 Poll::Ready(Err(_)) => break,
                 Poll::Ready(Ok(())) => {}
             }
-            if self.received.capacity() - self.received.len() < MIN_FREE_BYTES {
-                let has_body = self.upload.is_some();
-                self.received
-                    .reserve(if has_body { BODY_BYTES } else { HEAD_BYTES });
+            let part = match &self.upload {
+                Some(_) => Part::Body,
+                None => Part::Head((self.host.head_limit)()),
+            };
+            if !self.received.has_room(part, cx) {
+                let progress = self.poll_decode(cx) || self.await_memory();
+                return progress || self.poll_hangup(cx);
             }
-            match self.transport.try_read(&mut self.received) {
+            match self.transport.try_read(self.received.data()) {
                 Ok(0) => break,
                 Ok(_) => return true,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -285,6 +262,22 @@
         true
     }
 
+    fn poll_hangup(&mut self, cx: &mut Context<'_>) -> bool {
+        self.is_gone = self.hangup.poll_unpin(cx).is_ready();
+        self.is_gone
+    }
+
+    /// Called when there is no memory for input. Waits for open requests, which release
+    /// some when they end. Without any, the next request is refused. Returns whether it
+    /// is.
+    fn await_memory(&mut self) -> bool {
+        self.lacks_memory = self.pipeline.items().next().is_some() || !self.unwritten.is_empty();
+        if !self.lacks_memory {
+            self.refuse(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        !self.lacks_memory
+    }
+
     /// Decodes what has been received, and starts the requests.
     fn poll_decode(&mut self, cx: &mut Context<'_>) -> bool {
         let mut progress = false;
@@ -305,24 +298,28 @@
         if !self.pipeline.may_start(self.waiting_bytes()) {
             return false;
         }
-        // Empty lines before a request are ignored.
-        while self.received.starts_with(b"\r\n") {
-            self.received.advance(2);
-        }
-        if self.received.is_empty() {
+        let head = self.received.take_head((self.host.head_limit)());
+        if self.received.is_empty() && matches!(head, Head::Partial) {
             return false;
         }
-        match self.codec.decode(&mut self.received) {
-            Ok(None) => return false,
-            Ok(Some(Message::Item(request))) => self.start(request),
+        let (decoded, charge) = match head {
+            Head::Whole(mut head, charge) => (self.codec.decode(&mut head), Some(charge)),
+            // The beginning may be malformed already.
+            Head::Partial => (self.codec.decode(self.received.data()), None),
+            Head::TooLarge => (Err(ParseError::TooLarge), None),
+            Head::Unreserved => return self.await_memory(),
+        };
+        match decoded {
+            Ok(None) if charge.is_none() => return false,
+            Ok(Some(Message::Item(request))) => self.start(request, charge),
             Ok(Some(Message::Chunk(_))) => self.refuse(StatusCode::INTERNAL_SERVER_ERROR),
             Err(ParseError::TooLarge) => self.refuse(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
-            Err(_) => self.refuse(StatusCode::BAD_REQUEST),
+            Ok(None) | Err(_) => self.refuse(StatusCode::BAD_REQUEST),
         }
         true
     }
 
-    fn start(&mut self, mut request: Request) {
+    fn start(&mut self, mut request: Request, charge: Option<Charge>) {
         let next = Codec::new(self.host.config.clone());
         let codec = std::mem::replace(&mut self.codec, next);
         request.head_mut().peer_addr = Some(self.peer);
@@ -334,7 +331,8 @@
         }
         let closes = !codec.keep_alive();
         let is_head = request.method() == Method::HEAD;
-        let exchange = Exchange::new(codec, is_head, has_body && request.head().expect());
+        let awaits_continue = has_body && request.head().expect();
+        let exchange = Exchange::new(codec, is_head, awaits_continue, charge);
         let position = self.pipeline.start(exchange, closes, has_body);
         let response = (self.host.application)(request);
         self.running.push(
@@ -347,9 +345,11 @@
     /// Answers in place of a request that cannot be read. The connection ends after it.
     fn refuse(&mut self, status: StatusCode) {
         let codec = Codec::new(self.host.config.clone());
-        let mut refusal = Exchange::new(codec, false, false);
+        let mut refusal = Exchange::new(codec, false, false, None);
         refusal.answer(Response::with_body(status, BoxBody::new(())));
         self.pipeline.reject(refusal);
+        // Nothing behind it is decoded.
+        self.received.clear();
     }
 
     fn decode_body(&mut self, cx: &mut Context<'_>) -> bool {
@@ -363,13 +363,13 @@
         let Some(exchange) = self.pipeline.newest_mut() else {
             return false;
         };
-        match exchange.decode(&mut self.received) {
+        match exchange.decode(self.received.data()) {
             Decoded::Pending => {
                 self.upload = Some(upload);
                 return false;
             }
             Decoded::Chunk(chunk) => {
-                upload.send(chunk);
+                upload.send(self.received.attach(chunk));
                 self.upload = Some(upload);
             }
             Decoded::End => {
@@ -471,9 +471,8 @@
 
     /// Waits until the client has exceeded the time for what it has to send.
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Need> {
-        let need = self
-            .pipeline
-            .need(self.waiting_bytes(), !self.received.is_empty());
+        let head_begun = !self.received.is_empty() && !self.lacks_memory;
+        let need = self.pipeline.need(self.waiting_bytes(), head_begun);
         if need != self.timer.need {
             self.timer.need = need;
             let timeouts = self.host.timeouts;
--- a/crates/daemon/src/http/connection/exchange.rs
+++ b/crates/daemon/src/http/connection/exchange.rs
@@ -10,6 +10,8 @@
 use actix_web::http::StatusCode;
 use bytes::{Bytes, BytesMut};
 
+use super::input::Charge;
+
 /// Interim response to a request whose client waits before it sends the body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -23,6 +25,8 @@
     awaits_continue: bool,
     /// Whether the request's method is HEAD.
     is_head: bool,
+    /// Reserved memory of the request's head, until the request has been answered.
+    head: Option<Charge>,
     state: State,
 }
 
@@ -56,11 +60,17 @@
 }
 
 impl Exchange {
-    pub const fn new(codec: Codec, is_head: bool, awaits_continue: bool) -> Self {
+    pub const fn new(
+        codec: Codec,
+        is_head: bool,
+        awaits_continue: bool,
+        head: Option<Charge>,
+    ) -> Self {
         Self {
             codec,
             awaits_continue,
             is_head,
+            head,
             state: State::Running,
         }
     }
@@ -68,6 +78,7 @@
     pub fn answer(&mut self, response: Response<BoxBody>) {
         let (head, body) = response.into_parts();
         self.state = State::Answered(head, body);
+        self.head = None;
     }
 
     /// Decodes a part of the request's body.
--- a/crates/daemon/src/http/connection/host.rs
+++ b/crates/daemon/src/http/connection/host.rs
@@ -9,10 +9,14 @@
 use prometheus::IntGauge;
 
 use crate::clock::Clock;
+use crate::memory::Memory;
 
 /// Function that serves one request. Dropping the future cancels the request.
 pub type Application = Box<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
 
+/// Function that returns the largest size of a request head, in bytes.
+pub type HeadLimit = Box<dyn Fn() -> usize>;
+
 /// Time limits for what a client sends.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -29,6 +33,10 @@
     pub(super) config: ServiceConfig,
     pub(super) timeouts: Timeouts,
     pub(super) clock: Clock,
+    /// Account in which the input of connections is reserved.
+    pub(super) memory: Memory,
+    /// Largest request head, in bytes.
+    pub(super) head_limit: HeadLimit,
     /// Open connections, in the metrics.
     connections: IntGauge,
 }
@@ -41,6 +49,8 @@
         timeouts: Timeouts,
         clock: Clock,
         connections: &IntGauge,
+        memory: Memory,
+        head_limit: HeadLimit,
     ) -> Rc<Self> {
         let keep_alive = KeepAlive::Timeout(timeouts.idle);
         Rc::new(Self {
@@ -49,6 +59,8 @@
             config: ServiceConfig::new(keep_alive, Duration::ZERO, Duration::ZERO, false, None),
             timeouts,
             clock,
+            memory,
+            head_limit,
             connections: connections.clone(),
         })
     }
--- a/crates/daemon/src/http/connection/tls.rs
+++ b/crates/daemon/src/http/connection/tls.rs
@@ -91,6 +91,9 @@
 }
 
 impl Transport for Tls {
+    // An idle connection takes 18 KiB of the 24 KiB that are reserved for it.
+    const INPUT_BYTES: usize = 6 * 1024;
+
     fn socket(&self) -> &Rc<TcpStream> {
         &self.socket
     }
--- a/crates/daemon/src/http/connection/transport.rs
+++ b/crates/daemon/src/http/connection/transport.rs
@@ -9,6 +9,9 @@
 
 /// Stream of a connection.
 pub trait Transport {
+    /// Part of a connection's reservation that is left for its input, in bytes.
+    const INPUT_BYTES: usize;
+
     /// The socket that carries the stream.
     fn socket(&self) -> &Rc<TcpStream>;
 
@@ -63,6 +66,9 @@
 }
 
 impl Transport for Tcp {
+    // The rest of 16 KiB: 4 KiB for kept output, and the state of the connection.
+    const INPUT_BYTES: usize = 8 * 1024;
+
     fn socket(&self) -> &Rc<TcpStream> {
         &self.0
     }
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -6,8 +6,6 @@
 use cardamomshed_code::{Code, Failure};
 use cardamomshed_platform::header as platform;
 
-/// Largest request head, in bytes.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Largest number of header fields.
 const MAX_HEADERS: usize = 100;
 /// Prefix of the headers that only the daemons set.
@@ -37,16 +35,17 @@
 ///
 /// # Errors
 ///
-/// [`Code::HeadTooLarge`] above 16 KiB or 100 header fields, [`Code::BadRequest`]
+/// [`Code::HeadTooLarge`] above `limit` bytes or 100 header fields, [`Code::BadRequest`]
 /// for an ambiguous head, an upgrade or a tunnel.
-pub fn check(request: &HttpRequest) -> Result<(), Failure> {
+pub fn check(request: &HttpRequest, limit: usize) -> Result<(), Failure> {
     let headers = request.headers();
+    // A field takes at least three bytes beside its name and value.
     let size = headers
         .iter()
-        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .map(|(name, value)| name.as_str().len() + value.len() + 3)
         .sum::<usize>();
     let size = size + request.uri().to_string().len();
-    if size > MAX_HEAD_BYTES || headers.len() > MAX_HEADERS {
+    if size > limit || headers.len() > MAX_HEADERS {
         let detail = format!("{size} bytes in {} headers", headers.len());
         return Err(Failure::new(Code::HeadTooLarge, detail));
     }
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -101,7 +101,7 @@
 }
 
 fn find_context(node: &Node, request: &HttpRequest) -> Result<Arc<Context>, Failure> {
-    head::check(request)?;
+    head::check(request, node.lookup().config.limits.head.get())?;
     let token = head::text(request.headers(), CONTEXT_HEADER)
         .ok_or_else(|| Failure::new(Code::ContextUnknown, "the call context header is missing"))?;
     node.contexts.find(token)
@@ -169,8 +169,8 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<(Origin, Reply), Failure> {
-    head::check(request)?;
     let lookup = node.lookup();
+    head::check(request, lookup.config.limits.head.get())?;
     let origin = identify(node, &lookup, request)?;
     let served = match guard.check() {
         Ok(()) => serve_identified(node, id, &lookup, &origin, request, payload).await,
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -80,8 +80,8 @@
 
 /// Identifies route and client account.
 fn identify(node: &Node, request: &HttpRequest, started: Moment) -> Result<Origin, Failure> {
-    head::check(request)?;
     let lookup = node.lookup();
+    head::check(request, lookup.config.limits.head.get())?;
     let path = head::path_and_query(request);
     let present = || {
         let key = head::presented_key(request.headers())?;
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -299,7 +299,11 @@
             head: HEAD_TIMEOUT,
             idle: KEEP_ALIVE,
         };
-        let host = Host::new(application, timeouts, node.clock, &node.metrics.connections);
+        let (clock, memory) = (node.clock, node.memory.clone());
+        let limits = Arc::clone(&node);
+        let head_limit = Box::new(move || limits.lookup().config.limits.head.get());
+        let open = &node.metrics.connections;
+        let host = Host::new(application, timeouts, clock, open, memory, head_limit);
         let handler: Handler = Rc::new(move |tcp, peer, counted: Option<Counted>| {
             let entry = counted.as_ref().map(Counted::connection);
             let monitor = Monitor::new(node.clock.now(), entry);
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -66,12 +66,17 @@
 
     /// Reserves bytes, or returns `None` if there is no room for them.
     pub fn reserve(&self, kind: Kind, bytes: usize) -> Option<Reservation> {
-        let mut reservation = Reservation {
+        let mut reservation = self.empty(kind);
+        reservation.grow(bytes).then_some(reservation)
+    }
+
+    /// Reservation of no bytes.
+    pub fn empty(&self, kind: Kind) -> Reservation {
+        Reservation {
             memory: self.clone(),
             kind,
             bytes: 0,
-        };
-        reservation.grow(bytes).then_some(reservation)
+        }
     }
 }
 
@@ -95,6 +100,20 @@
         has_room
     }
 
+    /// Reserves or releases bytes, so that `bytes` are reserved. Returns whether there
+    /// was room for them; if not, nothing changes.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        if bytes >= self.bytes {
+            return bytes == self.bytes || self.grow(bytes - self.bytes);
+        }
+        let released = self.bytes - bytes;
+        self.bytes = bytes;
+        self.memory
+            .with(|account| account.release(self.kind, released));
+        self.memory.0.released.notify_waiters();
+        true
+    }
+
     /// Returns the bytes of a body with the reservation, which is released once no part
     /// of the body is referenced.
     pub fn attach(self, body: Bytes) -> Bytes {
@@ -110,11 +129,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if self.bytes > 0 {
-            self.memory
-                .with(|account| account.release(self.kind, self.bytes));
-            self.memory.0.released.notify_waiters();
-        }
+        self.resize(0);
     }
 }
 
@@ -150,11 +165,7 @@
             data: Vec::new(),
             room: 0,
             expected,
-            reservation: Reservation {
-                memory: memory.clone(),
-                kind,
-                bytes: 0,
-            },
+            reservation: memory.empty(kind),
         }
     }
 
--- a/crates/daemon/tests/all/connection_rules.rs
+++ b/crates/daemon/tests/all/connection_rules.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use cardamomshed_daemon::clock::Clock;
 use cardamomshed_daemon::http::connection::{self, Host, Monitor, Tcp, Timeouts};
+use cardamomshed_daemon::memory::Memory;
 use futures_util::{StreamExt as _, stream};
 use prometheus::IntGauge;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -26,8 +27,10 @@
 const LARGE: usize = 16 << 20;
 /// Length of a part of a response after which no further one is encoded at once.
 const FULL: usize = 32 << 10;
+/// Largest request head, in bytes.
+pub(crate) const HEAD_LIMIT: usize = 16 * 1024;
 /// Time limits that no test reaches.
-const LONG: Timeouts = Timeouts {
+pub(crate) const LONG: Timeouts = Timeouts {
     head: LIMIT,
     idle: LIMIT,
 };
@@ -95,10 +98,10 @@
 }
 
 /// A served connection.
-struct Session {
+pub(crate) struct Session {
     client: TcpStream,
     state: Rc<State>,
-    monitor: Arc<Monitor>,
+    pub(crate) monitor: Arc<Monitor>,
     open: IntGauge,
     server: JoinHandle<()>,
 }
@@ -107,14 +110,20 @@
 type Received = (u16, bool, String);
 
 impl Session {
-    async fn start(timeouts: Timeouts) -> Self {
+    pub(crate) async fn start(timeouts: Timeouts) -> Self {
+        Self::within(&Memory::default(), timeouts).await
+    }
+
+    /// Serves a connection whose input is reserved in this account.
+    pub(crate) async fn within(memory: &Memory, timeouts: Timeouts) -> Self {
         let (clock, state) = (Clock::start(), Rc::new(State::default()));
         let open = IntGauge::new("open", "open connections").expect("a gauge");
         let shared = Rc::clone(&state);
         let application = Box::new(move |request| -> futures_util::future::LocalBoxFuture<_> {
             Box::pin(handle(Rc::clone(&shared), request))
         });
-        let host = Host::new(application, timeouts, clock, &open);
+        let (memory, limit) = (memory.clone(), Box::new(|| HEAD_LIMIT));
+        let host = Host::new(application, timeouts, clock, &open, memory, limit);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let client = TcpStream::connect(address).await.expect("a connection");
@@ -131,7 +140,7 @@
         }
     }
 
-    async fn send(&mut self, text: &str) {
+    pub(crate) async fn send(&mut self, text: &str) {
         let sent = self.client.write_all(text.as_bytes()).await;
         sent.expect("the request is sent");
     }
@@ -145,7 +154,7 @@
     }
 
     /// Reads the responses up to the end of the connection.
-    async fn read_all(&mut self) -> Vec<Received> {
+    pub(crate) async fn read_all(&mut self) -> Vec<Received> {
         let mut rest = &*self.read_text().await;
         let mut responses = Vec::new();
         while let Some((head, behind)) = rest.split_once("\r\n\r\n") {
@@ -177,15 +186,15 @@
     }
 }
 
-fn get(path: &str) -> String {
+pub(crate) fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n")
 }
 
-fn last(path: &str) -> String {
+pub(crate) fn last(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
 }
 
-fn ok(path: &str, closes: bool) -> Received {
+pub(crate) fn ok(path: &str, closes: bool) -> Received {
     (200, closes, path.to_owned())
 }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod endless_response;
 mod exchange_framing;
 mod frozen_daemon;
+mod head_memory;
 mod idempotency_claims;
 mod import_order;
 mod key_checks;
