Test that note check refuses an unlisted failure domain

Only the library had a test.

Change: unlisted_domain_refused runs `shedctl note check` with the settings of an example, with a listed domain, an unlisted one, and without settings. It fails with a check that accepts each domain.

--- a/crates/ctl/tests/all/note_commands.rs
+++ b/crates/ctl/tests/all/note_commands.rs
@@ -1,6 +1,7 @@
 //! Command `note`: check, apply, list and diff, with platform faults and
 //! concurrent operators.
 
+use std::path::Path;
 use std::time::Duration;
 
 use cardamomshed_standin::platform::Faults;
@@ -66,6 +67,26 @@
     assert_eq!(fleet.platform.rows("notes"), 1);
 }
 
+/// Guards against a note that names a failure domain of no daemon, and evacuates nothing.
+#[test]
+fn unlisted_domain_refused() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let settings = root.join("examples/cooperativa/catalogo-monterrey-a.yaml");
+    let settings = settings.to_str().expect("a plain path");
+    for (domain, is_listed) in [("monterrey-b", true), ("monterrey-c", false)] {
+        let file = note_file(domain, "one");
+        let note = std::fs::read_to_string(&file).expect("the note");
+        let note = format!("{note}evacuations:\n  add: [{domain}]\n");
+        std::fs::write(&file, note).expect("the file is written");
+        let path = file.to_str().expect("a plain path");
+        let checked = shedctl(&["note", "check", path, "--settings", settings]);
+        assert_eq!(checked.status.success(), is_listed, "{}", stderr(&checked));
+        assert_eq!(stderr(&checked).contains("CS2005"), !is_listed);
+        // Without the settings, the domains are not known.
+        assert!(shedctl(&["note", "check", path]).status.success());
+    }
+}
+
 #[test]
 fn name_reuse_refused() {
     let fleet = fleet();
