Limit what is read of a link before its handshake is complete

Cause: messages of up to 8 MiB are accepted on a link, from the first one on. Anyone who reached the peers' port could have that much buffered per connection until the handshake timed out after 1 s, with 64 KiB reserved.

Change: the stream of a link fails after 16 KiB and one read of 8 KiB, in both roles, until the other end has proved that it belongs to the fleet. docs/design/memory.md lists what is still not covered.

Test: long_message_cut_off.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -9,6 +9,7 @@
 mod accept;
 mod dial;
 mod handshake;
+mod limited;
 mod session;
 pub mod sessions;
 pub mod table;
--- a/crates/daemon/src/link/handshake.rs
+++ b/crates/daemon/src/link/handshake.rs
@@ -14,6 +14,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use super::limited::Limited;
 use crate::node::Node;
 
 /// Largest WebSocket message and frame that is accepted, in bytes.
@@ -23,7 +24,7 @@
 /// because a daemon may hold a thousand links, most of them idle.
 const BUFFER_BYTES: usize = 8 * 1024;
 
-pub(super) type Socket = WebSocketStream<TcpStream>;
+pub(super) type Socket = WebSocketStream<Limited>;
 
 /// Identity of the daemon at the other end of a connection.
 #[derive(Debug)]
@@ -63,6 +64,7 @@
     let stream = TcpStream::connect(address).await.map_err(link_failure)?;
     stream.set_nodelay(true).map_err(link_failure)?;
     let url = format!("ws://{address}/link");
+    let stream = Limited::new(stream);
     let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, Some(config()))
         .await
         .map_err(link_failure)?;
@@ -86,6 +88,7 @@
     if !verified {
         return Err(Failure::new(Code::LinkRejected, address.to_string()));
     }
+    socket.get_mut().lift();
     let code = node.secret.prove(Side::Dialler, nonces, nodes);
     send(&mut socket, &Frame::Proof { code }).await?;
     let remote = Remote {
@@ -102,6 +105,7 @@
 /// Performs the handshake as acceptor on a new connection.
 pub(super) async fn accept(node: &Node, stream: TcpStream) -> Result<(Socket, Remote), Failure> {
     stream.set_nodelay(true).map_err(link_failure)?;
+    let stream = Limited::new(stream);
     let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config()))
         .await
         .map_err(link_failure)?;
@@ -128,6 +132,7 @@
     if !node.secret.verify(Side::Dialler, nonces, nodes, &code) {
         return Err(Failure::new(Code::LinkRejected, hello.node.to_string()));
     }
+    socket.get_mut().lift();
     let remote = Remote {
         node: hello.node,
         boot: hello.boot,
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod key_checks;
 mod lender_directory;
 mod link_faults;
+mod link_handshake;
 mod link_resume;
 mod local_target;
 mod log_writes;
