--- a/crates/daemon/tests/all/link_resume.rs
+++ b/crates/daemon/tests/all/link_resume.rs
@@ -2,6 +2,7 @@
 //! to a real one, drops the connection at each step of a call and resumes the
 //! call on a new connection.
 
+use std::io::Write as _;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -261,3 +262,17 @@
     assert!(received.is_none());
     assert_eq!(crate::get(&fleet, "/hop-0").send().status, 200);
 }
+
+/// Guards against a message that is buffered, up to 8 MiB, for anyone who connects.
+#[test]
+fn long_handshake_cut_off() {
+    let fleet = chain(1);
+    let peers = fleet.daemons[0].node.settings.peers;
+    let mut stream = std::net::TcpStream::connect(peers).expect("a connection");
+    let upgrade = "GET /link HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: websocket\r\n\
+                   sec-websocket-version: 13\r\nsec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    // A masked binary message of 8 MiB, more than the sockets buffer unread.
+    let header = [0x82, 0xff, 0, 0, 0, 0, 0, 0x80, 0, 0, 0, 0, 0, 0];
+    let message = [upgrade.as_bytes(), &header, &vec![0; 8 << 20]].concat();
+    assert!(stream.write_all(&message).is_err());
+}
--- a/crates/daemon/tests/all/request_heads.rs
+++ b/crates/daemon/tests/all/request_heads.rs
@@ -1,7 +1,8 @@
 //! Request heads that exceed the size limit, or that two parsers may interpret
 //! differently, are refused before a target runs them.
 
-use cardamomshed_standin::client::send_raw;
+use cardamomshed_note::{Limits, Size};
+use cardamomshed_standin::client::{eventually, send_raw};
 
 use crate::{chain, get};
 
@@ -55,3 +56,19 @@
     assert_eq!(forged.status, 200);
     assert!(forged.header("x-shed-request").is_some());
 }
+
+/// Guards against a limit of the configuration that is not applied.
+#[test]
+fn configured_limit_applied() {
+    let fleet = chain(1);
+    let mut note = fleet.blank_note("short-heads");
+    let head = Size::from_bytes(1_000);
+    note.limits = Some(Limits {
+        head,
+        ..Limits::default()
+    });
+    fleet.apply(&note);
+    let head = format!("GET / HTTP/1.1\r\nhost: {}\r\n\r\n", "a".repeat(1_000));
+    let status = || send_raw(fleet.callers()[0], head.as_bytes());
+    eventually("the limit is in force", || status() == 431);
+}
