Answer no empty input with 431

Cause: with max-header-bytes of 0, a connection was refused before anything had arrived on it. Found by reading; no test.

Change: an empty buffer holds a partial head.

--- a/crates/daemon/src/http/connection/input.rs
+++ b/crates/daemon/src/http/connection/input.rs
@@ -162,6 +162,9 @@
                 _ => break,
             }
         }
+        if self.data.is_empty() {
+            return Head::Partial;
+        }
         let searched = &self.data[..limit.min(self.data.len())];
         let Some(length) = head_length(searched) else {
             return if self.data.len() >= limit {
