--- a/crates/ctl/tests/all/note_commands.rs
+++ b/crates/ctl/tests/all/note_commands.rs
@@ -55,6 +55,22 @@
     assert_eq!(fleet.platform.rows("notes"), 1);
 }
 
+/// Guards against a note that names a failure domain of no daemon, and evacuates nothing.
+#[test]
+fn unlisted_domain_refused() {
+    let settings = "../../examples/cooperativa/catalogo-monterrey-a.yaml";
+    for (domain, is_listed) in [("monterrey-b", true), ("monterrey-c", false)] {
+        let file = note_file(domain, "one");
+        let note = std::fs::read_to_string(&file).expect("the note");
+        let note = format!("{note}evacuations:\n  add: [{domain}]\n");
+        std::fs::write(&file, note).expect("the file is written");
+        let path = file.to_str().expect("a plain path");
+        let checked = shedctl(&["note", "check", path, "--settings", settings]);
+        assert_eq!(checked.status.success(), is_listed, "{}", stderr(&checked));
+        assert_eq!(stderr(&checked).contains("CS2005"), !is_listed);
+    }
+}
+
 #[test]
 fn name_reuse_refused() {
     let fleet = fleet();
--- a/crates/daemon/tests/all/connection_rules.rs
+++ b/crates/daemon/tests/all/connection_rules.rs
@@ -1,5 +1,7 @@
 //! Framing, closing and limits of one connection, with handlers of the test's own.
 
+mod head_memory;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +14,7 @@
 use bytes::Bytes;
 use cardamomshed_daemon::clock::Clock;
 use cardamomshed_daemon::http::connection::{self, Host, Monitor, Tcp, Timeouts};
+use cardamomshed_daemon::memory::Memory;
 use futures_util::{StreamExt as _, stream};
 use prometheus::IntGauge;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -26,6 +29,8 @@
 const LARGE: usize = 16 << 20;
 /// Length of a part of a response after which no further one is encoded at once.
 const FULL: usize = 32 << 10;
+/// Largest request head, in bytes.
+const HEAD_LIMIT: usize = 16 * 1024;
 /// Time limits that no test reaches.
 const LONG: Timeouts = Timeouts {
     head: LIMIT,
@@ -108,13 +113,19 @@
 
 impl Session {
     async fn start(timeouts: Timeouts) -> Self {
+        Self::within(&Memory::default(), timeouts).await
+    }
+
+    /// Serves a connection whose input is reserved in this account.
+    async fn within(memory: &Memory, timeouts: Timeouts) -> Self {
         let (clock, state) = (Clock::start(), Rc::new(State::default()));
         let open = IntGauge::new("open", "open connections").expect("a gauge");
         let shared = Rc::clone(&state);
         let application = Box::new(move |request| -> futures_util::future::LocalBoxFuture<_> {
             Box::pin(handle(Rc::clone(&shared), request))
         });
-        let host = Host::new(application, timeouts, clock, &open);
+        let (memory, limit) = (memory.clone(), Box::new(|| HEAD_LIMIT));
+        let host = Host::new(application, timeouts, clock, &open, memory, limit);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let client = TcpStream::connect(address).await.expect("a connection");
