Save unused bytes of the slow link for a minute

Change: the budget is a mean over a minute with a peak of four times the mean, so that a daemon that sent nothing before can carry the calls of its region.

--- a/crates/policy/src/route/link.rs
+++ b/crates/policy/src/route/link.rs
@@ -1,47 +1,68 @@
 //! Rate limit of the slow link between regions.
 
+use std::time::Duration;
+
 use crate::moment::Moment;
 
-/// Token bucket of the bytes that one daemon may send over the slow link.
+/// Time for which an unused budget is saved. The link is billed by volume, which the
+/// mean over this time bounds.
+const SAVED: Duration = Duration::from_secs(60);
+/// Largest use in one second, as a multiple of the mean. The few daemons whose targets
+/// call a small service carry all calls that leave a region, while the others use
+/// nothing.
+const PEAK: f64 = 4.0;
+
+/// Token buckets of the bytes that one daemon may send over the slow link: on average
+/// over a minute, and in a second.
 #[derive(Clone, Copy, Debug)]
 pub struct ByteBudget {
-    /// Refill rate in bytes per second.
+    /// Bytes per second on average.
     rate: f64,
-    /// Available bytes, at most the refill of one second. Negative after a body
-    /// larger than the available bytes.
-    available: f64,
+    /// Bytes left of those saved, at most the refill of [`SAVED`]. Negative after a body
+    /// larger than them, as is `second`.
+    saved: f64,
+    /// Bytes left for this second, at most [`PEAK`] times the refill of one.
+    second: f64,
     refilled_at: Moment,
 }
 
 impl ByteBudget {
-    /// Creates a full budget that refills at this rate.
+    /// Creates a budget that refills at this rate, full but for what is saved: that is
+    /// the refill of one second.
     pub const fn new(bytes_per_s: u64, now: Moment) -> Self {
+        let rate = bytes_per_s as f64;
         Self {
-            rate: bytes_per_s as f64,
-            available: bytes_per_s as f64,
+            rate,
+            saved: rate,
+            second: rate * PEAK,
             refilled_at: now,
         }
     }
 
     /// Refills the budget and returns whether a call may use the link.
     pub fn has_room(&mut self, now: Moment) -> bool {
-        self.available = self.refilled(now);
+        (self.saved, self.second) = self.refilled(now);
         self.refilled_at = now;
-        self.available > 0.0
+        self.saved > 0.0 && self.second > 0.0
     }
 
     /// As [`Self::has_room`], without a change.
     pub fn would_have_room(&self, now: Moment) -> bool {
-        self.refilled(now) > 0.0
+        let (saved, second) = self.refilled(now);
+        saved > 0.0 && second > 0.0
     }
 
-    fn refilled(&self, now: Moment) -> f64 {
-        let elapsed = now.since(self.refilled_at).as_secs_f64();
-        (self.available + elapsed * self.rate).min(self.rate)
+    /// What is saved and what is left for this second.
+    fn refilled(&self, now: Moment) -> (f64, f64) {
+        let refill = self.rate * now.since(self.refilled_at).as_secs_f64();
+        let saved = (self.saved + refill).min(self.rate * SAVED.as_secs_f64());
+        let second = (self.second + refill * PEAK).min(self.rate * PEAK);
+        (saved, second)
     }
 
     /// Subtracts bytes that were sent.
     pub const fn spend(&mut self, bytes: usize) {
-        self.available -= bytes as f64;
+        self.saved -= bytes as f64;
+        self.second -= bytes as f64;
     }
 }
--- a/crates/policy/tests/all/route_choice.rs
+++ b/crates/policy/tests/all/route_choice.rs
@@ -201,6 +201,32 @@
     assert!(budget.has_room(Moment::from_millis(2_100)));
 }
 
+/// Guards against a daemon that cannot use what it saved while its calls leave the region
+/// for some seconds, and against one that sends more than its mean or its peak.
+#[test]
+fn saved_bytes_bounded() {
+    let mut budget = ByteBudget::new(1_000, Moment::ZERO);
+    let mut sent = Vec::new();
+    for second in 0..300 {
+        sent.push(0);
+        // Nothing is sent in the first minute.
+        let steps = if second < 60 { 0..0 } else { 0..100 };
+        for step in steps {
+            while budget.has_room(Moment::from_millis(second * 1_000 + step * 10)) {
+                budget.spend(100);
+                sent[second as usize] += 100;
+            }
+        }
+    }
+    assert!(
+        sent[60..78]
+            .iter()
+            .all(|bytes| (3_900..=8_200).contains(bytes))
+    );
+    assert!(sent[61..].iter().all(|bytes| *bytes <= 4_200));
+    assert!(sent.iter().sum::<u64>() <= 301_100);
+}
+
 /// Guards against a new target without calls: the best of the targets with a report was
 /// always preferred to one of which nothing is known.
 #[test]
