Keep queued calls when a reserved slot serves the new one

A call started without a look at the queue only if nothing waited. Calls of a lower priority may wait beside a slot that is reserved for higher ones, however. A call of a higher priority then went through the queue: its expected wait was that of a busy target, a third of a service time at three slots. If its deadline was nearer than that, a queued call of lower priority was evicted as "full", though the new one started at once and took no place in the queue.

The gate now starts a call at once if none of its own or a higher priority waits.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -217,7 +217,9 @@
         }
         self.reserve
             .record_arrival(offer.priority, service_time, now);
-        if self.queue.len() == 0 && self.can_start(offer.priority, now) {
+        // Calls of lower priorities may wait beside a slot that is reserved for this one.
+        let ahead = self.queue.ahead_of(offer.priority);
+        if ahead == 0 && self.can_start(offer.priority, now) {
             let call = Call {
                 ticket: offer.ticket,
                 route: offer.route,
@@ -229,7 +231,6 @@
         if self.stalled {
             return Decision::Shed(Shed::Stalled);
         }
-        let ahead = self.queue.ahead_of(offer.priority);
         let wait = self.expected_wait(ahead, now);
         let latest_start = self.latest_start(&offer, now);
         if now + wait > latest_start && !self.evict_for(&offer, changes) {
--- a/crates/policy/tests/all/gate_order.rs
+++ b/crates/policy/tests/all/gate_order.rs
@@ -184,32 +184,33 @@
 }
 
 /// Guards against a reserved slot that a low priority occupies, or that is closed to the
-/// priority it is reserved for. The shortest case in which a slot is idle while a call
-/// waits.
+/// priority it is reserved for unless a queued call is evicted. The shortest case in which
+/// a slot is idle while a call waits.
 #[test]
 fn reserved_slot_idle() {
     let mut gate = Gate::new(Config::new(3), Moment::ZERO);
     let mut changes = Vec::new();
-    let call = |ticket, priority, now| Offer {
-        deadline: now + Duration::from_secs(3),
+    let call = |ticket, priority, now, millis| Offer {
+        deadline: now + Duration::from_millis(millis),
         priority,
         ..offer(ticket, (2, 0, 0, 0), now)
     };
     let [first, second] = [1_000, 1_200].map(Moment::from_millis);
-    let started = call(1, Priority::Critical, Moment::ZERO);
+    let started = call(1, Priority::Critical, Moment::ZERO, 3_000);
     gate.offer(started, Moment::ZERO, &mut changes);
     // From here on, calls are expected to take 1 s.
     let own = Some(Duration::from_millis(5));
     gate.finish(Ticket(1), own, first, &mut changes);
-    for (ticket, priority, now, decision) in [
-        (2, Priority::Critical, first, Decision::Run),
-        (3, Priority::Low, second, Decision::Run),
-        (4, Priority::Low, second, Decision::Wait),
-        (5, Priority::Critical, second, Decision::Run),
+    for (ticket, priority, now, millis, decision) in [
+        (2, Priority::Critical, first, 3_000, Decision::Run),
+        (3, Priority::Low, second, 3_000, Decision::Run),
+        (4, Priority::Low, second, 3_000, Decision::Wait),
+        (5, Priority::Critical, second, 1_100, Decision::Run),
     ] {
-        let offer = call(ticket, priority, now);
+        let offer = call(ticket, priority, now, millis);
         assert_eq!(gate.offer(offer, now, &mut changes), decision, "{ticket}");
     }
+    assert_eq!(changes, []);
 }
 
 #[test]
