Hold the level in windows in which the queue grows

The level rises in each window without overload, and a single call that started after a short wait shows that there was none.

Such a window now leaves the level as it is: more arrivals than starts by more than the range near the capacity, not counting the last arrival, which the daemon records before the gate decides on it.

Measured: growing_queue_held fails before (304.9 becomes 305.2). Not measured with real daemons.

--- a/crates/policy/src/admission/level.rs
+++ b/crates/policy/src/admission/level.rs
@@ -79,7 +79,8 @@
 /// overloaded if all of its calls waited long, or if any call was shed. The
 /// calls that start during overload measure the target's capacity. The level is
 /// then set, by the histogram of arrivals, so that about this many calls are
-/// admitted. Without overload the level rises, slowly near the known capacity.
+/// admitted. Without overload the level rises, slowly near the known capacity, unless
+/// the queue grows.
 #[derive(Clone, Debug)]
 pub struct Controller {
     /// Within 0..=[`ADMIT_ALL`].
@@ -112,6 +113,15 @@
     }
 }
 
+impl Window {
+    /// Whether the queue grew by more than a load near the capacity explains. Calls that
+    /// started early in the window may have had short waits nevertheless. The last arrival
+    /// is not counted, since the window may end before the gate decides on it.
+    fn has_growing_queue(&self) -> bool {
+        self.arrived.saturating_sub(1) as f32 > self.started as f32 * NEAR_CAPACITY.end
+    }
+}
+
 impl Controller {
     /// Level in force.
     pub const fn level(&self) -> Level {
@@ -148,7 +158,7 @@
         let overloaded = standing_queue || self.window.shed > 0;
         if overloaded {
             self.decrease(length);
-        } else {
+        } else if !self.window.has_growing_queue() {
             self.increase();
         }
         self.window = Window::default();
--- a/crates/policy/tests/all/admission_level.rs
+++ b/crates/policy/tests/all/admission_level.rs
@@ -93,6 +93,25 @@
     );
 }
 
+/// Guards against a rise of the level while the queue grows, as the first calls of the
+/// window still found it empty.
+#[test]
+fn growing_queue_held() {
+    let mut controller = Controller::default();
+    let rank = |index: u32| Rank::new(Priority::Normal, f64::from(index + 1) / 100.0);
+    let mut window = |arrived, short, long, millis| {
+        (0..arrived).for_each(|index| controller.record_arrival(rank(index)));
+        (0..short).for_each(|_| controller.record_start(false));
+        (0..long).for_each(|_| controller.record_start(true));
+        controller.tick(Moment::from_millis(millis));
+        controller.level()
+    };
+    let lowered = window(100, 0, 20, 100);
+    assert!(lowered < ADMIT_ALL);
+    assert_eq!(window(40, 5, 15, 200), lowered);
+    assert!(window(20, 20, 0, 300) > lowered);
+}
+
 #[test]
 fn critical_admitted() {
     let mut simulation = Simulation::new();
