Release reserved slots when the calls they are for cease

The reserve estimated the demand of each priority only when a call arrived. If arrivals ceased, the last estimate stayed in force until the next one, and queued calls of lower priorities waited beside idle slots for up to the longest wait.

Each decision now uses the estimate that an arrival at this moment would make. A new call lets queued ones start first at slots that were released meanwhile, as it did for the tokens of a cold start. The model of the test does the same. A step of its cases that completes a call while none runs is now a tick; it did not reach the gate before.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -207,10 +207,8 @@
             return Decision::Shed(Shed::Closed);
         }
         self.detect_stall(now, changes);
-        if self.warmup.is_in_force(now) {
-            // Queued calls precede this one at the tokens refilled meanwhile.
-            self.start_queued(now, changes);
-        }
+        // Queued calls precede this one at slots and tokens that became free meanwhile.
+        self.start_queued(now, changes);
         let service_time = self.limit.service_time_of(offer.route, now);
         if now + service_time > offer.deadline {
             return Decision::Shed(Shed::Deadline);
@@ -387,7 +385,7 @@
         let running = self.running.len() as u32;
         let reserved = self
             .reserve
-            .reserved_above(priority, &self.by_priority, limit);
+            .reserved_above(priority, &self.by_priority, limit, now);
         running + reserved < limit
     }
 
--- a/crates/policy/src/gate/reserve.rs
+++ b/crates/policy/src/gate/reserve.rs
@@ -38,32 +38,42 @@
         service_time: Duration,
         now: Moment,
     ) {
-        let length = now.since(self.window_start);
-        if length >= WINDOW {
-            for (demand, arrived) in self.demand.iter_mut().zip(&mut self.arrived) {
-                let recent = *arrived / length.as_secs_f64();
-                // An interval of several windows has their combined weight.
-                let weight = 1.0 - (1.0 - SMOOTHING).powf(length.div_duration_f64(WINDOW));
-                *demand += weight * (recent - *demand);
-                *arrived = 0.0;
-            }
+        if now.since(self.window_start) >= WINDOW {
+            self.demand = std::array::from_fn(|index| self.demand_at(index, now));
+            self.arrived = [0.0; Priority::ALL.len()];
             self.window_start = now;
         }
         self.arrived[priority.index()] += service_time.as_secs_f64();
     }
 
+    /// Smoothed demand of a priority, including the arrivals of a window that has
+    /// ended without a further one. Without this, the reserve would outlast the
+    /// calls it is for until the next arrival.
+    fn demand_at(&self, index: usize, now: Moment) -> f64 {
+        let demand = self.demand[index];
+        let length = now.since(self.window_start);
+        if length < WINDOW {
+            return demand;
+        }
+        let recent = self.arrived[index] / length.as_secs_f64();
+        // An interval of several windows has their combined weight.
+        let weight = 1.0 - (1.0 - SMOOTHING).powf(length.div_duration_f64(WINDOW));
+        demand + weight * (recent - demand)
+    }
+
     /// Slots that a call of this priority must leave free for higher
-    /// priorities. `running` is the number of calls in progress by priority,
+    /// priorities at `now`. `running` is the number of calls in progress by priority,
     /// `slots` the concurrency limit.
     pub(super) fn reserved_above(
         &self,
         priority: Priority,
         running: &[u32; Priority::ALL.len()],
         slots: u32,
+        now: Moment,
     ) -> u32 {
         let higher = 0..priority.index();
         let shortfall = higher.map(|index| {
-            let demand = self.demand[index];
+            let demand = self.demand_at(index, now);
             (demand + MARGIN_DEVIATIONS * demand.sqrt() - f64::from(running[index])).max(0.0)
         });
         shortfall.sum::<f64>().min(f64::from(slots) * MAX_SHARE) as u32
--- a/crates/policy/tests/all/gate_order.rs
+++ b/crates/policy/tests/all/gate_order.rs
@@ -11,7 +11,7 @@
 
 /// One step of a generated case: action, account or depth, priority, and time.
 /// Actions by remainder modulo six: 0 completes the running call with the
-/// lowest ticket, 1 cancels a call, others offer one.
+/// lowest ticket, or is a tick if there is none, 1 cancels a call, others offer one.
 type Step = (u8, u8, u8, u16);
 
 fn offer(ticket: u64, step: Step, now: Moment) -> Offer {
@@ -37,18 +37,24 @@
 
 impl Demand {
     fn record(&mut self, priority: Priority, service_time: Duration, now: Moment) {
-        let windows = now.since(self.since).as_secs_f64() / 0.2;
-        if windows >= 1.0 {
-            let kept = 0.75f64.powf(windows);
-            for (smoothed, arrived) in self.smoothed.iter_mut().zip(&mut self.arrived) {
-                *smoothed = kept * *smoothed + (1.0 - kept) * *arrived / (0.2 * windows);
-                *arrived = 0.0;
-            }
+        if now.since(self.since) >= Duration::from_millis(200) {
+            self.smoothed = Priority::ALL.map(|priority| self.estimate(priority, now));
+            self.arrived = [0.0; 4];
             self.since = now;
         }
         self.arrived[priority.index()] += service_time.as_secs_f64();
     }
 
+    fn estimate(&self, priority: Priority, now: Moment) -> f64 {
+        let windows = now.since(self.since).as_secs_f64() / 0.2;
+        let smoothed = self.smoothed[priority.index()];
+        if windows < 1.0 {
+            return smoothed;
+        }
+        let kept = 0.75f64.powf(windows);
+        kept * smoothed + (1.0 - kept) * self.arrived[priority.index()] / (0.2 * windows)
+    }
+
     /// Slots that a call of `priority` leaves free: the mean demand of the higher
     /// priorities and one standard deviation, less the slots they use, and at most
     /// 0.7 of all.
@@ -57,10 +63,11 @@
         priority: Priority,
         running: &BTreeMap<u64, Priority>,
         limit: u32,
+        now: Moment,
     ) -> u32 {
         let mut sum = 0.0;
         for higher in Priority::ALL.iter().filter(|higher| **higher < priority) {
-            let demand = self.smoothed[higher.index()];
+            let demand = self.estimate(*higher, now);
             let used = running.values().filter(|used| *used == higher).count();
             sum += (demand + demand.sqrt() - used as f64).max(0.0);
         }
@@ -80,15 +87,17 @@
 
 impl Model {
     /// Whether a slot is idle that a call of `priority` may use.
-    fn may_start(&self, priority: Priority, limit: u32) -> bool {
-        let reserved = self.demand.reserved_above(priority, &self.running, limit);
+    fn may_start(&self, priority: Priority, limit: u32, now: Moment) -> bool {
+        let reserved = self
+            .demand
+            .reserved_above(priority, &self.running, limit, now);
         self.running.len() as u32 + reserved < limit
     }
 
     /// Whether a slot is idle that the first queued call may use.
-    fn wastes_slot(&self, limit: u32) -> bool {
+    fn wastes_slot(&self, limit: u32, now: Moment) -> bool {
         let first = self.waiting.values().min();
-        first.is_some_and(|first| self.may_start(*first, limit))
+        first.is_some_and(|first| self.may_start(*first, limit, now))
     }
 
     /// Applies changes; returns false if one violates the order or the reserve.
@@ -99,7 +108,7 @@
                     return false;
                 };
                 let inverted = self.waiting.values().any(|other| *other < priority);
-                let permitted = self.may_start(priority, limit);
+                let permitted = self.may_start(priority, limit, now);
                 self.running.insert(*ticket, priority);
                 permitted && !inverted
             }
@@ -131,6 +140,8 @@
                 if let Some((ticket, _)) = model.running.pop_first() {
                     let own = Some(Duration::from_millis(5));
                     gate.finish(Ticket(ticket), own, now, &mut changes);
+                } else {
+                    gate.tick(now, &mut changes);
                 }
             }
             1 => {
@@ -151,7 +162,7 @@
                 model.latest.insert(index as u64, offer.deadline);
                 match decision {
                     Decision::Run => {
-                        if !model.may_start(offer.priority, gate.effective_limit(now)) {
+                        if !model.may_start(offer.priority, gate.effective_limit(now), now) {
                             return false;
                         }
                         model.running.insert(index as u64, offer.priority);
@@ -168,7 +179,7 @@
             return false;
         }
         let load = gate.load(now);
-        let wasted = model.wastes_slot(limit);
+        let wasted = model.wastes_slot(limit, now);
         let counted = load.running as usize == model.running.len()
             && load.waiting as usize == model.waiting.len();
         if !counted || wasted || load.running > slots {
@@ -184,8 +195,9 @@
 }
 
 /// Guards against a reserved slot that a low priority occupies, or that is closed to the
-/// priority it is reserved for unless a queued call is evicted. The shortest case in which
-/// a slot is idle while a call waits.
+/// priority it is reserved for unless a queued call is evicted, and against a reserve that
+/// lasts until the next arrival. The shortest case in which a slot is idle while a call
+/// waits.
 #[test]
 fn reserved_slot_idle() {
     let mut gate = Gate::new(Config::new(3), Moment::ZERO);
@@ -201,16 +213,20 @@
     // From here on, calls are expected to take 1 s.
     let own = Some(Duration::from_millis(5));
     gate.finish(Ticket(1), own, first, &mut changes);
-    for (ticket, priority, now, millis, decision) in [
-        (2, Priority::Critical, first, 3_000, Decision::Run),
-        (3, Priority::Low, second, 3_000, Decision::Run),
-        (4, Priority::Low, second, 3_000, Decision::Wait),
-        (5, Priority::Critical, second, 1_100, Decision::Run),
+    for (ticket, priority, now, decision) in [
+        (2, Priority::Critical, first, Decision::Run),
+        (3, Priority::Low, second, Decision::Run),
+        (4, Priority::Low, second, Decision::Wait),
     ] {
-        let offer = call(ticket, priority, now, millis);
+        let offer = call(ticket, priority, now, 3_000);
         assert_eq!(gate.offer(offer, now, &mut changes), decision, "{ticket}");
     }
-    assert_eq!(changes, []);
+    let urgent = call(5, Priority::Critical, second, 1_100);
+    let decision = gate.clone().offer(urgent, second, &mut changes);
+    assert_eq!((decision, changes.as_slice()), (Decision::Run, &[][..]));
+    // Without a further critical call, the slot is released.
+    gate.tick(second + Duration::from_millis(200), &mut changes);
+    assert_eq!(changes, [Change::Run(Ticket(4))]);
 }
 
 #[test]
