--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -207,17 +207,17 @@
             return Decision::Shed(Shed::Closed);
         }
         self.detect_stall(now, changes);
-        if self.warmup.is_in_force(now) {
-            // Queued calls precede this one at the tokens refilled meanwhile.
-            self.start_queued(now, changes);
-        }
+        // Queued calls precede this one at slots and tokens that became free meanwhile.
+        self.start_queued(now, changes);
         let service_time = self.limit.service_time_of(offer.route, now);
         if now + service_time > offer.deadline {
             return Decision::Shed(Shed::Deadline);
         }
         self.reserve
             .record_arrival(offer.priority, service_time, now);
-        if self.queue.len() == 0 && self.can_start(offer.priority, now) {
+        // Calls of lower priorities may wait beside a slot that is reserved for this one.
+        let ahead = self.queue.ahead_of(offer.priority);
+        if ahead == 0 && self.can_start(offer.priority, now) {
             let call = Call {
                 ticket: offer.ticket,
                 route: offer.route,
@@ -229,7 +229,6 @@
         if self.stalled {
             return Decision::Shed(Shed::Stalled);
         }
-        let ahead = self.queue.ahead_of(offer.priority);
         let wait = self.expected_wait(ahead, now);
         let latest_start = self.latest_start(&offer, now);
         if now + wait > latest_start && !self.evict_for(&offer, changes) {
@@ -386,7 +385,7 @@
         let running = self.running.len() as u32;
         let reserved = self
             .reserve
-            .reserved_above(priority, &self.by_priority, limit);
+            .reserved_above(priority, &self.by_priority, limit, now);
         running + reserved < limit
     }
 
