Reserve capacity for refused requests that come back

Cause: the time in Retry-After follows from the price alone, and a request that comes back as told is admitted with the same probability as a new one.

Change: policy::reservation::Schedule reserves half of the recently admitted rate of a route in slots of 50 ms for the next 2 s. An account that is admitted by a reservation where load shedding would have refused it owes one admission, which later new requests of the account repay. Admission::decide also returns the rank of a request that the level refuses.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -23,6 +23,7 @@
 
 use crate::key::{AccountKey, Priority, RouteKey};
 use crate::moment::Moment;
+use crate::reservation::Shedding;
 
 /// Weight of a newly reported level in the smoothed level of a route.
 const SMOOTHING: f32 = 0.2;
@@ -93,10 +94,24 @@
 
     /// Decides on a request and returns its rank if it is admitted.
     pub fn admit(&mut self, request: &Request, now: Moment) -> Option<Rank> {
+        let (rank, shedding) = self.decide(request, now);
+        (shedding != Shedding::Refused).then_some(rank)
+    }
+
+    /// Decides on a request and returns its rank in any case.
+    pub fn decide(&mut self, request: &Request, now: Moment) -> (Rank, Shedding) {
         let load = self.usage.record(request.account, now);
         let route = self.routes.entry(request.route);
         let route = route.or_insert_with(|| Route::new(now));
-        route.admit(self.method, request, load, now)
+        let rank = Rank::new(request.priority, load * request.draw);
+        let shedding = if route.admit(self.method, request, load, now).is_none() {
+            Shedding::Refused
+        } else if route.level(now) < ADMIT_ALL {
+            Shedding::Admitted
+        } else {
+            Shedding::Inactive
+        };
+        (rank, shedding)
     }
 
     /// Share of such requests that are admitted now, over all values of
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod price;
 pub mod quota;
 pub mod registration;
+pub mod reservation;
 pub mod retry;
 pub mod rotation;
 pub mod route;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod region_choice;
 mod region_spill;
 mod registration_order;
+mod reserved_returns;
 mod retry_budget;
 mod retry_tokens;
 mod rotation_weights;
