Wait for open requests to end before the state of a daemon is compared

The test compares the state before and after previews, open requests included, and a response may arrive before its request is counted as ended. By reading; the failure was not reproduced. The comparison is unchanged.

Also uses the path that note_file returns as text in the test of unlisted domains.

--- a/crates/ctl/tests/all/note_commands.rs
+++ b/crates/ctl/tests/all/note_commands.rs
@@ -64,8 +64,7 @@
         let note = std::fs::read_to_string(&file).expect("the note");
         let note = format!("{note}evacuations:\n  add: [{domain}]\n");
         std::fs::write(&file, note).expect("the file is written");
-        let path = file.to_str().expect("a plain path");
-        let checked = shedctl(&["note", "check", path, "--settings", settings]);
+        let checked = shedctl(&["note", "check", &file, "--settings", settings]);
         assert_eq!(checked.status.success(), is_listed, "{}", stderr(&checked));
         assert_eq!(stderr(&checked).contains("CS2005"), !is_listed);
     }
--- a/crates/daemon/tests/all/request_preview.rs
+++ b/crates/daemon/tests/all/request_preview.rs
@@ -65,6 +65,8 @@
     eventually("the retry budget is divided", || {
         !state(node).contains("ratio: 0.1,")
     });
+    // A response may arrive before its request is counted as ended.
+    eventually("no request is open", || node.metrics.open.get() == 0);
     let account = node.names.account(&"t-1".into());
     let (now, hour) = (node.clock.now(), Duration::from_hours(1));
     node.quota
