--- a/crates/policy/src/route/link.rs
+++ b/crates/policy/src/route/link.rs
@@ -6,7 +6,7 @@
 
 /// Time for which an unused budget is saved. The link is billed by volume, which the
 /// mean over this time bounds.
-const SAVED: Duration = Duration::from_secs(60);
+const SAVED: Duration = Duration::from_mins(1);
 /// Largest use in one second, as a multiple of the mean. The few daemons whose targets
 /// call a small service carry all calls that leave a region, while the others use
 /// nothing.
