Reserve capacity for requests shed at the ingress only

Cause: refusals by gates and windows (CS1303, CS1304) made reservations too. A reservation is no claim to their slots, so clients that were told to come back within some 100 ms met the same queue, and used up the one time that they come back.

Change: reservations are made for CS1302 only. The others keep the earlier rule.

--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -372,15 +372,15 @@
     problem::response(id, refused, retry_after)
 }
 
-/// When a request that was refused for lack of capacity may come back: in whole seconds,
-/// which the client is told, up to the mean delay without a reservation. `None` for other
+/// When a request that load shedding refused may come back: in whole seconds, which the
+/// client is told, up to the mean delay without a reservation. `None` for other
 /// refusals.
 pub(super) fn find_return(
     node: &Node,
     (route, account): (RouteKey, AccountKey),
     refused: &Refused,
 ) -> Option<Return> {
-    if !refused.lacks_capacity() {
+    if !refused.is_shed_at_ingress() {
         return None;
     }
     let now = node.clock.now();
--- a/crates/daemon/src/http/outbound.rs
+++ b/crates/daemon/src/http/outbound.rs
@@ -332,26 +332,22 @@
     }
 }
 
-/// When a request that was refused for lack of capacity may come back: no later than
-/// load shedding is expected to admit it, or [`MAX_RETRY_AFTER`], and within the time that
-/// its client waits at most. `None` for other refusals, and for requests without a client
-/// account, which load shedding does not refuse.
+/// When a request that load shedding refused may come back: no later than it is expected
+/// to be admitted, and within the time that its client waits at most. `None` for other
+/// refusals: a reservation is no claim to a slot of a gate or window, and a client told to
+/// come back early only meets the same queue.
 pub(super) fn find_return(
     node: &Node,
     (access, client_deadline): (&Access, Moment),
     refused: &Refused,
 ) -> Option<Return> {
-    if access.account.is_empty() || !refused.lacks_capacity() {
+    if !refused.is_shed_at_ingress() {
         return None;
     }
     let now = node.clock.now();
     let key = access.matched.key;
-    let latest = if refused.code == Code::AdmissionShed {
-        let prices = lock(&node.routing.prices);
-        prices.table.retry_after(key, access.priority, 0.5, now)
-    } else {
-        MAX_RETRY_AFTER
-    };
+    let prices = lock(&node.routing.prices);
+    let latest = prices.table.retry_after(key, access.priority, 0.5, now);
     Some(Return {
         route: key,
         account: access.account_key,
--- a/crates/daemon/src/http/preview/document.rs
+++ b/crates/daemon/src/http/preview/document.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cardamomshed_code::{Code, Failure};
+use cardamomshed_code::Failure;
 use cardamomshed_note::{Match, Name};
 use cardamomshed_policy::route::{Candidate, Exclusion, Tier};
 use cardamomshed_policy::{Moment, Priority};
@@ -178,10 +178,7 @@
         failure: Failure,
     ) -> Self {
         let code = failure.code;
-        let mut refused = Refused::not_run(code, failure.detail, 0);
-        // The refusals of gates report the load; a preview reads no body.
-        refused.load =
-            matches!(code, Code::QueueFull | Code::DeadlineUnmet).then(|| node.local_target.load());
+        let refused = Refused::not_run(code, failure.detail, 0);
         let range = reserved_range(node, interface, caller, &refused);
         let range = range.or_else(|| unreserved_range(node, interface, caller, &refused));
         Self {
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -83,16 +83,10 @@
         }
     }
 
-    /// Whether the call was refused for lack of capacity and has not run and will not
-    /// run. Refusals beside a target report its load; a request whose body did not arrive
-    /// in time has the code of an unmet deadline without a load.
-    pub fn lacks_capacity(&self) -> bool {
-        self.ran == Ran::No
-            && match self.code {
-                Code::AdmissionShed => true,
-                Code::QueueFull | Code::DeadlineUnmet => self.load.is_some(),
-                _ => false,
-            }
+    /// Whether load shedding at the ingress refused the request, which has not run and
+    /// will not run.
+    pub fn is_shed_at_ingress(&self) -> bool {
+        self.ran == Ran::No && self.code == Code::AdmissionShed
     }
 
     /// Whether the refusal indicates that a downstream service lacks capacity.
