--- a/crates/daemon/src/http/connection/input.rs
+++ b/crates/daemon/src/http/connection/input.rs
@@ -107,7 +107,9 @@
             Part::Head(_) => (self.data.len() * 2).clamp(HEAD_BYTES, largest),
             Part::Body => BODY_BYTES,
         };
-        // Registered before the parts are counted, so that no drop is missed.
+        // The existing allocation if it is large enough, else a new one, else the existing
+        // one whatever its size. The waker is registered before the parts are counted, so
+        // that no drop is missed.
         self.allowance.waker.register(cx.waker());
         self.size() >= size && self.reuse() || self.replace(size) || self.reuse()
     }
--- a/crates/daemon/src/http/ingress.rs
+++ b/crates/daemon/src/http/ingress.rs
@@ -350,8 +350,8 @@
 fn refuse(node: &Node, id: Request, origin: Option<&Origin>, refused: &Refused) -> HttpResponse {
     let account = origin.map_or("", |origin| &origin.account);
     let caller = origin.map(|origin| (origin.access.key, origin.account_key));
-    let back = caller.and_then(|caller| find_return(node, caller, refused));
-    let place = back.and_then(|back| reservation::reserve(node, &back));
+    let returning = caller.and_then(|caller| find_return(node, caller, refused));
+    let place = returning.and_then(|returning| reservation::reserve(node, &returning));
     let retry_after = place.map(|place| place.delay);
     let retry_after = retry_after.or_else(|| {
         let route = caller.map(|(route, _)| route);
--- a/crates/daemon/src/http/preview/document.rs
+++ b/crates/daemon/src/http/preview/document.rs
@@ -205,13 +205,13 @@
     match interface {
         Interface::Own => {
             let holder = (access.matched.key, access.account_key);
-            let back = ingress::find_return(node, holder, refused)?;
-            let (low, high) = reservation::preview(node, &back)?;
+            let returning = ingress::find_return(node, holder, refused)?;
+            let (low, high) = reservation::preview(node, &returning)?;
             Some([low, high].map(|delay| problem::whole_seconds(delay) as f64))
         }
         Interface::Platform => {
-            let back = outbound::find_return(node, (access, deadline), refused)?;
-            let (low, high) = reservation::preview(node, &back)?;
+            let returning = outbound::find_return(node, (access, deadline), refused)?;
+            let (low, high) = reservation::preview(node, &returning)?;
             Some([low, high].map(|delay| delay.as_secs_f64()))
         }
     }
--- a/crates/daemon/src/http/reservation.rs
+++ b/crates/daemon/src/http/reservation.rs
@@ -59,20 +59,20 @@
 }
 
 /// Reserves capacity for the return of a refused request. `None` if there is none.
-pub(super) fn reserve(node: &Node, back: &Return) -> Option<Place> {
+pub(super) fn reserve(node: &Node, returning: &Return) -> Option<Place> {
     let now = node.clock.now();
     let mut schedule = lock(&node.routing.reservations);
-    let place = back.reserve(&mut schedule, now, rand::random());
+    let place = returning.reserve(&mut schedule, now, rand::random());
     drop(schedule);
     count(node, if place.is_some() { "made" } else { "full" }, 1);
     place
 }
 
 /// Shortest and longest delay that [`reserve`] would now return, without a reservation.
-pub(super) fn preview(node: &Node, back: &Return) -> Option<(Duration, Duration)> {
+pub(super) fn preview(node: &Node, returning: &Return) -> Option<(Duration, Duration)> {
     let now = node.clock.now();
     let schedule = lock(&node.routing.reservations).clone();
-    let at = |draw| back.reserve(&mut schedule.clone(), now, draw);
+    let at = |draw| returning.reserve(&mut schedule.clone(), now, draw);
     let (low, high) = at(0.0).zip(at(1.0))?;
     Some((low.delay, high.delay))
 }
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -83,7 +83,7 @@
     Redeemed,
 }
 
-/// Reserved capacity.
+/// Capacity that is reserved for one request that comes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     /// Time until the request is to come back.
--- a/crates/policy/tests/all/reserved_returns.rs
+++ b/crates/policy/tests/all/reserved_returns.rs
@@ -26,14 +26,14 @@
     clients: u32,
     refused_twice: u32,
     admitted: u32,
-    admitted0: u32,
+    admitted_of_first: u32,
     /// Reserved slots in the order of the refusals.
     slots: Vec<u64>,
 }
 
-/// Plays a load, with or without reservations. Account 0 sends `weight0` times what
-/// another sends, and comes back `repeats0` times after 10 ms, whatever it is told.
-fn play(overload_ms: u64, weight0: f64, repeats0: u32, reserving: bool) -> Outcome {
+/// Plays a load, with or without reservations. Account 0 sends `weight` times what
+/// another sends, and comes back `repeats` times after 10 ms, whatever it is told.
+fn play(overload_ms: u64, weight: f64, repeats: u32, reserving: bool) -> Outcome {
     let mut outcome = Outcome::default();
     (0..RUNS).for_each(|run| {
         let mut random = StdRng::seed_from_u64(crate::seed() + run);
@@ -58,8 +58,8 @@
             pricer.tick(calls / SLOTS as f64, SERVICE_TIME, now);
             let mut arrivals = std::mem::take(&mut returns[ms as usize]);
             for account in 0..ACCOUNTS {
-                let weight = if account == 0 { weight0 } else { 1.0 };
-                let part = weight / (weight0 + f64::from(ACCOUNTS - 1));
+                let own = if account == 0 { weight } else { 1.0 };
+                let part = own / (weight + f64::from(ACCOUNTS - 1));
                 if random.random_bool(part * if is_overload { 0.2 } else { 0.095 }) {
                     outcome.clients += u32::from(is_overload);
                     arrivals.push((account, is_overload, 0));
@@ -75,11 +75,11 @@
                 if !is_refused[usize::from(reserving)] {
                     waiting += 1;
                     outcome.admitted += u32::from(is_overload);
-                    outcome.admitted0 += u32::from(is_overload && number == 0);
+                    outcome.admitted_of_first += u32::from(is_overload && number == 0);
                     continue;
                 }
-                let is_repeated = number == 0 && repeats0 > 0;
-                if earlier >= if is_repeated { repeats0 } else { 1 } {
+                let is_repeated = number == 0 && repeats > 0;
+                if earlier >= if is_repeated { repeats } else { 1 } {
                     outcome.refused_twice += u32::from(is_counted);
                     continue;
                 }
@@ -105,18 +105,18 @@
 /// refusals, and an account that gains by sending more or by ignoring `Retry-After`.
 #[test]
 fn refused_twice_less() {
-    for (weight0, repeats0) in [(1.0, 0), (5.0, 0), (1.0, 5)] {
+    for (weight, repeats) in [(1.0, 0), (5.0, 0), (1.0, 5)] {
         for overload_ms in [2_000, 10_000] {
             // Before and after, that is, without and with reservations.
-            let outcomes = [false, true].map(|on| play(overload_ms, weight0, repeats0, on));
+            let outcomes = [false, true].map(|on| play(overload_ms, weight, repeats, on));
             let twice = |one: &Outcome| f64::from(one.refused_twice) / f64::from(one.clients);
-            let share = |one: &Outcome| f64::from(one.admitted0) / f64::from(one.admitted);
+            let share = |one: &Outcome| f64::from(one.admitted_of_first) / f64::from(one.admitted);
             let twice = outcomes.each_ref().map(twice);
             let [before, after] = outcomes.each_ref().map(share);
             let admitted = outcomes.each_ref().map(|one| one.admitted);
             let slots = &outcomes[1].slots;
             let ordered = slots.windows(2).filter(|pair| pair[0] <= pair[1]).count();
-            println!("{overload_ms} ms, {weight0} {repeats0}: refused twice {twice:.3?}");
+            println!("{overload_ms} ms, {weight} {repeats}: refused twice {twice:.3?}");
             println!("  admitted {admitted:?}, share of account 0 {before:.3} {after:.3}");
             assert!(twice[1] < twice[0], "{twice:?}");
             // Each account may owe one request, or half of what it is admitted in 1 s.
