Show that a stopping daemon cuts an answer that its client still reads

At 0.85 of the grace time the daemon ends, also if all that is left to do is to write an answer that it holds.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 pub mod departure;
 pub mod drill;
+pub mod reader;
 
 use crate::fleet::Place;
 
@@ -40,6 +41,9 @@
          \"service\":\"huvo11a\",\"max-attempts\":2,\"public\":false}},\
          \"r-b\":{{\"host\":\"hulo84.example\",\"prefix\":\"/b/\",\"kind\":\"idempotent\",\
          \"timeout\":\"1500ms\",\"target-latency\":\"500ms\",\"priority\":2,\
+         \"service\":\"lovo22d\",\"max-attempts\":2,\"public\":false}},\
+         \"r-c\":{{\"host\":\"hulo84.example\",\"prefix\":\"/c/\",\"kind\":\"non_idempotent\",\
+         \"timeout\":\"8000ms\",\"target-latency\":\"2500ms\",\"priority\":0,\
          \"service\":\"lovo22d\",\"max-attempts\":2,\"public\":false}}}},\
          \"services\":{{\
          \"huvo11a\":{{\"health-path\":\"/health\",\"max-connections\":424,\"protocol\":\"h1\",\"tls\":false}},\
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Machines with a daemon and an upstream each, on loopback addresses.
 
 use std::fs::File;
+use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -9,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
-use crate::http;
+use crate::http::{self, Connection};
 use crate::ledger::Ledger;
 use crate::store::Store;
 use crate::upstream::Upstream;
@@ -210,6 +211,28 @@
         }
     }
 
+    /// Sends a signal to a daemon.
+    pub fn signal(&self, index: usize, signal: &str) -> Result<(), String> {
+        let machine = &self.machines[index];
+        let child = machine.child.as_ref().ok_or("the daemon does not run")?;
+        let pid = child.id().to_string();
+        let sent = Command::new("sh")
+            .args(["-c", "kill -s \"$0\" \"$1\"", signal, &pid])
+            .status();
+        if !sent.is_ok_and(|status| status.success()) {
+            return Err("the signal could not be sent".to_owned());
+        }
+        let name = machine.place.name;
+        self.ledger.note(format!("daemon {name} gets SIG{signal}"));
+        Ok(())
+    }
+
+    /// Whether a daemon's process has ended.
+    pub fn has_ended(&mut self, index: usize) -> bool {
+        let child = self.machines[index].child.as_mut();
+        child.is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Waits until all daemons say that they are ready.
     pub fn await_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
@@ -275,6 +298,63 @@
         status
     }
 
+    /// Sends a request and reads its answer at a rate in bytes a second. Returns the status,
+    /// and how many bytes of the body came and were announced.
+    pub fn send_and_read_slowly(
+        &self,
+        (method, path, key): (&str, &str, &str),
+        deadline: Duration,
+        rate: f64,
+    ) -> (u16, usize, usize) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{:08x}{number:08x}", std::process::id());
+        self.ledger.send(&id, self.machine, key);
+        let Ok(connection) = Connection::open(self.address, Duration::from_secs(1)) else {
+            return (0, 0, 0);
+        };
+        let mut stream = connection.stream;
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
+             X-Deadline-Ms: {}\r\nAuthorization: Bearer {key}\r\nContent-Length: 0\r\n\r\n",
+            deadline.as_millis()
+        );
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.set_read_timeout(Some(deadline));
+        let mut received = Vec::new();
+        let mut part = vec![0; 64 * 1024];
+        let mut started = None;
+        let (mut status, mut body, mut announced) = (0, 0, 0);
+        while let Ok(length) = stream.read(&mut part) {
+            if length == 0 {
+                break;
+            }
+            received.extend_from_slice(&part[..length]);
+            if announced == 0 {
+                let end = received.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+                let Some(end) = end else { continue };
+                let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
+                let word = head.split(' ').nth(1);
+                status = word.and_then(|word| word.parse().ok()).unwrap_or(0);
+                let mut fields = head.lines();
+                announced = fields
+                    .find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok())
+                    .unwrap_or(0);
+                body = received.len() - end - 4;
+            } else {
+                body += length;
+            }
+            if body >= announced {
+                break;
+            }
+            let started = *started.get_or_insert_with(Instant::now);
+            let due = Duration::from_secs_f64(body as f64 / rate);
+            thread::sleep(due.saturating_sub(started.elapsed()));
+        }
+        let is_whole = announced > 0 && body == announced;
+        self.ledger.answer(&id, if is_whole { status } else { 0 });
+        (status, body, announced)
+    }
+
     /// Sends requests at an interval until `stop`, each in a thread of its own.
     pub fn run(
         &self,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -26,6 +26,7 @@
     let ledger = Ledger::start();
     let outcome = match name.as_str() {
         "departure" => cases::departure::run(&ledger, trouble),
+        "reader" => cases::reader::run(&ledger, trouble),
         "drill" => cases::drill::run(&ledger, trouble),
         _ => Err(format!("no case {name}")),
     };
--- a/review/standin-2/src/upstream.rs
+++ b/review/standin-2/src/upstream.rs
@@ -52,6 +52,8 @@
     identity: Mutex<Identity>,
     /// Time that a request takes.
     pub work: Mutex<Duration>,
+    /// Length of an answer's body in bytes.
+    pub answer: Mutex<usize>,
     ledger: Ledger,
 }
 
@@ -70,6 +72,7 @@
             zone: zone.to_owned(),
             identity: Mutex::new(Identity::new(instance)),
             work: Mutex::new(Duration::from_millis(20)),
+            answer: Mutex::new(5000),
             ledger: ledger.clone(),
         });
         let server = Arc::clone(&upstream);
@@ -134,8 +137,8 @@
             ("X-Upstream-Load", load.as_str()),
             ("Keep-Alive", "timeout=10"),
         ];
-        let body = format!("the bytes of the upstream for {id}");
-        connection.write("HTTP/1.1 200 OK", &headers, body.as_bytes())
+        let length = *self.answer.lock().unwrap();
+        connection.write("HTTP/1.1 200 OK", &headers, &vec![b'u'; length])
     }
 
     /// The incarnation that runs.
