Make the case of the store drill last longer

The restarted daemon is now the only one of its zone, so that it serves the withdrawn key for half a second.

--- a/review/standin-2/src/cases/drill.rs
+++ b/review/standin-2/src/cases/drill.rs
@@ -21,7 +21,10 @@
     };
     let both = desired(1, &tenants(&format!("\"{KEPT}\",\"{TAKEN}\"")));
     let one = desired(4, &tenants(&format!("\"{KEPT}\"")));
-    let mut fleet = Fleet::start(&PLACES, &both, ledger);
+    let mut places = PLACES;
+    // Each machine of this region is the only one of its zone.
+    places[1].zone = "mbezi";
+    let mut fleet = Fleet::start(&places, &both, ledger);
     if !fleet.await_ready(Duration::from_secs(10)) {
         return Err("the daemons did not become ready".to_owned());
     }
