Fail a response without a length whose upload was cut by a reset

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete 200.

Cause: the kernel keeps one error of a reset, and reports it to the first call on the socket. While the daemon fills the socket buffers, that call is a write. The daemon dropped the error of the write and read on, because a response may still be readable. After the response, the read found an orderly end of the connection, which ends a body without a length. A connection whose write had failed also counted as reusable if its response had a length.

Why this works: a body without a length ends with its connection, and after a failed write the end of the connection proves nothing. Such a response is an unknown outcome.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -35,6 +35,15 @@
 /// Requests without a success after which a connection is closed rather than kept.
 const MAX_UNSUCCESSFUL: usize = 64;
 
+/// Progress of sending a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Upload {
+    /// A part is not written yet.
+    Sending,
+    Sent,
+    Failed,
+}
+
 /// An open connection to the target.
 #[derive(Debug)]
 struct Connection {
@@ -201,9 +210,10 @@
         half: read_half,
         buffer: BytesMut::new(),
         late: 0,
+        upload_failed: false,
         memory,
     };
-    let mut written = false;
+    let mut upload = Upload::Sending;
     let head = {
         let write = async {
             write_half.write_all(&first).await?;
@@ -215,19 +225,17 @@
         loop {
             tokio::select! {
                 biased;
-                sent = &mut write, if !written => {
+                sent = &mut write, if upload == Upload::Sending => {
                     // After a failed write, a response may still be readable.
-                    written = true;
-                    if sent.is_err() {
-                        break read.await?;
-                    }
+                    upload = if sent.is_ok() { Upload::Sent } else { Upload::Failed };
                 }
                 head = &mut read => break head?,
             }
         }
     };
+    reader.upload_failed = upload == Upload::Failed;
     let body = reader.body(&head, request.head_only, limit).await?;
-    let is_reusable = written && head.keep_alive && reader.buffer.is_empty();
+    let is_reusable = upload == Upload::Sent && head.keep_alive && reader.buffer.is_empty();
     let keep_for = is_reusable
         .then_some(head.framing)
         .filter(|framing| !matches!(framing, Framing::UntilClose))
--- a/crates/daemon/src/exchange/reader.rs
+++ b/crates/daemon/src/exchange/reader.rs
@@ -36,6 +36,9 @@
     pub(super) buffer: BytesMut,
     /// Late responses that were skipped.
     pub(super) late: u64,
+    /// Whether the request could not be written in full. The failed write consumes the
+    /// error of a reset, after which reads report an orderly end of the connection.
+    pub(super) upload_failed: bool,
     /// Account in which bodies are reserved.
     pub(super) memory: &'a Memory,
 }
@@ -114,6 +117,9 @@
             Framing::Length(length) if length > limit => Err(Error::TooLarge),
             Framing::Length(length) => self.sized_body(length).await,
             Framing::Chunked => self.chunked_body(limit).await,
+            Framing::UntilClose if self.upload_failed => Err(Error::Sent(
+                "connection failed before the end of a response without a length".to_owned(),
+            )),
             Framing::UntilClose => {
                 let mut body = Buffer::new(self.memory, Kind::Response, limit);
                 loop {
--- /dev/null
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -0,0 +1,83 @@
+//! Responses of the target that are broken in their framing: the caller gets 502 and
+//! nothing of the response, beside the target and through a peer link.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+use crate::raw_target::{Deployment, MAX_BODY_BYTES, SECRET, assert_withheld, head, send};
+
+/// Size of an upload, in bytes; more than the socket buffers hold.
+const UPLOAD_BYTES: usize = MAX_BODY_BYTES / 2;
+/// Uploads of each kind, since the order of events in the kernel varies.
+const RUNS: usize = 12;
+/// Times before the response, and between the response and the reset. The daemon is
+/// still filling the socket buffers, or waits for room in them.
+const PAUSES: [[Duration; 2]; 4] = [
+    [Duration::ZERO, Duration::ZERO],
+    [Duration::from_micros(500), Duration::ZERO],
+    [Duration::from_millis(60), Duration::ZERO],
+    [Duration::from_millis(60), Duration::from_millis(5)],
+];
+
+/// Sends a response, then closes the connection with a reset.
+fn send_and_reset(mut stream: TcpStream, response: &str, pauses: [Duration; 2]) {
+    std::thread::sleep(pauses[0]);
+    let _ = stream.write_all(response.as_bytes());
+    std::thread::sleep(pauses[1]);
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Responds to an upload at once, and resets the connection while it is being written.
+/// The segment of the path has the kind of response and the index of a pause.
+fn respond_early(segment: &str, stream: TcpStream) {
+    let (kind, run) = segment.split_once('-').expect("a kind and a number");
+    let pauses = PAUSES[run.parse::<usize>().expect("a number") % PAUSES.len()];
+    let framing = match kind {
+        "sized" => format!("content-length: {}\r\n", SECRET.len()),
+        "chunked" => "transfer-encoding: chunked\r\n".to_owned(),
+        _ => String::new(),
+    };
+    let body = match kind {
+        "chunked" => format!("{:x}\r\n{SECRET}\r\n0\r\n\r\n", SECRET.len()),
+        _ => SECRET.to_owned(),
+    };
+    let response = format!("{}{framing}\r\n{body}", head("HTTP/1.1 200 OK"));
+    send_and_reset(stream, &response, pauses);
+}
+
+/// Guards against a part of a body that is passed on as the whole, because the failed
+/// write of the upload has consumed the error that the reader of the body waits for.
+#[test]
+fn reset_during_upload() {
+    let deployment = Deployment::start(respond_early);
+    let upload = vec![b'u'; UPLOAD_BYTES];
+    for daemon in deployment.daemons() {
+        for run in 0..RUNS {
+            let segment = format!("unframed-{run}");
+            let reply = send(daemon, &segment, &upload);
+            assert_withheld(&reply, &segment);
+            assert_eq!(deployment.take_runs(), 1, "{segment}");
+        }
+    }
+}
+
+#[test]
+fn whole_response_delivered() {
+    // A body whose end is known by its length or last chunk is whole, although the upload
+    // has failed.
+    let deployment = Deployment::start(respond_early);
+    let upload = vec![b'u'; UPLOAD_BYTES];
+    for daemon in deployment.daemons() {
+        for run in 0..RUNS {
+            let kind = ["sized", "chunked"][run % 2];
+            let segment = format!("{kind}-{}", run / 2);
+            let reply = send(daemon, &segment, &upload);
+            let body = String::from_utf8_lossy(&reply.body);
+            assert_eq!((reply.status, &*body), (200, SECRET), "{segment}");
+            assert_eq!(deployment.take_runs(), 1, "{segment}");
+        }
+    }
+}
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -3,6 +3,7 @@
 
 mod allowed_regions;
 mod body_integrity;
+mod broken_responses;
 mod call_context;
 mod call_redirect;
 mod caller_tls;
@@ -29,6 +30,7 @@
 mod platform_sidecar;
 mod process_signals;
 mod quota_fleet;
+mod raw_target;
 mod refused_calls;
 mod request_heads;
 mod request_preview;
