Reject responses whose length or transfer coding is malformed

What callers saw: a target sent a 200 whose head was damaged where it tells the length of the body, such as "content-length: +13". The caller got it as a complete 200 whose body was as long as the damaged field said, and not the target's.

Cause: a length was parsed as a Rust integer, which may have a sign, after all Unicode white space around it was removed. Only the first of several transfer-encoding fields was read, so that "chunked" beside a second coding counted as chunked alone, and so did a coding in an HTTP/1.0 response, where RFC 9112, section 6.1, has a recipient treat the framing as faulty.

Evidence: damaged_length_withheld sends 12 damaged lengths and codings through the daemon beside the target and through a peer link.

Why this works: a length has digits only, and equal lengths may be repeated; a transfer coding is exactly one "chunked", in HTTP/1.1, without a length beside it. Anything else is a broken response, whose outcome is unknown, and the request is not sent again.

--- a/crates/daemon/src/exchange/head.rs
+++ b/crates/daemon/src/exchange/head.rs
@@ -40,7 +40,13 @@
 impl Head {
     /// Value of the first header field with this name, in lower case.
     pub(super) fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(field, _)| field == name);
+        self.get_all(name).next()
+    }
+
+    /// Values of the header fields with this name, in lower case.
+    fn get_all(&self, name: &str) -> impl Iterator<Item = &str> {
+        let fields = self.headers.iter();
+        let found = fields.filter(move |(field, _)| field == name);
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -66,8 +72,9 @@
     }
     let mut headers = Vec::with_capacity(response.headers.len());
     for field in response.headers.iter() {
+        // The parser has removed the white space around the value.
         let value = std::str::from_utf8(field.value).map_err(|_| invalid(field.name))?;
-        headers.push((field.name.to_ascii_lowercase(), value.trim().to_owned()));
+        headers.push((field.name.to_ascii_lowercase(), value.to_owned()));
     }
     let mut head = Head {
         status,
@@ -76,7 +83,8 @@
         keep_alive: response.version == Some(1),
         keep_for: DEFAULT_KEEP_ALIVE,
     };
-    head.framing = framing(&head).ok_or_else(|| invalid("conflicting length fields"))?;
+    let version = response.version.unwrap_or_default();
+    head.framing = framing(&head, version).map_err(invalid)?;
     if let Some(connection) = head.get("connection") {
         let is_closing = connection.to_ascii_lowercase().contains("close");
         head.keep_alive &= !is_closing;
@@ -87,25 +95,40 @@
     Ok(Some((head, length)))
 }
 
-/// Framing of a body by its header fields; `None` if they conflict.
-fn framing(head: &Head) -> Option<Framing> {
-    if let Some(encoding) = head.get("transfer-encoding") {
-        let chunked = encoding.eq_ignore_ascii_case("chunked");
-        return (chunked && head.get("content-length").is_none()).then_some(Framing::Chunked);
-    }
-    let lengths = head
-        .headers
-        .iter()
-        .filter(|(name, _)| name == "content-length");
-    let mut found = None;
-    for (_, value) in lengths {
-        let length = value.parse::<usize>().ok()?;
-        if found.is_some_and(|previous| previous != length) {
-            return None;
+/// Framing of a body by its header fields (RFC 9112, section 6).
+///
+/// # Errors
+///
+/// What is wrong with the fields.
+fn framing(head: &Head, minor_version: u8) -> Result<Framing, &'static str> {
+    let mut lengths = head.get_all("content-length");
+    let mut codings = head.get_all("transfer-encoding");
+    if let Some(coding) = codings.next() {
+        if codings.next().is_some() || !coding.eq_ignore_ascii_case("chunked") {
+            return Err("transfer coding other than chunked");
         }
-        found = Some(length);
+        if lengths.next().is_some() {
+            return Err("length beside a transfer coding");
+        }
+        if minor_version == 0 {
+            return Err("transfer coding in HTTP/1.0");
+        }
+        return Ok(Framing::Chunked);
+    }
+    let Some(length) = lengths.next() else {
+        return Ok(Framing::UntilClose);
+    };
+    let length = parse_length(length).ok_or("length that is no number")?;
+    if lengths.any(|other| parse_length(other) != Some(length)) {
+        return Err("conflicting lengths");
     }
-    Some(found.map_or(Framing::UntilClose, Framing::Length))
+    Ok(Framing::Length(length))
+}
+
+/// Number of bytes in a `content-length` field, which has digits only.
+fn parse_length(value: &str) -> Option<usize> {
+    let is_number = value.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| value.parse().ok())?
 }
 
 /// Timeout in seconds of a `keep-alive` field such as `timeout=5, max=100`.
--- a/crates/daemon/tests/all/broken_responses.rs
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -64,6 +64,58 @@
     }
 }
 
+/// Status line of a response and the last line of its head. Other lines are proper.
+type Damage = (&'static str, &'static str);
+
+const OK: &str = "HTTP/1.1 200 OK";
+/// Body of 18 bytes with a last chunk.
+const BODY: &str = "d\r\nof-the-target\r\n0\r\n\r\n";
+
+/// Lines that spoil the length of the body.
+const DAMAGED_LENGTHS: [Damage; 12] = [
+    (OK, "content-length: +13"),
+    (OK, "content-length: \u{a0}13"),
+    (OK, "content-length: 13, 18"),
+    (OK, "content-length: 13\r\ncontent-length: 18"),
+    (OK, "content-length: 1 3"),
+    (OK, "content-length:"),
+    (OK, "content-length: 18446744073709551629"),
+    (OK, "transfer-encoding: chunked\r\ntransfer-encoding: gzip"),
+    (
+        OK,
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+    ),
+    (OK, "transfer-encoding: chunked\r\ncontent-length: 13"),
+    (OK, "transfer-encoding: gzip"),
+    ("HTTP/1.0 200 OK", "transfer-encoding: chunked"),
+];
+
+/// Has the target send each response through each daemon, and asserts that the caller
+/// gets none of it and that the request was sent once.
+fn assert_all_withheld(responses: &'static [Damage]) {
+    let deployment = Deployment::start(move |segment, mut stream| {
+        let index = segment.parse::<usize>().expect("an index");
+        let (status_line, line) = responses[index];
+        let response = format!("{}{line}\r\n\r\n{BODY}", head(status_line));
+        // The daemon may close the connection.
+        let _ = stream.write_all(response.as_bytes());
+    });
+    for daemon in deployment.daemons() {
+        for (index, (status_line, line)) in responses.iter().enumerate() {
+            let reply = send(daemon, &index.to_string(), b"");
+            let case = format!("{} {}", status_line.escape_debug(), line.escape_debug());
+            assert_withheld(&reply, &case);
+            assert_eq!(deployment.take_runs(), 1, "{case}");
+        }
+    }
+}
+
+/// Guards against a body whose end is guessed from a field that no sound target sends.
+#[test]
+fn damaged_length_withheld() {
+    assert_all_withheld(&DAMAGED_LENGTHS);
+}
+
 #[test]
 fn whole_response_delivered() {
     // A body whose end is known by its length or last chunk is whole, although the upload
