Reject responses whose head ends with a damaged empty line

What callers saw: a target sent a head in which a line had lost everything but its line feed. The caller got a complete 200 whose body began with the rest of the head.

Cause: the parser of heads takes a bare line feed for the end of a line, and so for the empty line that ends the head. The length stood behind it, so the response counted as one without a length, which ends with its connection.

Evidence: damaged_line_withheld sends 8 heads with a line that is no field. The parser rejected the other lines before.

Why this works: a sender ends every line with a carriage return and a line feed (RFC 9112, section 2.2). If any line of a head does, the empty line must too. Heads whose lines all end with a line feed alone are still read.

--- a/crates/daemon/src/exchange/head.rs
+++ b/crates/daemon/src/exchange/head.rs
@@ -70,6 +70,9 @@
     if !STATUSES.contains(&status) {
         return Err(invalid("status out of range"));
     }
+    if !ends_like_lines(&buffer[..length]) {
+        return Err(invalid("empty line without carriage return"));
+    }
     let mut headers = Vec::with_capacity(response.headers.len());
     for field in response.headers.iter() {
         // The parser has removed the white space around the value.
@@ -95,6 +98,12 @@
     Ok(Some((head, length)))
 }
 
+/// Whether the empty line at the end of a head or trailer section ends like the other
+/// lines do. In a section with carriage returns, a bare line feed is a damaged line.
+pub(super) fn ends_like_lines(section: &[u8]) -> bool {
+    section.ends_with(b"\r\n") || !section.windows(2).any(|pair| pair == b"\r\n")
+}
+
 /// Framing of a body by its header fields (RFC 9112, section 6).
 ///
 /// # Errors
--- a/crates/daemon/tests/all/broken_responses.rs
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -90,6 +90,18 @@
     ("HTTP/1.0 200 OK", "transfer-encoding: chunked"),
 ];
 
+/// Lines that are no fields.
+const DAMAGED_LINES: [Damage; 8] = [
+    (OK, "\ncontent-length: 13"),
+    (OK, "content-length 13"),
+    (OK, "content-length"),
+    (OK, ": 13"),
+    (OK, "x-text: folded\r\n content-length: 13"),
+    (OK, "HTTP/1.1 200 OK\r\ncontent-length: 13"),
+    (OK, "\u{0}\u{1}\u{2}\r\ncontent-length: 13"),
+    (OK, "content-length: 13\r"),
+];
+
 /// Has the target send each response through each daemon, and asserts that the caller
 /// gets none of it and that the request was sent once.
 fn assert_all_withheld(responses: &'static [Damage]) {
@@ -116,6 +128,12 @@
     assert_all_withheld(&DAMAGED_LENGTHS);
 }
 
+/// Guards against a head that ends before its last field.
+#[test]
+fn damaged_line_withheld() {
+    assert_all_withheld(&DAMAGED_LINES);
+}
+
 #[test]
 fn whole_response_delivered() {
     // A body whose end is known by its length or last chunk is whole, although the upload
