--- a/crates/daemon/tests/all/broken_responses.rs
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -68,7 +68,8 @@
 type Damage = (&'static str, &'static str);
 
 const OK: &str = "HTTP/1.1 200 OK";
-/// Body of 18 bytes with a last chunk.
+const LENGTH: &str = "content-length: 18";
+/// Body that is whole by [`LENGTH`] as well as by its last chunk.
 const BODY: &str = "d\r\nof-the-target\r\n0\r\n\r\n";
 
 /// Lines that spoil the length of the body.
@@ -102,6 +103,30 @@
     (OK, "content-length: 13\r"),
 ];
 
+/// Names of fields that hold a blank or a control byte.
+const DAMAGED_NAMES: [Damage; 10] = [
+    (OK, "content length: 13"),
+    (OK, "content-length : 13"),
+    (OK, "content-length\t: 13"),
+    (OK, " content-length: 13"),
+    (OK, "x-te xt: 1\r\ncontent-length: 18"),
+    (OK, "x-te\u{0}xt: 1\r\ncontent-length: 18"),
+    (OK, "x-te\u{1}xt: 1\r\ncontent-length: 18"),
+    (OK, "x-te\u{b}xt: 1\r\ncontent-length: 18"),
+    (OK, "x-te\u{1b}xt: 1\r\ncontent-length: 18"),
+    (OK, "x-te\u{7f}xt: 1\r\ncontent-length: 18"),
+];
+
+/// Responses with the status 000.
+const ZERO_STATUSES: [Damage; 6] = [
+    ("HTTP/1.1 000 Fine", LENGTH),
+    ("HTTP/1.1 000 ", LENGTH),
+    ("HTTP/1.1 000", LENGTH),
+    ("HTTP/1.0 000 Fine", "x-length: none"),
+    ("HTTP/1.1 000 Fine", "transfer-encoding: chunked"),
+    ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Fine", LENGTH),
+];
+
 /// Has the target send each response through each daemon, and asserts that the caller
 /// gets none of it and that the request was sent once.
 fn assert_all_withheld(responses: &'static [Damage]) {
@@ -134,6 +159,16 @@
     assert_all_withheld(&DAMAGED_LINES);
 }
 
+#[test]
+fn damaged_name_withheld() {
+    assert_all_withheld(&DAMAGED_NAMES);
+}
+
+#[test]
+fn zero_status_withheld() {
+    assert_all_withheld(&ZERO_STATUSES);
+}
+
 #[test]
 fn whole_response_delivered() {
     // A body whose end is known by its length or last chunk is whole, although the upload
