Reject chunked responses with a missing size or a malformed trailer

What callers saw: a target sent a chunked body in which the size of a chunk was missing. The caller got the part before it as a complete 200.

Cause: the parser of chunk sizes takes a line without digits for the size zero, which is the last chunk. It takes any byte for a part of an extension, a line feed included, and the trailer section was skipped line by line without a look at the lines, so that the head of another response was taken for a trailer.

Why this works: a size has at least one digit, the line of a size has no control bytes, and each line of a trailer section is a field. Anything else is an unknown outcome.

--- a/crates/daemon/src/exchange/head.rs
+++ b/crates/daemon/src/exchange/head.rs
@@ -1,4 +1,4 @@
-//! Heads of HTTP/1.1 responses.
+//! Syntax of HTTP/1.1 responses: heads, and the lines of chunked bodies.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -7,6 +7,7 @@
 const MAX_HEADERS: usize = 64;
 /// Statuses that a response may have (RFC 9110, section 15).
 const STATUSES: RangeInclusive<u16> = 100..=599;
+const LINE_END: &[u8] = b"\r\n";
 /// Time for which an idle connection is kept if the target sends no `keep-alive`
 /// timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -98,10 +99,10 @@
     Ok(Some((head, length)))
 }
 
-/// Whether the empty line at the end of a head or trailer section ends like the other
-/// lines do. In a section with carriage returns, a bare line feed is a damaged line.
-pub(super) fn ends_like_lines(section: &[u8]) -> bool {
-    section.ends_with(b"\r\n") || !section.windows(2).any(|pair| pair == b"\r\n")
+/// Whether the empty line at the end of a head ends like the other
+/// lines do. In a head with carriage returns, a bare line feed is a damaged line.
+fn ends_like_lines(head: &[u8]) -> bool {
+    head.ends_with(LINE_END) || !head.windows(2).any(|pair| pair == LINE_END)
 }
 
 /// Framing of a body by its header fields (RFC 9112, section 6).
@@ -150,3 +151,36 @@
         .find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
     timeout?.1.trim().parse().ok()
 }
+
+/// Parses the line before a chunk. Returns its length and the size of the chunk, both in
+/// bytes, or `None` if the buffer holds only a part of it.
+///
+/// # Errors
+///
+/// What is wrong with the line.
+pub(super) fn parse_chunk_size(buffer: &[u8]) -> Result<Option<(usize, usize)>, String> {
+    let invalid = || "invalid chunk size".to_owned();
+    // The parser takes a missing size for zero.
+    if buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+        return Err(invalid());
+    }
+    match httparse::parse_chunk_size(buffer).map_err(|_| invalid())? {
+        httparse::Status::Complete((end, size)) => {
+            // The parser takes any byte for a part of an extension.
+            let mut line = buffer[..end - LINE_END.len()].iter();
+            if line.any(|byte| byte.is_ascii_control() && *byte != b'\t') {
+                return Err("invalid chunk extension".to_owned());
+            }
+            Ok(Some((end, usize::try_from(size).unwrap_or(usize::MAX))))
+        }
+        httparse::Status::Partial => Ok(None),
+    }
+}
+
+/// Whether a line, without its end, is a header or trailer field.
+pub(super) fn is_field(line: &[u8]) -> bool {
+    let section = [line, LINE_END, LINE_END].concat();
+    let mut fields = [httparse::EMPTY_HEADER; 1];
+    let parsed = httparse::parse_headers(&section, &mut fields);
+    matches!(parsed, Ok(httparse::Status::Complete((length, [_]))) if length == section.len())
+}
--- a/crates/daemon/src/exchange/reader.rs
+++ b/crates/daemon/src/exchange/reader.rs
@@ -208,13 +208,10 @@
     /// both in bytes.
     async fn chunk_size(&mut self) -> Result<(usize, usize), Error> {
         loop {
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete((start, length))) => {
-                    return Ok((start, usize::try_from(length).unwrap_or(usize::MAX)));
-                }
-                Ok(httparse::Status::Partial) => self.fill_line().await?,
-                Err(_) => return Err(Error::Sent("invalid chunk size".to_owned())),
+            if let Some(line) = head::parse_chunk_size(&self.buffer).map_err(Error::Sent)? {
+                return Ok(line);
             }
+            self.fill_line().await?;
         }
     }
 
@@ -229,6 +226,9 @@
                     return Ok(());
                 }
                 Some(end) => {
+                    if !head::is_field(&self.buffer[..end]) {
+                        return Err(Error::Sent("invalid trailer".to_owned()));
+                    }
                     self.buffer.advance(end + 2);
                     skipped += end + 2;
                 }
--- a/crates/daemon/tests/all/broken_responses.rs
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -127,6 +127,17 @@
     ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Fine", LENGTH),
 ];
 
+/// Chunked bodies. What follows them is not read.
+const DAMAGED_CHUNKS: [Damage; 4] = [
+    (OK, "transfer-encoding: chunked\r\n\r\n4\r\npart\r\n"),
+    (OK, "transfer-encoding: chunked\r\n\r\n4\r\npart\r\n;x"),
+    (OK, "transfer-encoding: chunked\r\n\r\n4;x\ny\r\npart\r\n0"),
+    (
+        OK,
+        "transfer-encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nHTTP/1.1 200 OK",
+    ),
+];
+
 /// Has the target send each response through each daemon, and asserts that the caller
 /// gets none of it and that the request was sent once.
 fn assert_all_withheld(responses: &'static [Damage]) {
@@ -159,6 +170,12 @@
     assert_all_withheld(&DAMAGED_LINES);
 }
 
+/// Guards against a body that ends where the size of a chunk is missing.
+#[test]
+fn damaged_chunk_withheld() {
+    assert_all_withheld(&DAMAGED_CHUNKS);
+}
+
 #[test]
 fn damaged_name_withheld() {
     assert_all_withheld(&DAMAGED_NAMES);
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -35,6 +35,7 @@
 mod request_heads;
 mod request_preview;
 mod reserved_returns;
+mod response_syntax;
 mod retry_outcomes;
 mod signed_target;
 mod store_return;
