Fail a request that its target answers with 101

What callers saw: a target answered 101, which no request of a daemon asks for, and then sent bytes that look like a response. The caller got them as the response.

Cause: 101 was skipped like the interim responses 100, 102 and 103. Behind it the connection carries another protocol, so nothing on it is an HTTP response.

Evidence: response_syntax has a 101 before a proper response now, and is red on this entry alone without the fix.

Why this works: upgrades are never forwarded, so a 101 is a broken response, whose outcome is unknown. Other interim responses are still skipped; the table has a 103.

--- a/crates/daemon/src/exchange/reader.rs
+++ b/crates/daemon/src/exchange/reader.rs
@@ -11,6 +11,8 @@
 use super::message::{Error, Request};
 use crate::memory::{Buffer, Memory};
 
+/// Status after which the connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Buffer space reserved for one read, in bytes.
@@ -67,6 +69,9 @@
     ) -> Result<Head, Error> {
         for _ in 0..MAX_RESPONSES {
             let head = self.head().await?;
+            if head.status == SWITCHING_PROTOCOLS {
+                return Err(Error::Sent("upgrade that was not requested".to_owned()));
+            }
             if (100..200).contains(&head.status) {
                 continue;
             }
--- a/crates/daemon/tests/all/response_syntax.rs
+++ b/crates/daemon/tests/all/response_syntax.rs
@@ -86,7 +86,12 @@
     (b"HTTP/1.1 200 Tr\xe8s bien", true),
     (b"HTTP/1.0 200 OK", true),
     (b"HTTP/1.1 599 OK", true),
+    (b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK", true),
     (b"HTTP/1.1 101 Switching Protocols", false),
+    (
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK",
+        false,
+    ),
     (b"HTTP/1.1 000 OK", false),
     (b"HTTP/1.1 099 OK", false),
     (b"HTTP/1.1 600 OK", false),
