Report broken responses by target and defect

A broken response was visible to operators only as code 1402 with a sentence, which a connection that ended without a response has as well. Errors of an exchange now carry the defect: head, length, chunk, oversized, truncated, unmatched, or a status without the mark that it needs. The daemon beside the target counts them in cardamomshed_broken_responses_total by service and defect, health checks included, and event 226 names the target, its instance and the defect for each call.

The judgement of an exchange moves from the runner to the module outcome, unchanged. defects_reported checks the metric and the event for four kinds of defect.

--- a/crates/code/src/event.rs
+++ b/crates/code/src/event.rs
@@ -51,6 +51,7 @@
     CallFinished = 223, "call finished on the target";
     CallCancelled = 224, "call cancelled; the target is notified";
     WindowChanged = 225, "limit on calls that use a congested downstream route set or removed";
+    ResponseBroken = 226, "broken response of the target; nothing of it is passed on";
     ClaimMade = 230, "idempotency key claimed";
     ClaimReplayed = 231, "idempotency key already claimed; the first response is replayed";
     ClaimRefused = 232, "idempotency key could not be claimed";
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -21,7 +21,7 @@
 mod reader;
 
 use head::Framing;
-pub use message::{Correlation, Error, Request, Response};
+pub use message::{Correlation, Defect, Error, Loss, Request, Response};
 use reader::Reader;
 
 use crate::memory::Memory;
--- a/crates/daemon/src/exchange/head.rs
+++ b/crates/daemon/src/exchange/head.rs
@@ -3,6 +3,8 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use super::message::{Defect, Error};
+
 /// Largest number of header fields in a response.
 const MAX_HEADERS: usize = 64;
 /// Statuses that a response may have (RFC 9110, section 15).
@@ -57,9 +59,13 @@
 ///
 /// # Errors
 ///
-/// What is wrong with the head.
-pub(super) fn parse(buffer: &[u8]) -> Result<Option<(Head, usize)>, String> {
-    let invalid = |detail: &str| format!("invalid response: {detail}");
+/// [`Defect::Head`] or [`Defect::Length`].
+pub(super) fn parse(buffer: &[u8]) -> Result<Option<(Head, usize)>, Error> {
+    let broken = |defect, detail: &str| {
+        let detail = format!("invalid response: {detail}");
+        Error::broken(defect, detail)
+    };
+    let invalid = |detail: &str| broken(Defect::Head, detail);
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut fields);
     let length = match response.parse(buffer) {
@@ -88,7 +94,7 @@
         keep_for: DEFAULT_KEEP_ALIVE,
     };
     let version = response.version.unwrap_or_default();
-    head.framing = framing(&head, version).map_err(invalid)?;
+    head.framing = framing(&head, version).map_err(|detail| broken(Defect::Length, detail))?;
     if let Some(connection) = head.get("connection") {
         let is_closing = connection.to_ascii_lowercase().contains("close");
         head.keep_alive &= !is_closing;
@@ -157,9 +163,9 @@
 ///
 /// # Errors
 ///
-/// What is wrong with the line.
-pub(super) fn parse_chunk_size(buffer: &[u8]) -> Result<Option<(usize, usize)>, String> {
-    let invalid = || "invalid chunk size".to_owned();
+/// [`Defect::Chunk`].
+pub(super) fn parse_chunk_size(buffer: &[u8]) -> Result<Option<(usize, usize)>, Error> {
+    let invalid = || Error::broken(Defect::Chunk, "invalid chunk size");
     // The parser takes a missing size for zero.
     if buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
         return Err(invalid());
@@ -169,7 +175,7 @@
             // The parser takes any byte for a part of an extension.
             let mut line = buffer[..end - LINE_END.len()].iter();
             if line.any(|byte| byte.is_ascii_control() && *byte != b'\t') {
-                return Err("invalid chunk extension".to_owned());
+                return Err(Error::broken(Defect::Chunk, "invalid chunk extension"));
             }
             Ok(Some((end, usize::try_from(size).unwrap_or(usize::MAX))))
         }
--- a/crates/daemon/src/exchange/message.rs
+++ b/crates/daemon/src/exchange/message.rs
@@ -58,9 +58,78 @@
     /// No connection was established, so nothing was sent.
     NotSent(String),
     /// The request may have been sent; whether it ran is unknown.
-    Sent(String),
+    Sent(Loss),
     /// The response body exceeds the limit.
     TooLarge,
     /// There is no memory for the response body.
     NoMemory,
 }
+
+impl Error {
+    /// How the response is broken, with a description, if there is one.
+    pub fn defect(&self) -> Option<(Defect, &str)> {
+        match self {
+            Self::Sent(loss) => Some((loss.defect?, &loss.detail)),
+            Self::NotSent(_) | Self::TooLarge | Self::NoMemory => None,
+        }
+    }
+
+    /// No response to a request that may have been sent.
+    pub(super) fn no_response(detail: impl Into<String>) -> Self {
+        Self::Sent(Loss {
+            defect: None,
+            detail: detail.into(),
+        })
+    }
+
+    /// A broken response.
+    pub(super) fn broken(defect: Defect, detail: impl Into<String>) -> Self {
+        Self::Sent(Loss {
+            defect: Some(defect),
+            detail: detail.into(),
+        })
+    }
+}
+
+/// Why there is no whole response to a request that may have been sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// How the response is broken; `None` if none began.
+    pub defect: Option<Defect>,
+    /// Description for operators and callers.
+    pub detail: String,
+}
+
+/// How a response is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// The status line or a line of the head is malformed.
+    Head,
+    /// The head does not tell where the body ends, or in more ways than one.
+    Length,
+    /// The framing of a chunked body is malformed.
+    Chunk,
+    /// The head, or the framing of a chunked body, exceeds its limit.
+    Oversized,
+    /// The connection ended or failed before the end of the response was certain.
+    Truncated,
+    /// All responses are to other requests.
+    Unmatched,
+    /// The status needs a mark that shows whether the request ran, and it is missing.
+    Unmarked,
+}
+
+impl Defect {
+    /// Name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Length => "length",
+            Self::Chunk => "chunk",
+            Self::Oversized => "oversized",
+            Self::Truncated => "truncated",
+            Self::Unmatched => "unmatched",
+            Self::Unmarked => "unmarked",
+        }
+    }
+}
--- a/crates/daemon/src/exchange/reader.rs
+++ b/crates/daemon/src/exchange/reader.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::head::{self, Framing, Head};
-use super::message::{Error, Request};
+use super::message::{Defect, Error, Request};
 use crate::memory::{Buffer, Memory};
 
 /// Status after which the connection carries another protocol.
@@ -25,11 +25,22 @@
 /// Largest size of the lines between chunks per byte of data, beside
 /// [`MAX_HEAD_BYTES`] for the whole body. A chunk of one byte needs five.
 const MAX_FRAMING_PER_BYTE: usize = 8;
+const CLOSED_EARLY: &str = "connection closed before the response was complete";
 /// Longest wait for memory while a response is read.
 const MEMORY_WAIT: Duration = Duration::from_secs(2);
 
-fn closed_early() -> Error {
-    Error::Sent("connection closed before the response was complete".to_owned())
+/// A response that broke off.
+fn truncated(detail: impl Into<String>) -> Error {
+    Error::broken(Defect::Truncated, detail)
+}
+
+/// Malformed framing of a chunked body.
+fn bad_chunk(detail: &str) -> Error {
+    Error::broken(Defect::Chunk, detail)
+}
+
+fn oversized(detail: &str) -> Error {
+    Error::broken(Defect::Oversized, detail)
 }
 
 /// Reading half of a connection, during one exchange.
@@ -50,12 +61,12 @@
     async fn fill(&mut self) -> Result<usize, Error> {
         self.buffer.reserve(READ_BYTES);
         let read = self.half.read_buf(&mut self.buffer).await;
-        read.map_err(|error| Error::Sent(error.to_string()))
+        read.map_err(|error| truncated(error.to_string()))
     }
 
     async fn fill_or_fail(&mut self) -> Result<(), Error> {
         if self.fill().await? == 0 {
-            return Err(closed_early());
+            return Err(truncated(CLOSED_EARLY));
         }
         Ok(())
     }
@@ -70,7 +81,10 @@
         for _ in 0..MAX_RESPONSES {
             let head = self.head().await?;
             if head.status == SWITCHING_PROTOCOLS {
-                return Err(Error::Sent("upgrade that was not requested".to_owned()));
+                return Err(Error::broken(
+                    Defect::Head,
+                    "upgrade that was not requested",
+                ));
             }
             if (100..200).contains(&head.status) {
                 continue;
@@ -86,26 +100,31 @@
                 .await
                 .map_err(|error| match error {
                     // This is not the response to the request.
-                    Error::TooLarge => Error::Sent("late response too large".to_owned()),
+                    Error::TooLarge => oversized("late response too large"),
                     other => other,
                 })?;
             if matches!(head.framing, Framing::UntilClose) {
                 break;
             }
         }
-        Err(Error::Sent("no response to this request".to_owned()))
+        let detail = "no response to this request";
+        Err(Error::broken(Defect::Unmatched, detail))
     }
 
     async fn head(&mut self) -> Result<Head, Error> {
         loop {
-            if let Some((head, length)) = head::parse(&self.buffer).map_err(Error::Sent)? {
+            if let Some((head, length)) = head::parse(&self.buffer)? {
                 self.buffer.advance(length);
                 return Ok(head);
             }
             if self.buffer.len() > MAX_HEAD_BYTES {
-                return Err(Error::Sent("response head too large".to_owned()));
+                return Err(oversized("response head too large"));
             }
-            self.fill_or_fail().await?;
+            let has_begun = !self.buffer.is_empty();
+            self.fill_or_fail().await.map_err(|error| match error {
+                Error::Sent(loss) if !has_begun => Error::no_response(loss.detail),
+                other => other,
+            })?;
         }
     }
 
@@ -122,8 +141,8 @@
             Framing::Length(length) if length > limit => Err(Error::TooLarge),
             Framing::Length(length) => self.sized_body(length).await,
             Framing::Chunked => self.chunked_body(limit).await,
-            Framing::UntilClose if self.upload_failed => Err(Error::Sent(
-                "connection failed before the end of a response without a length".to_owned(),
+            Framing::UntilClose if self.upload_failed => Err(truncated(
+                "connection failed before the end of a response without a length",
             )),
             Framing::UntilClose => {
                 let mut body = Buffer::new(self.memory, Kind::Response, limit);
@@ -153,8 +172,8 @@
         while body.len() < length {
             let missing = length - body.len();
             let read = self.half.read_buf(&mut body.data().limit(missing)).await;
-            if read.map_err(|error| Error::Sent(error.to_string()))? == 0 {
-                return Err(closed_early());
+            if read.map_err(|error| truncated(error.to_string()))? == 0 {
+                return Err(truncated(CLOSED_EARLY));
             }
         }
         Ok(body.freeze())
@@ -199,12 +218,12 @@
                 self.fill_or_fail().await?;
             }
             if &self.buffer[..2] != b"\r\n" {
-                return Err(Error::Sent("chunk longer than its size".to_owned()));
+                return Err(bad_chunk("chunk longer than its size"));
             }
             self.buffer.advance(2);
             framing_bytes += start + 2;
             if framing_bytes > MAX_HEAD_BYTES + body.len() * MAX_FRAMING_PER_BYTE {
-                return Err(Error::Sent("chunk extensions too large".to_owned()));
+                return Err(oversized("chunk extensions too large"));
             }
         }
     }
@@ -213,7 +232,7 @@
     /// both in bytes.
     async fn chunk_size(&mut self) -> Result<(usize, usize), Error> {
         loop {
-            if let Some(line) = head::parse_chunk_size(&self.buffer).map_err(Error::Sent)? {
+            if let Some(line) = head::parse_chunk_size(&self.buffer)? {
                 return Ok(line);
             }
             self.fill_line().await?;
@@ -232,7 +251,7 @@
                 }
                 Some(end) => {
                     if !head::is_field(&self.buffer[..end]) {
-                        return Err(Error::Sent("invalid trailer".to_owned()));
+                        return Err(bad_chunk("invalid trailer"));
                     }
                     self.buffer.advance(end + 2);
                     skipped += end + 2;
@@ -240,13 +259,13 @@
                 None => self.fill_line().await?,
             }
         }
-        Err(Error::Sent("trailer too large".to_owned()))
+        Err(oversized("trailer too large"))
     }
 
     /// Reads more of the line that the buffer holds a part of.
     async fn fill_line(&mut self) -> Result<(), Error> {
         if self.buffer.len() > MAX_LINE_BYTES {
-            return Err(Error::Sent("line of a chunked body too large".to_owned()));
+            return Err(oversized("line of a chunked body too large"));
         }
         self.fill_or_fail().await
     }
--- a/crates/daemon/src/health_check.rs
+++ b/crates/daemon/src/health_check.rs
@@ -7,6 +7,7 @@
 
 use crate::exchange::{Pool, Request};
 use crate::node::Node;
+use crate::outcome;
 
 /// Time limit for the target's answer to the health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -39,7 +40,12 @@
     let answer = tokio::time::timeout(HEALTH_TIMEOUT, answer)
         .await
         .map_err(|_| "health check timed out".to_owned())?
-        .map_err(|error| format!("health check: {error:?}"))?;
+        .map_err(|error| {
+            if let Some((defect, _)) = error.defect() {
+                outcome::count_defect(node, &sidecar.service, defect);
+            }
+            format!("health check: {error:?}")
+        })?;
     health::decode(answer.status, &answer.headers)
         .ok_or_else(|| format!("health check: status {}", answer.status))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod node;
+mod outcome;
 pub mod quota;
 pub mod reload;
 pub mod reply;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -36,6 +36,8 @@
     pub resumed: IntCounter,
     /// Late responses of the local target that were skipped.
     pub late_responses: IntCounter,
+    /// Broken responses of the local target, by service and defect.
+    pub broken_responses: IntCounterVec,
     /// Bytes sent to other daemons, by purpose.
     pub bytes: IntCounterVec,
     /// Bytes that are reserved, by kind.
@@ -114,6 +116,11 @@
                 "cardamomshed_late_responses_total",
                 "Late responses of the target that were skipped",
             )?,
+            broken_responses: counters(
+                "cardamomshed_broken_responses_total",
+                "Broken responses of the target, by service and defect",
+                &["service", "defect"],
+            )?,
             bytes: counters(
                 "cardamomshed_bytes_total",
                 "Bytes sent to other daemons, by purpose",
@@ -172,6 +179,8 @@
         self.registry.register(Box::new(self.resumed.clone()))?;
         self.registry
             .register(Box::new(self.late_responses.clone()))?;
+        self.registry
+            .register(Box::new(self.broken_responses.clone()))?;
         self.registry.register(Box::new(self.bytes.clone()))?;
         self.registry.register(Box::new(self.memory.clone()))?;
         self.registry.register(Box::new(self.unreserved.clone()))?;
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cardamomshed_code::{Code, Event};
-use cardamomshed_platform::{answer, header, load};
+use cardamomshed_platform::header;
 use cardamomshed_policy::admission::{ADMIT_ALL, Level};
 use cardamomshed_policy::gate::{Preview, Ticket};
 use cardamomshed_policy::{Moment, RouteKey};
@@ -18,13 +18,13 @@
 use tokio::sync::mpsc;
 
 use crate::context::{Context, Guard, Root};
-use crate::exchange::{Correlation, Error, Pool, Request, Response};
+use crate::exchange::{Correlation, Pool, Request};
 use crate::job::Job;
 use crate::node::Node;
+use crate::outcome;
 use crate::reply::{Answer, Refused, Reply};
 use crate::sync::lock;
 use crate::target::{Attributes, Completion, Permit};
-use crate::warmth;
 
 /// Header that carries the call context to the target. If the target returns it
 /// with the response, late responses to earlier calls are recognised.
@@ -371,15 +371,7 @@
             .pool
             .exchange(self.permit.address, connect, &request, limit)
             .await;
-        warmth::record_exchange(node, &result);
-        let response = result.map_err(exchange_error)?;
-        node.metrics.late_responses.inc_by(response.late);
-        if platform {
-            if let Some(factor) = load::slowdown(&response.headers) {
-                self.permit.record_slowdown(factor);
-            }
-            check_response(&response)?;
-        }
+        let response = outcome::judge(node, call, self.permit, result)?;
         Ok(Answer {
             status: response.status,
             headers: crate::http::head::response_headers(response.headers),
@@ -454,42 +446,3 @@
         required: true,
     })
 }
-
-/// Checks whether a response on the platform shows that the request ran. Other failures
-/// are passed on, signed or not.
-///
-/// # Errors
-///
-/// [`Code::TargetRefused`] if the target reports that it did not run the request.
-/// [`Code::TargetFailed`] for a success that the target did not sign, and for a status
-/// that would promise the caller that the request did not run, without the target's
-/// word for it. After either it is unknown whether the request ran.
-fn check_response(response: &Response) -> Result<(), Refused> {
-    match answer::classify(response.status, &response.headers) {
-        answer::Kind::NotExecuted => {
-            let detail = format!(
-                "the target rejected the request with status {}",
-                response.status
-            );
-            Err(Refused::not_run(Code::TargetRefused, detail, 0))
-        }
-        answer::Kind::Unproven => {
-            let detail = format!("status {} without the mark of a rejection", response.status);
-            Err(Refused::unknown(Code::TargetFailed, detail, 0))
-        }
-        answer::Kind::Unsigned if (200..300).contains(&response.status) => {
-            let detail = "success response without a signature";
-            Err(Refused::unknown(Code::TargetFailed, detail, 0))
-        }
-        answer::Kind::Signed | answer::Kind::Unsigned => Ok(()),
-    }
-}
-
-fn exchange_error(error: Error) -> Refused {
-    match error {
-        Error::NotSent(detail) => Refused::not_run(Code::TargetFailed, detail, 0),
-        Error::Sent(detail) => Refused::unknown(Code::TargetFailed, detail, 0),
-        Error::TooLarge => Refused::unknown(Code::AnswerTooLarge, "", 0),
-        Error::NoMemory => Refused::unknown(Code::AnswerTooLarge, "no memory for the response", 0),
-    }
-}
--- a/crates/daemon/tests/all/broken_responses.rs
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -5,8 +5,11 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use cardamomshed_code::Event;
+use cardamomshed_wire::Request;
 use socket2::SockRef;
 
+use crate::platform_sidecar::ATTEMPT;
 use crate::raw_target::{Deployment, MAX_BODY_BYTES, SECRET, assert_withheld, head, send};
 
 /// Size of an upload, in bytes; more than the socket buffers hold.
@@ -68,7 +71,7 @@
 type Damage = (&'static str, &'static str);
 
 const OK: &str = "HTTP/1.1 200 OK";
-const LENGTH: &str = "content-length: 18";
+const LENGTH: &str = "content-length: 23";
 /// Body that is whole by [`LENGTH`] as well as by its last chunk.
 const BODY: &str = "d\r\nof-the-target\r\n0\r\n\r\n";
 
@@ -76,8 +79,8 @@
 const DAMAGED_LENGTHS: [Damage; 12] = [
     (OK, "content-length: +13"),
     (OK, "content-length: \u{a0}13"),
-    (OK, "content-length: 13, 18"),
-    (OK, "content-length: 13\r\ncontent-length: 18"),
+    (OK, "content-length: 13, 23"),
+    (OK, "content-length: 13\r\ncontent-length: 23"),
     (OK, "content-length: 1 3"),
     (OK, "content-length:"),
     (OK, "content-length: 18446744073709551629"),
@@ -109,12 +112,12 @@
     (OK, "content-length : 13"),
     (OK, "content-length\t: 13"),
     (OK, " content-length: 13"),
-    (OK, "x-te xt: 1\r\ncontent-length: 18"),
-    (OK, "x-te\u{0}xt: 1\r\ncontent-length: 18"),
-    (OK, "x-te\u{1}xt: 1\r\ncontent-length: 18"),
-    (OK, "x-te\u{b}xt: 1\r\ncontent-length: 18"),
-    (OK, "x-te\u{1b}xt: 1\r\ncontent-length: 18"),
-    (OK, "x-te\u{7f}xt: 1\r\ncontent-length: 18"),
+    (OK, "x-te xt: 1\r\ncontent-length: 23"),
+    (OK, "x-te\u{0}xt: 1\r\ncontent-length: 23"),
+    (OK, "x-te\u{1}xt: 1\r\ncontent-length: 23"),
+    (OK, "x-te\u{b}xt: 1\r\ncontent-length: 23"),
+    (OK, "x-te\u{1b}xt: 1\r\ncontent-length: 23"),
+    (OK, "x-te\u{7f}xt: 1\r\ncontent-length: 23"),
 ];
 
 /// Responses with the status 000.
@@ -138,16 +141,21 @@
     ),
 ];
 
-/// Has the target send each response through each daemon, and asserts that the caller
-/// gets none of it and that the request was sent once.
-fn assert_all_withheld(responses: &'static [Damage]) {
-    let deployment = Deployment::start(move |segment, mut stream| {
+/// Starts a target that sends the response whose index is the last segment of the path.
+fn serve(responses: &'static [Damage]) -> Deployment {
+    Deployment::start(move |segment, mut stream| {
         let index = segment.parse::<usize>().expect("an index");
         let (status_line, line) = responses[index];
         let response = format!("{}{line}\r\n\r\n{BODY}", head(status_line));
         // The daemon may close the connection.
         let _ = stream.write_all(response.as_bytes());
-    });
+    })
+}
+
+/// Has the target send each response through each daemon, and asserts that the caller
+/// gets none of it and that the request was sent once.
+fn assert_all_withheld(responses: &'static [Damage]) {
+    let deployment = serve(responses);
     for daemon in deployment.daemons() {
         for (index, (status_line, line)) in responses.iter().enumerate() {
             let reply = send(daemon, &index.to_string(), b"");
@@ -186,6 +194,37 @@
     assert_all_withheld(&ZERO_STATUSES);
 }
 
+/// One response of each kind of defect, with the name of the defect.
+const DEFECTS: [(&str, Damage); 4] = [
+    ("head", DAMAGED_LINES[1]),
+    ("length", DAMAGED_LENGTHS[0]),
+    ("chunk", DAMAGED_CHUNKS[0]),
+    ("truncated", (OK, "content-length: 24")),
+];
+
+#[test]
+fn defects_reported() {
+    const RESPONSES: &[Damage] = &[DEFECTS[0].1, DEFECTS[1].1, DEFECTS[2].1, DEFECTS[3].1];
+    let deployment = serve(RESPONSES);
+    let node = &deployment.local.node;
+    for (index, (defect, _)) in DEFECTS.iter().enumerate() {
+        send(&deployment.remote, &index.to_string(), b"");
+        let metric = format!(
+            "cardamomshed_broken_responses_total{{defect=\"{defect}\",service=\"s-two\"}} 1\n"
+        );
+        let metrics = node.metrics.render();
+        assert!(metrics.contains(&metric), "{metric}{metrics}");
+        let decisions = node.trace.explain("", Request::from_label(ATTEMPT), 0);
+        let number = Event::ResponseBroken.number();
+        let mut reports = decisions.iter().filter(|entry| entry.event == number);
+        let detail = &reports.next_back().expect("an event").detail;
+        let target = format!("service=s-two target={}", deployment.target);
+        for part in [&*target, "instance=i-1", &format!("defect={defect} ")] {
+            assert!(detail.contains(part), "{part}: {detail}");
+        }
+    }
+}
+
 #[test]
 fn whole_response_delivered() {
     // A body whose end is known by its length or last chunk is whole, although the upload
--- a/crates/daemon/tests/all/raw_target.rs
+++ b/crates/daemon/tests/all/raw_target.rs
@@ -39,6 +39,8 @@
     pub(crate) local: Member,
     /// Daemon without a target.
     pub(crate) remote: Member,
+    /// Address of the target.
+    pub(crate) target: SocketAddr,
     /// Requests that the target has received, proper ones not counted.
     runs: Arc<AtomicUsize>,
     _platform: Platform,
@@ -63,6 +65,7 @@
         let deployment = Self {
             local,
             remote,
+            target,
             runs,
             _platform: platform,
         };
