Count responses that break off as failed in shedctl, the load generator and stand-ins

What users saw: shedctl showed a report of which a part was missing. The load generator counted a 200 that broke off as answered, and took "not run" from a part of a refusal. The client with which the tests judge the daemons reported the status of such a response, so that a test could pass although the response was not whole.

Cause: the end of the connection ended the body in the client library, as in the store's client.

The time limit of shedctl, the load generator and the test client covers the body as well.

--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::http::Method;
+use bytes::Bytes;
 use cardamomshed_code::{Code, Failure};
+use cardamomshed_http as http;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -134,20 +137,19 @@
 ) -> Result<T, Failure> {
     let unreachable =
         |error: String| Failure::new(Code::DaemonUnreachable, format!("{daemon}: {error}"));
-    let client = awc::Client::builder().timeout(TIMEOUT).finish();
-    let mut response = client
-        .get(format!("http://{daemon}{path}"))
+    let client = http::Client::new(http::Config {
+        timeout: Some(TIMEOUT),
+        ..http::Config::default()
+    });
+    let request = client
+        .request(Method::GET, format!("http://{daemon}{path}"))
         .query(&query)
-        .map_err(|error| unreachable(error.to_string()))?
-        .send()
-        .await
         .map_err(|error| unreachable(error.to_string()))?;
-    let status = response.status();
-    let body = response
-        .body()
-        .limit(MAX_RESPONSE_BYTES)
+    let response = client
+        .send(request, Bytes::new(), MAX_RESPONSE_BYTES)
         .await
         .map_err(|error| unreachable(error.to_string()))?;
+    let (status, body) = (response.status, response.body);
     if !status.is_success() {
         let problem = serde_json::from_slice::<Problem>(&body);
         return Err(problem.map_or_else(
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operators' tool against stand-ins, one file per feature.
 
+mod broken_answers;
 mod load_report;
 mod note_commands;
 mod request_preview;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use awc::http::Method;
+use cardamomshed_http as http;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -28,7 +30,7 @@
 
 struct Run {
     plan: Plan,
-    client: awc::Client,
+    client: http::Client,
     report: RefCell<Report>,
     /// Number of requests that are open.
     open: RefCell<usize>,
@@ -38,15 +40,12 @@
 /// Executes a plan and waits for the last response. While requests are sent,
 /// `progress` is called about once per second with the report so far.
 pub async fn run(plan: Plan, mut progress: impl FnMut(&Report)) -> Report {
-    let connector = awc::Connector::new()
-        .limit(0)
-        .timeout(Duration::from_secs(2))
-        .conn_keep_alive(Duration::from_secs(30));
-    let client = awc::Client::builder()
-        .connector(connector)
-        .timeout(plan.timeout)
-        .disable_redirects()
-        .finish();
+    let client = http::Client::new(http::Config {
+        connect: Duration::from_secs(2),
+        timeout: Some(plan.timeout),
+        keep_alive: Duration::from_secs(30),
+        connections: 0,
+    });
     let run = Rc::new(Run {
         client,
         report: RefCell::default(),
@@ -174,7 +173,7 @@
     /// Sends one attempt to a daemon and classifies the response.
     async fn attempt(&self, source: &Source, daemon: usize, idempotency_key: &str) -> Outcome {
         let url = format!("http://{}{}", self.plan.daemons[daemon], source.path);
-        let method = source.method.parse().unwrap_or_default();
+        let method = source.method.parse::<Method>().unwrap_or_default();
         let mut request = self
             .client
             .request(method, url)
@@ -182,21 +181,20 @@
         if source.idempotent {
             request = request.insert_header(("idempotency-key", idempotency_key));
         }
-        let Ok(mut response) = request.send_body(source.body.clone()).await else {
+        let body = source.body.clone().into();
+        let sent = self.client.send(request, body, MAX_RESPONSE_BYTES).await;
+        let Ok(response) = sent else {
             return Outcome::Unknown;
         };
-        let status = response.status();
         let retry_after = response
-            .headers()
+            .headers
             .get("retry-after")
             .and_then(|value| value.to_str().ok()?.parse().ok());
-        let Ok(body) = response.body().limit(MAX_RESPONSE_BYTES).await else {
-            return Outcome::Unknown;
-        };
-        if status.is_success() {
+        if response.status.is_success() {
             return Outcome::Answered;
         }
-        let problem = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
+        let problem =
+            serde_json::from_slice::<serde_json::Value>(&response.body).unwrap_or_default();
         let code = problem.get("code").and_then(serde_json::Value::as_u64);
         let ran = problem.get("ran").and_then(serde_json::Value::as_str);
         match (code, ran) {
--- /dev/null
+++ b/crates/load/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the load generator, one file per feature.
+
+mod response_outcomes;
--- a/crates/standin/benches/path.rs
+++ b/crates/standin/benches/path.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use awc::http::Method;
 use cardamomshed_daemon::Options;
+use cardamomshed_http as http;
 use cardamomshed_note::{LogFormat, Settings};
 use cardamomshed_standin::experiment::{Bound, Experiment, cpu_time, resident_memory};
 use cardamomshed_standin::fleet::{Fleet, Kind};
@@ -31,31 +33,23 @@
 
 /// Sends `calls` calls, `open` concurrently, and returns their latencies in µs.
 async fn call(to: SocketAddr, key: String, body: Vec<u8>, open: usize, calls: usize) -> Vec<u64> {
-    let connector = awc::Connector::new()
-        .limit(0)
-        .timeout(Duration::from_secs(5));
-    let client = awc::Client::builder()
-        .connector(connector)
-        .timeout(Duration::from_secs(20))
-        .finish();
+    let client = http::Client::new(http::Config {
+        timeout: Some(Duration::from_secs(20)),
+        connections: 0,
+        ..http::Config::default()
+    });
     let workers = (0..open).map(|_| {
         let (client, key, body) = (client.clone(), key.clone(), body.clone());
         actix_rt::spawn(async move {
             let mut latencies = Vec::new();
             for _ in 0..calls.div_ceil(open) {
                 let start = Instant::now();
-                let mut answer = client
-                    .post(format!("http://{to}/hop-0"))
-                    .insert_header(("authorization", format!("Bearer {key}")))
-                    .send_body(body.clone())
-                    .await
-                    .expect("an answer");
-                assert!(answer.status().is_success(), "status {}", answer.status());
-                answer
-                    .body()
-                    .limit(MAX_RESPONSE_BYTES)
-                    .await
-                    .expect("a complete answer");
+                let request = client
+                    .request(Method::POST, format!("http://{to}/hop-0"))
+                    .insert_header(("authorization", format!("Bearer {key}")));
+                let sent = client.send(request, body.clone().into(), MAX_RESPONSE_BYTES);
+                let answer = sent.await.expect("a complete answer");
+                assert!(answer.status.is_success(), "status {}", answer.status);
                 latencies.push(start.elapsed().as_micros() as u64);
             }
             latencies
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use awc::http::Method;
+use cardamomshed_http as http;
 use serde_json::Value;
 
 use crate::thread;
@@ -79,34 +81,31 @@
     ///
     /// Panics if the method is not a valid HTTP token.
     pub async fn send_async(self) -> Reply {
-        let client = awc::Client::builder()
-            .timeout(REQUEST_TIMEOUT)
-            .disable_redirects()
-            .finish();
-        let method = self.method.parse().expect("a valid method");
+        let client = http::Client::new(http::Config {
+            timeout: Some(REQUEST_TIMEOUT),
+            ..http::Config::default()
+        });
+        let method = self.method.parse::<Method>().expect("a valid method");
         let mut request = client.request(method, format!("http://{}{}", self.to, self.path));
         for (name, value) in &self.headers {
             request = request.append_header((name.as_str(), value.as_str()));
         }
-        let none = Reply {
-            status: 0,
-            headers: Vec::new(),
-            body: Vec::new(),
+        let sent = client.send(request, self.body.into(), MAX_RESPONSE_BYTES);
+        let Ok(answer) = sent.await else {
+            return Reply {
+                status: 0,
+                headers: Vec::new(),
+                body: Vec::new(),
+            };
         };
-        let Ok(mut answer) = request.send_body(self.body).await else {
-            return none;
-        };
-        let Ok(body) = answer.body().limit(MAX_RESPONSE_BYTES).await else {
-            return none;
-        };
-        let headers = answer.headers().iter().map(|(name, value)| {
+        let headers = answer.headers.iter().map(|(name, value)| {
             let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
             (name.as_str().to_owned(), value)
         });
         Reply {
-            status: answer.status().as_u16(),
+            status: answer.status.as_u16(),
             headers: headers.collect(),
-            body: body.to_vec(),
+            body: answer.body.to_vec(),
         }
     }
 }
--- a/crates/standin/src/naive.rs
+++ b/crates/standin/src/naive.rs
@@ -6,12 +6,12 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use cardamomshed_http as http;
 
 use crate::shape::Shape;
 use crate::target::Target;
@@ -114,14 +114,14 @@
 
 fn serve(state: Arc<State>, callers: TcpListener, target: TcpListener) -> actix_web::dev::Server {
     HttpServer::new(move || {
-        let connector = awc::Connector::new().limit(0);
-        let client = awc::Client::builder()
-            .connector(connector)
-            .timeout(state.timeout)
-            .finish();
+        let client = http::Client::new(http::Config {
+            timeout: Some(state.timeout),
+            connections: 0,
+            ..http::Config::default()
+        });
         App::new()
             .app_data(web::Data::from(Arc::clone(&state)))
-            .app_data(web::Data::new(Rc::new(client)))
+            .app_data(web::Data::new(client))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .default_service(web::to(forward))
     })
@@ -136,7 +136,7 @@
 
 async fn forward(
     state: web::Data<State>,
-    client: web::Data<Rc<awc::Client>>,
+    client: web::Data<http::Client>,
     request: HttpRequest,
     body: web::Bytes,
 ) -> HttpResponse {
@@ -160,14 +160,11 @@
         let url = format!("http://{address}{}", request.uri());
         let sent = client
             .request(request.method().clone(), url)
-            .insert_header(("x-shed-request", id.clone()))
-            .send_body(body.clone())
-            .await;
-        if let Ok(mut answer) = sent
-            && answer.status().is_success()
-            && let Ok(body) = answer.body().limit(MAX_BODY_BYTES).await
+            .insert_header(("x-shed-request", id.clone()));
+        if let Ok(answer) = client.send(sent, body.clone(), MAX_BODY_BYTES).await
+            && answer.status.is_success()
         {
-            return HttpResponse::Ok().body(body);
+            return HttpResponse::Ok().body(answer.body);
         }
     }
     HttpResponse::BadGateway().finish()
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -4,12 +4,14 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use actix_web::http::Method;
+use actix_web::web::Bytes;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use cardamomshed_http as http;
 use rand::Rng;
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep};
@@ -23,6 +25,8 @@
 /// Header with the identifier of the root request, copied to every further
 /// call.
 const REQUEST_HEADER: &str = "x-shed-request";
+/// Largest request or response body, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Prefix of every account key. Finds keys that a daemon failed to strip.
 const KEY_PREFIX: &str = "csk_";
 
@@ -218,11 +222,11 @@
     let app_state = Arc::clone(state);
     let connect_state = Arc::clone(state);
     HttpServer::new(move || {
-        let client = awc::Client::builder().disable_timeout().finish();
+        let client = http::Client::new(http::Config::default());
         App::new()
             .app_data(web::Data::from(Arc::clone(&app_state)))
-            .app_data(web::Data::new(Rc::new(client)))
-            .app_data(web::PayloadConfig::new(64 * 1024 * 1024))
+            .app_data(web::Data::new(client))
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .default_service(web::to(call))
     })
     .workers(1)
@@ -256,7 +260,7 @@
 
 async fn call(
     state: web::Data<State>,
-    client: web::Data<Rc<awc::Client>>,
+    client: web::Data<http::Client>,
     request: HttpRequest,
     body: web::Bytes,
 ) -> HttpResponse {
@@ -288,7 +292,7 @@
 
 async fn run(
     state: &State,
-    client: &awc::Client,
+    client: &http::Client,
     request: &HttpRequest,
     body: &[u8],
     behaviour: &Behaviour,
@@ -313,17 +317,17 @@
     sleep(behaviour.service_time.mul_f64(factor * jitter)).await;
     for path in &behaviour.calls {
         let url = format!("http://{}{path}", state.config.daemon);
-        let mut child = client.get(url);
+        let mut child = client.request(Method::GET, url);
         for name in [CONTEXT_HEADER, REQUEST_HEADER] {
             if let Some(value) = request.headers().get(name) {
                 child = child.insert_header((name, value.clone()));
             }
         }
-        match child.send().await {
-            Ok(mut answer) if answer.status().is_success() => {
-                if answer.body().limit(64 * 1024 * 1024).await.is_err() {
-                    return HttpResponse::BadGateway().body("truncated response");
-                }
+        let sent = client.send(child, Bytes::new(), MAX_BODY_BYTES);
+        match sent.await {
+            Ok(answer) if answer.status.is_success() => {}
+            Err(http::Error::Broken(_)) => {
+                return HttpResponse::BadGateway().body("truncated response");
             }
             Ok(_) => return HttpResponse::ServiceUnavailable().body("a call failed"),
             Err(_) => return HttpResponse::BadGateway().body("the daemon failed"),
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the stand-ins and of the page generated from experiment results.
 
 mod capacity_page;
+mod client_replies;
 mod platform_rows;
