Have the soak reject messages with malformed framing

The soak judges daemons by what its clients and targets read. Its reader took a malformed or missing length for zero and the first of several for all, so that any broken response was a whole one with a shorter body; it did not check the end of a chunk, took a missing chunk size for the last chunk, and any status. A daemon that passed on broken responses would have been judged sound.

The reader now fails as the daemon's does, and reads a response without a length to the end of the connection.

--- a/crates/standin/src/soak/http.rs
+++ b/crates/standin/src/soak/http.rs
@@ -11,9 +11,20 @@
 
 /// Largest number of header fields in a message.
 const MAX_FIELDS: usize = 64;
+const LINE_END: &[u8] = b"\r\n";
 /// Time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How the end of a body is determined.
+enum Framing {
+    /// By its length in bytes.
+    Length(usize),
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
 /// A request or response.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -105,22 +116,28 @@
     }
 
     async fn body(&mut self, head: &Message) -> Result<Bytes> {
-        if head.field("transfer-encoding") == Some("chunked") {
-            return self.chunks().await;
-        }
-        let length = head
-            .field("content-length")
-            .and_then(|length| length.parse().ok())
-            .unwrap_or(0);
-        while self.buffer.len() < length {
-            self.fill().await?;
+        match framing(head)? {
+            Framing::Length(length) => {
+                while self.buffer.len() < length {
+                    self.fill().await?;
+                }
+                Ok(self.buffer.split_to(length).freeze())
+            }
+            Framing::Chunked => self.chunks().await,
+            Framing::UntilClose => {
+                while self.stream.read_buf(&mut self.buffer).await? > 0 {}
+                Ok(self.buffer.split().freeze())
+            }
         }
-        Ok(self.buffer.split_to(length).freeze())
     }
 
+    /// Reads a chunked body. Extensions and trailers, which neither end sends, are
+    /// malformed.
     async fn chunks(&mut self) -> Result<Bytes> {
         let mut body = BytesMut::new();
         loop {
+            // The parser takes a missing size for zero.
+            let has_size = self.buffer.first().is_none_or(u8::is_ascii_hexdigit);
             let size = httparse::parse_chunk_size(&self.buffer);
             let Ok(httparse::Status::Complete((start, length))) = size else {
                 size.map_err(|_| ErrorKind::InvalidData)?;
@@ -128,12 +145,16 @@
                 continue;
             };
             let length = usize::try_from(length).map_err(|_| ErrorKind::InvalidData)?;
-            while self.buffer.len() < start + length + 2 {
+            while self.buffer.len() < start + length + LINE_END.len() {
                 self.fill().await?;
             }
             self.buffer.advance(start);
             body.extend_from_slice(&self.buffer[..length]);
-            self.buffer.advance(length + 2);
+            self.buffer.advance(length);
+            if !has_size || !self.buffer.starts_with(LINE_END) {
+                return Err(ErrorKind::InvalidData.into());
+            }
+            self.buffer.advance(LINE_END.len());
             if length == 0 {
                 return Ok(body.freeze());
             }
@@ -148,6 +169,30 @@
     }
 }
 
+/// Framing of a body by the head of its message.
+fn framing(head: &Message) -> Result<Framing> {
+    let values = |name: &'static str| {
+        let fields = head.fields.iter();
+        let found = fields.filter(move |(field, _)| field == name);
+        found.map(|(_, value)| value.as_str()).collect::<Vec<_>>()
+    };
+    let is_request = !head.method.is_empty();
+    if !is_request && !(200..600).contains(&head.status) {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    let (lengths, codings) = (values("content-length"), values("transfer-encoding"));
+    match (&*lengths, &*codings) {
+        ([], []) if is_request || matches!(head.status, 204 | 304) => Ok(Framing::Length(0)),
+        ([], []) => Ok(Framing::UntilClose),
+        ([], [coding]) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        ([length], []) if length.bytes().all(|byte| byte.is_ascii_digit()) => {
+            let length = length.parse().map_err(|_| ErrorKind::InvalidData)?;
+            Ok(Framing::Length(length))
+        }
+        _ => Err(ErrorKind::InvalidData.into()),
+    }
+}
+
 /// Parses a head and returns it with its length, or `None` if it is incomplete.
 fn parse(buffer: &[u8]) -> Result<Option<(Message, usize)>> {
     let malformed = |error: httparse::Error| Error::new(ErrorKind::InvalidData, error.to_string());
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod capacity_page;
 mod client_replies;
 mod platform_rows;
+mod soak_messages;
