Test that malformed answers of a peer are withheld

Both hold on: an answer over a link whose status is not final, or whose body is not as long as its head says, is an unknown outcome, and a part that follows a resumption without a head of its own is not appended to the answer that began before it.

--- a/crates/daemon/tests/all/link_faults.rs
+++ b/crates/daemon/tests/all/link_faults.rs
@@ -1,6 +1,8 @@
 //! A daemon calls a fake peer that stops sending, drops the connection, restarts,
 //! sends an unknown call identifier or interleaves its answers.
 
+mod broken_answers;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -103,11 +105,15 @@
     }
 
     async fn answer(&mut self, id: u64, length: u64, chunk: &[u8]) {
+        self.answer_with(id, 200, length, chunk).await;
+    }
+
+    async fn answer_with(&mut self, id: u64, status: u16, length: u64, chunk: &[u8]) {
         let answer = Answer {
             price: 0.0,
             pressure: 0.0,
             id,
-            status: 200,
+            status,
             headers: Vec::new(),
             length,
             load: Load::default(),
