Ignore a malformed Retry-After in the load generator

A refusal with a Retry-After that is negative, infinite or not a number made the task of its request panic: the request was counted in none of the outcomes, and the run waited for it to its end. malformed_delay_ignored panicked there before. Such a delay is now ignored, and the retry waits for its backoff.

--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -24,8 +24,11 @@
     Failed,
     /// No complete response, or execution is unknown.
     Unknown,
-    /// Refusal by the daemon before execution; `retry_after` is in seconds.
-    Refused { code: u16, retry_after: Option<f64> },
+    /// Refusal by the daemon before execution.
+    Refused {
+        code: u16,
+        retry_after: Option<Duration>,
+    },
 }
 
 struct Run {
@@ -165,7 +168,7 @@
             attempt += 1;
             self.tally(index, |tally| tally.retries += 1);
             let retry_after = retry_after.filter(|_| self.plan.retry.honour_retry_after);
-            let backoff = retry_after.map_or(self.plan.retry.backoff, Duration::from_secs_f64);
+            let backoff = retry_after.unwrap_or(self.plan.retry.backoff);
             sleep(backoff.mul_f64(0.5 + rng.random::<f64>())).await;
         }
     }
@@ -189,7 +192,8 @@
         let retry_after = response
             .headers
             .get("retry-after")
-            .and_then(|value| value.to_str().ok()?.parse().ok());
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
         if response.status.is_success() {
             return Outcome::Answered;
         }
--- a/crates/load/tests/all/response_outcomes.rs
+++ b/crates/load/tests/all/response_outcomes.rs
@@ -23,6 +23,10 @@
 }
 
 async fn count(response: &'static str) -> Tally {
+    count_with(response, Retry::NONE).await
+}
+
+async fn count_with(response: &'static str, retry: Retry) -> Tally {
     let plan = Plan {
         seed: 1,
         daemons: vec![server(response)],
@@ -31,7 +35,7 @@
             duration: Duration::from_millis(200),
             factor: 1.0,
         }],
-        retry: Retry::NONE,
+        retry,
         timeout: Duration::from_secs(2),
         max_open: 100,
     };
@@ -60,3 +64,23 @@
         assert_eq!(tally.unknown, tally.offered, "{response}: {tally:?}");
     }
 }
+
+/// Guards against requests that end without an outcome.
+#[actix_rt::test]
+async fn malformed_delay_ignored() {
+    let retry = Retry {
+        max_retries: 1,
+        backoff: Duration::from_millis(1),
+        honour_retry_after: true,
+    };
+    for response in [
+        "HTTP/1.1 429 Busy\r\nretry-after: -1\r\ncontent-length: 24\r\n\r\n{\"code\":1301,\"ran\":\"no\"}",
+        "HTTP/1.1 429 Busy\r\nretry-after: NaN\r\ncontent-length: 24\r\n\r\n{\"code\":1301,\"ran\":\"no\"}",
+        "HTTP/1.1 429 Busy\r\nretry-after: inf\r\ncontent-length: 24\r\n\r\n{\"code\":1301,\"ran\":\"no\"}",
+    ] {
+        let tally = count_with(response, retry).await;
+        let refused = tally.refused.get(&1301).copied();
+        let counted = (tally.retries, refused);
+        assert_eq!(counted, (tally.offered, Some(tally.offered)), "{response}");
+    }
+}
