--- a/crates/daemon/src/exchange/head.rs
+++ b/crates/daemon/src/exchange/head.rs
@@ -105,8 +105,8 @@
     Ok(Some((head, length)))
 }
 
-/// Whether the empty line at the end of a head ends like the other
-/// lines do. In a head with carriage returns, a bare line feed is a damaged line.
+/// Whether the empty line at the end of a head ends like the other lines do. In a head
+/// with carriage returns, a bare line feed is a damaged line.
 fn ends_like_lines(head: &[u8]) -> bool {
     head.ends_with(LINE_END) || !head.windows(2).any(|pair| pair == LINE_END)
 }
