--- a/crates/daemon/tests/all/broken_responses.rs
+++ b/crates/daemon/tests/all/broken_responses.rs
@@ -16,8 +16,8 @@
 const UPLOAD_BYTES: usize = MAX_BODY_BYTES / 2;
 /// Uploads of each kind, since the order of events in the kernel varies.
 const RUNS: usize = 12;
-/// Times before the response, and between the response and the reset. The daemon is
-/// still filling the socket buffers, or waits for room in them.
+/// Times before the response, and between the response and the reset. When the response
+/// comes, the daemon is still filling the socket buffers, or waits for room in them.
 const PAUSES: [[Duration; 2]; 4] = [
     [Duration::ZERO, Duration::ZERO],
     [Duration::from_micros(500), Duration::ZERO],
@@ -67,6 +67,24 @@
     }
 }
 
+#[test]
+fn whole_response_delivered() {
+    // A body whose end is known by its length or last chunk is whole, although the upload
+    // has failed.
+    let deployment = Deployment::start(respond_early);
+    let upload = vec![b'u'; UPLOAD_BYTES];
+    for daemon in deployment.daemons() {
+        for run in 0..RUNS {
+            let kind = ["sized", "chunked"][run % 2];
+            let segment = format!("{kind}-{}", run / 2);
+            let reply = send(daemon, &segment, &upload);
+            let body = String::from_utf8_lossy(&reply.body);
+            assert_eq!((reply.status, &*body), (200, SECRET), "{segment}");
+            assert_eq!(deployment.take_runs(), 1, "{segment}");
+        }
+    }
+}
+
 /// Status line of a response and the last line of its head. Other lines are proper.
 type Damage = (&'static str, &'static str);
 
@@ -224,21 +242,3 @@
         }
     }
 }
-
-#[test]
-fn whole_response_delivered() {
-    // A body whose end is known by its length or last chunk is whole, although the upload
-    // has failed.
-    let deployment = Deployment::start(respond_early);
-    let upload = vec![b'u'; UPLOAD_BYTES];
-    for daemon in deployment.daemons() {
-        for run in 0..RUNS {
-            let kind = ["sized", "chunked"][run % 2];
-            let segment = format!("{kind}-{}", run / 2);
-            let reply = send(daemon, &segment, &upload);
-            let body = String::from_utf8_lossy(&reply.body);
-            assert_eq!((reply.status, &*body), (200, SECRET), "{segment}");
-            assert_eq!(deployment.take_runs(), 1, "{segment}");
-        }
-    }
-}
