--- a/crates/daemon/tests/all/reserved_returns.rs
+++ b/crates/daemon/tests/all/reserved_returns.rs
@@ -40,7 +40,7 @@
         // The client waits 0.4 s at most, and is refused a little after the preview.
         assert!(
             told > low - 0.1 && told < high + 0.1 && told <= 0.4,
-            "{told}"
+            "{told} for a preview of {low} to {high}"
         );
         std::thread::sleep(Duration::from_secs_f64(told));
         raise_price();
